Add the frame of the bench program

Cause: convergence, calls and soak are to be measured side by side. Conclusion: work on the parts can go on apart.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod store;
 pub mod sync;
 pub mod table;
+pub mod tree;
 pub use change::Change;
 pub use error::{Category, Error, Result};
--- /dev/null
+++ b/src/tree.rs
@@ -0,0 +1,1 @@
+//! The decisions of the distribution tree, without sockets and clocks of their own.
--- /dev/null
+++ b/standin/src/bench.rs
@@ -0,0 +1,5 @@
+//! The parts of the `bench` program.
+
+pub mod calls;
+pub mod converge;
+pub mod soak;
--- /dev/null
+++ b/standin/src/bin/bench.rs
@@ -0,0 +1,90 @@
+//! Measures convergence and calls, and runs the soak.
+
+use flags::{Bench, BenchCmd};
+use standin::bench::{calls, converge, soak};
+use standin::fleet;
+use std::process::ExitCode;
+
+#[allow(missing_docs, reason = "the macro writes no comments")]
+mod flags {
+    xflags::xflags! {
+        /// Measures baobabstage on loopback with stand-ins.
+        cmd bench {
+            /// Measures convergence time and control bytes.
+            cmd converge {
+                /// Numbers of daemons, separated by commas; 16,64 by default.
+                optional --daemons counts: String
+                /// Modes, separated by commas; direct,tree by default.
+                optional --modes modes: String
+                /// Changes in a run; 40 by default.
+                optional --changes count: u32
+                /// The seed; 1 by default.
+                optional --seed seed: u64
+                /// A file to write a JSON object to for each mode and size.
+                optional --json file: String
+                /// A file to write a plot of cost against size to, as SVG.
+                optional --plot file: String
+            }
+            /// Measures calls at an open-loop rate.
+            cmd calls {
+                /// The profile: certs, benchlab, stallhall or lathegallery.
+                optional --profile name: String
+                /// What happens during the run; see the bench's documentation.
+                optional --scenario name: String
+                /// Calls a second; the profile's by default.
+                optional --rate rate: u32
+                /// Length of the run in seconds; 10 by default.
+                optional --seconds seconds: u32
+                /// The seed; 1 by default.
+                optional --seed seed: u64
+                /// A file to write a JSON object to for each run.
+                optional --json file: String
+            }
+            /// Runs daemons under random faults and checks the promises.
+            cmd soak {
+                /// Length of the run in minutes; 10 by default.
+                optional --minutes minutes: u32
+                /// The number of daemons; 30 by default.
+                optional --daemons count: u32
+                /// The seed; 1 by default.
+                optional --seed seed: u64
+            }
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    if let Some(exit) = fleet::run_as_daemon() {
+        return exit;
+    }
+    let outcome = match Bench::from_env_or_exit().subcommand {
+        BenchCmd::Converge(flags) => converge::main(&converge::Options {
+            daemons: flags.daemons.unwrap_or_else(|| "16,64".into()),
+            modes: flags.modes.unwrap_or_else(|| "direct,tree".into()),
+            changes: flags.changes.unwrap_or(40),
+            seed: flags.seed.unwrap_or(1),
+            json: flags.json,
+            plot: flags.plot,
+        }),
+        BenchCmd::Calls(flags) => calls::main(&calls::Options {
+            profile: flags.profile.unwrap_or_else(|| "certs".into()),
+            scenario: flags.scenario,
+            rate: flags.rate,
+            seconds: flags.seconds.unwrap_or(10),
+            seed: flags.seed.unwrap_or(1),
+            json: flags.json,
+        }),
+        BenchCmd::Soak(flags) => soak::main(&soak::Options {
+            minutes: flags.minutes.unwrap_or(10),
+            daemons: flags.daemons.unwrap_or(30),
+            seed: flags.seed.unwrap_or(1),
+        }),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("bench: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/standin/src/bin/demo.rs
+++ b/standin/src/bin/demo.rs
@@ -1,13 +1,12 @@
 //! Runs the main job on embedded stand-ins: a change is applied, waited for and used by calls.
 
 use anyhow::{Context as _, ensure};
-use baobabstage::settings::Flags;
 use http::{Method, Request};
 use http_body_util::Full;
 use serde_json::Value;
 use standin::backend::{Backend, Behaviour, Ledger};
 use standin::caller;
-use standin::fleet::{Launcher, Process};
+use standin::fleet::{self, Launcher, Process};
 use standin::platform::{Limits, Platform};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -30,16 +29,8 @@
 }"#;
 
 fn main() -> ExitCode {
-    let mut args: Vec<_> = std::env::args_os().skip(1).collect();
-    if args.first().is_some_and(|arg| arg == "daemon") {
-        args.remove(0);
-        return match Flags::from_args(args) {
-            Ok(flags) => baobabstage::start::main(&flags),
-            Err(err) => {
-                eprintln!("{err}");
-                ExitCode::from(2)
-            }
-        };
+    if let Some(exit) = fleet::run_as_daemon() {
+        return exit;
     }
     match run() {
         Ok(()) => ExitCode::SUCCESS,
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -1,10 +1,11 @@
 //! Daemons started as processes of their own.
 
 use anyhow::{Context as _, bail};
+use baobabstage::settings::Flags;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
+use std::process::{ExitCode, Stdio};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
@@ -82,6 +83,23 @@
     }
 }
 
+/// Runs the daemon if this program was started by [`Launcher::itself`].
+#[must_use]
+pub fn run_as_daemon() -> Option<ExitCode> {
+    let mut arguments = std::env::args_os().skip(1);
+    if arguments.next().is_none_or(|first| first != "daemon") {
+        return None;
+    }
+    let exit = match Flags::from_args(arguments.collect()) {
+        Ok(flags) => baobabstage::start::main(&flags),
+        Err(err) => {
+            eprintln!("daemon: {err}");
+            ExitCode::FAILURE
+        }
+    };
+    Some(exit)
+}
+
 const LISTENERS: [&str; 5] = ["outbound", "inbound", "mesh", "operator", "admin"];
 
 /// A running daemon process.
