--- /dev/null
+++ b/standin/src/backend/ledger.rs
@@ -0,0 +1,109 @@
+//! The record of each run of each call: what the tests hold the callers' answers against.
+
+use baobabstage::sync::lock;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use tokio::time::Instant;
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The work was done.
+    Done,
+    /// The connection was closed before the work was done.
+    Cancelled,
+    /// The deadline passed before the work was done.
+    Expired,
+}
+
+/// A run of a call.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The backend server.
+    pub backend: String,
+    /// When the run started.
+    pub started: Instant,
+    /// When and how it ended; absent while it runs.
+    pub ended: Option<(Instant, Ending)>,
+}
+
+/// The runs of each request id, shared by backend servers.
+#[derive(Clone, Default)]
+pub struct Ledger {
+    runs: Arc<Mutex<BTreeMap<String, Vec<Run>>>>,
+}
+
+impl Ledger {
+    /// Returns how often a call was run, in whole or in part.
+    #[must_use]
+    pub fn runs(&self, request_id: &str) -> u32 {
+        let count = lock(&self.runs).get(request_id).map_or(0, Vec::len);
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the runs of a call.
+    #[must_use]
+    pub fn history(&self, request_id: &str) -> Vec<Run> {
+        lock(&self.runs)
+            .get(request_id)
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    /// Returns the number of runs that a backend server started after a point in time.
+    #[must_use]
+    pub fn started_after(&self, backend: &str, since: Instant) -> usize {
+        let runs = lock(&self.runs);
+        let late = |run: &&Run| run.backend == backend && run.started > since;
+        runs.values().flatten().filter(late).count()
+    }
+
+    /// Returns the number of runs that ended in this way.
+    #[must_use]
+    pub fn ended(&self, ending: Ending) -> usize {
+        let runs = lock(&self.runs);
+        let fits = |run: &&Run| run.ended.is_some_and(|(_, how)| how == ending);
+        runs.values().flatten().filter(fits).count()
+    }
+
+    /// Records the start of a run; its end is recorded by the value returned.
+    pub(super) fn start(&self, request_id: &str, backend: &str) -> Open {
+        let run = Run {
+            backend: backend.into(),
+            started: Instant::now(),
+            ended: None,
+        };
+        let mut runs = lock(&self.runs);
+        let list = runs.entry(request_id.into()).or_default();
+        list.push(run);
+        Open {
+            ledger: self.clone(),
+            request_id: request_id.into(),
+            index: list.len() - 1,
+            ending: Ending::Cancelled,
+        }
+    }
+}
+
+/// A run that has not ended. When it is dropped the run counts as cancelled.
+pub(super) struct Open {
+    ledger: Ledger,
+    request_id: String,
+    index: usize,
+    ending: Ending,
+}
+
+impl Open {
+    pub(super) fn end(mut self, ending: Ending) {
+        self.ending = ending;
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let mut runs = lock(&self.ledger.runs);
+        if let Some(list) = runs.get_mut(&self.request_id) {
+            list[self.index].ended = Some((Instant::now(), self.ending));
+        }
+    }
+}
