Add a TCP proxy that brings faults

Cause: tests with real processes need faults on the wire between them. Conclusion: any hop can be put behind it.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod backend;
 pub mod bench;
 pub mod caller;
+pub mod fault;
 pub mod fleet;
 pub mod platform;
--- a/tests/standins.rs
+++ b/tests/standins.rs
@@ -4,10 +4,13 @@
 use http_body_util::Full;
 use standin::backend::{Backend, Behaviour, Ending, Fault, Ledger, Report, pattern};
 use standin::caller;
+use standin::fault::{Accept, Break, Control, FaultProxy, Faults, Pass};
 use std::net::SocketAddr;
 use std::time::Duration;
 use test_case::test_case;
 
+const LONG: Duration = Duration::from_secs(20);
+
 fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
@@ -122,3 +125,47 @@
     until("connections are closed", || backend.connections() == 0).await;
     assert!(caller::get(backend.address(), "/health").await.is_err());
 }
+
+/// Starts a backend server behind a fault proxy.
+async fn proxied(behaviour: Behaviour) -> (SocketAddr, Control, Backend) {
+    let (backend, _) = backend(behaviour).await;
+    let (address, control) = FaultProxy::start(backend.address()).await.unwrap();
+    (address, control, backend)
+}
+
+#[test_case(Faults::default(), true; "none")]
+#[test_case(Faults { rate: 1_000_000, delay: Duration::from_millis(5), ..Faults::default() }, true; "slow")]
+#[test_case(Faults { accept: Accept::Reset, ..Faults::default() }, false; "refused")]
+#[test_case(Faults { break_after: Some((5_000, Break::Reset)), ..Faults::default() }, false; "reset")]
+#[test_case(Faults { break_after: Some((5_000, Break::Close)), ..Faults::default() }, false; "cut_short")]
+#[tokio::test]
+async fn proxy_call(faults: Faults, whole: bool) {
+    let (address, control, _backend) = proxied(Behaviour::default()).await;
+    control.set(faults);
+    let answer = caller::get(address, "/bytes/50000");
+    let answer = tokio::time::timeout(LONG, answer).await.unwrap();
+    assert_eq!(answer.is_ok(), whole, "{answer:?}");
+    if let Ok(answer) = answer {
+        assert_eq!(answer.body(), &pattern(50_000));
+    }
+}
+
+#[test_case(Faults { accept: Accept::Silent, ..Faults::default() }, 0; "silent")]
+#[test_case(Faults { pass: Pass::Up, ..Faults::default() }, 1; "one_way")]
+#[test_case(Faults { pass: Pass::Down, ..Faults::default() }, 0; "other_way")]
+#[test_case(Faults { hold_every: 1, ..Faults::default() }, 0; "held")]
+#[tokio::test]
+async fn proxy_holds(faults: Faults, runs: u32) {
+    let (backend, ledger) = backend(Behaviour::default()).await;
+    let (address, control) = FaultProxy::start(backend.address()).await.unwrap();
+    control.set(faults);
+    let held = caller::get(address, "/certs/1");
+    let held = tokio::time::timeout(Duration::from_millis(300), held);
+    assert!(held.await.is_err());
+    assert_eq!(ledger.runs(""), runs);
+    control.heal();
+    control.cut();
+    let answer = caller::get(address, "/certs/1");
+    let answer = tokio::time::timeout(LONG, answer).await;
+    answer.unwrap().unwrap();
+}
