Add the set of member records and the judgement of relays

Cause: the fleet was a list read from the platform by every daemon. Change: MemberSet merges records in any order, keeps incremental digests for each failure domain, suspects and removes daemons that no relay of their failure domain has attached, and keeps the backend servers of a service when too many would vanish. The new message Attached tells the other relay of a failure domain what a relay has attached. Conclusion: the roles can be written against it.

--- a/src/member.rs
+++ b/src/member.rs
@@ -1,5 +1,10 @@
 //! The daemons known to take part, and the backend servers beside them.
 
+mod liveness;
+mod set;
+
+pub use set::{MemberSet, SetSettings};
+
 use crate::generated::mesh as wire;
 use crate::generated::mesh::MemberState;
 use serde_json::{Value, json};
@@ -33,6 +38,17 @@
                 members.insert(record.name.clone(), Arc::new(record));
             }
         }
+        Fleet::from_members(members)
+    }
+
+    /// Makes a fleet of the records that hold, by name.
+    ///
+    /// Left out are those that have gone, and those whose address a later process has taken over.
+    pub(crate) fn from_members(mut members: BTreeMap<String, Arc<wire::Member>>) -> Self {
+        members.retain(|_, member| member.state() != MemberState::Gone);
+        for name in superseded(members.values()) {
+            members.remove(&name);
+        }
         let mut services: BTreeMap<String, Vec<Arc<wire::Member>>> = BTreeMap::new();
         for member in members.values() {
             if takes_calls(member) {
@@ -70,6 +86,26 @@
     !member.service.is_empty() && matches!(state, MemberState::Ready | MemberState::Suspect)
 }
 
+/// Returns the names of the members whose inbound address belongs to a later process.
+pub(crate) fn superseded<'a>(members: impl Iterator<Item = &'a Arc<wire::Member>>) -> Vec<String> {
+    let mut holders: BTreeMap<&str, &wire::Member> = BTreeMap::new();
+    let mut names = Vec::new();
+    for member in members.filter(|member| !member.inbound.is_empty()) {
+        let age = |member: &wire::Member| (member.incarnation, member.name.clone());
+        let Some(holder) = holders.get_mut(member.inbound.as_str()) else {
+            holders.insert(&member.inbound, member);
+            continue;
+        };
+        if age(holder) < age(member) {
+            names.push(holder.name.clone());
+            *holder = member;
+        } else {
+            names.push(member.name.clone());
+        }
+    }
+    names
+}
+
 fn member_state(member: &wire::Member) -> Value {
     json!({
         "name": member.name,
