--- a/standin/src/bench/converge.rs
+++ b/standin/src/bench/converge.rs
@@ -1,4 +1,33 @@
 //! Measures convergence time and control bytes of a fleet of real daemons.
+#![allow(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+
+mod daemons;
+mod model;
+mod plot;
+mod report;
+mod sample;
+mod timing;
+
+use crate::platform::{Limits, Platform};
+use anyhow::{Context as _, ensure};
+use daemons::Daemons;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use report::{Report, Traffic};
+use sample::Sample;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use timing::Timing;
+use tokio::time::{Instant, sleep, sleep_until};
+
+const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+const READY_TIMEOUT: Duration = Duration::from_mins(1);
+const CONVERGE_TIMEOUT: Duration = Duration::from_secs(10);
+const SETTLE: Duration = Duration::from_secs(2);
+const WINDOW: Duration = Duration::from_secs(6);
+const RESTARTS_PER_SECOND: u32 = 2;
+/// Bounds of the time between two changes, in milliseconds.
+const GAP_MS: std::ops::Range<u64> = 50..350;
 
 /// Options of a run.
 #[derive(Clone, Debug)]
@@ -15,13 +44,169 @@
     pub json: Option<String>,
     /// A file to write a plot to.
     pub plot: Option<String>,
+    /// Services in the configuration, each with a policy, a pool and a route.
+    pub services: u32,
+    /// Kill a relay during one change.
+    pub kill_relay: bool,
+    /// Further flags of each daemon, separated by blanks.
+    pub flags: String,
+    /// Measure the decision logic in memory instead.
+    pub model: bool,
 }
 
 /// Runs the measurement.
 ///
 /// # Errors
 ///
-/// Fails when a daemon cannot be started or does not converge.
+/// Fails when a daemon cannot be started or does not become ready.
 pub fn main(options: &Options) -> anyhow::Result<()> {
-    anyhow::bail!("not measured yet: {options:?}")
+    if options.model {
+        return model::run(options);
+    }
+    tokio::runtime::Runtime::new()?.block_on(run(options))
+}
+
+async fn run(options: &Options) -> anyhow::Result<()> {
+    let mut reports = Vec::new();
+    println!("{}", report::heading());
+    for size in options.daemons.split(',') {
+        let size = size.trim().parse().context("--daemons")?;
+        for mode in options.modes.split(',') {
+            let report = measure(options, mode.trim(), size).await;
+            let report = report.with_context(|| format!("{mode} with {size} daemons"))?;
+            println!("{}", report.row());
+            reports.push(report);
+        }
+    }
+    println!("{}", report::legend());
+    if let Some(file) = &options.json {
+        report::write_json(file, &reports)?;
+    }
+    if let Some(file) = &options.plot {
+        plot::write(file, &reports)?;
+    }
+    Ok(())
+}
+
+async fn measure(options: &Options, mode: &str, size: usize) -> anyhow::Result<Report> {
+    let platform = Platform::start(ANY, Limits::default()).await?;
+    let timing = Timing::default();
+    let mut daemons = Daemons::new(mode, platform.address(), options, timing.clone())?;
+    daemons.start(size).await?;
+    daemons.seed(options.services).await?;
+    let started = Instant::now();
+    daemons.wait_ready(READY_TIMEOUT).await?;
+    let mut report = Report::new(mode, size, started.elapsed());
+    sleep(SETTLE).await;
+
+    report.idle = window(&platform, &daemons, None).await?;
+    let mut rng = StdRng::seed_from_u64(options.seed);
+    changes(options, &platform, &mut daemons, &mut rng, &mut report).await?;
+    churn(&platform, &mut daemons, &mut rng, &mut report).await?;
+    if options.kill_relay && mode == "tree" {
+        kill_relay(&mut daemons, &mut report).await?;
+    }
+    report.rss_mb = daemons.rss_mb();
+    daemons.stop().await;
+    Ok(report)
+}
+
+/// Measures what the fleet spends while nothing but `restarts` happens.
+async fn window(
+    platform: &Platform,
+    daemons: &Daemons,
+    until: Option<Instant>,
+) -> anyhow::Result<Traffic> {
+    let before = Sample::take(platform, daemons)?;
+    sleep_until(until.unwrap_or(Instant::now() + WINDOW)).await;
+    let after = Sample::take(platform, daemons)?;
+    Ok(before.until(&after))
+}
+
+/// Applies changes at seeded times and measures when each is in force.
+async fn changes(
+    options: &Options,
+    platform: &Platform,
+    daemons: &mut Daemons,
+    rng: &mut StdRng,
+    report: &mut Report,
+) -> anyhow::Result<()> {
+    let before = Sample::take(platform, daemons)?;
+    let mut versions = Vec::new();
+    for index in 0..options.changes {
+        sleep(Duration::from_millis(rng.random_range(GAP_MS))).await;
+        let entry = rng.random_range(0..daemons.len());
+        let (body, id) = daemons::change(index, rng.random_range(0..options.services));
+        report.change_len = body.len();
+        match daemons.apply(entry, &id, body).await {
+            Ok(version) => versions.push(version),
+            Err(err) => {
+                eprintln!("bench: change {id}: {err:#}");
+                report.failed += 1;
+            }
+        }
+    }
+    let ends = Instant::now() + CONVERGE_TIMEOUT;
+    for version in versions {
+        match daemons.converged(version, ends).await {
+            Some(millis) => report.record(millis),
+            None => report.failed += 1,
+        }
+    }
+    let after = Sample::take(platform, daemons)?;
+    report.changing = before.until(&after);
+    report.changes = options.changes;
+    Ok(())
+}
+
+/// Restarts daemons at a steady rate and measures what the others spend.
+async fn churn(
+    platform: &Platform,
+    daemons: &mut Daemons,
+    rng: &mut StdRng,
+    report: &mut Report,
+) -> anyhow::Result<()> {
+    let before = Sample::take(platform, daemons)?;
+    let ends = Instant::now() + WINDOW;
+    let mut next = Instant::now();
+    while next < ends {
+        let index = rng.random_range(0..daemons.len());
+        daemons.restart(index).await?;
+        report.restarts += 1;
+        next += Duration::from_secs(1) / RESTARTS_PER_SECOND;
+        sleep_until(next).await;
+    }
+    let after = Sample::take(platform, daemons)?;
+    report.churn = before.until(&after);
+    let settled = Instant::now();
+    match daemons.wait_ready(READY_TIMEOUT).await {
+        Ok(()) => report.settle_ms = settled.elapsed().as_millis(),
+        Err(err) => {
+            eprintln!("bench: after restarts: {err:#}");
+            report.failed += 1;
+        }
+    }
+    Ok(())
+}
+
+/// Kills a relay just before a change is applied.
+async fn kill_relay(daemons: &mut Daemons, report: &mut Report) -> anyhow::Result<()> {
+    let relays = sample::relays(daemons)?;
+    let Some(victim) = relays.first().copied() else {
+        eprintln!("bench: no relay to kill");
+        report.failed += 1;
+        return Ok(());
+    };
+    let entry = (0..daemons.len()).find(|index| !relays.contains(index));
+    let entry = entry.context("no child to apply a change at")?;
+    daemons.kill(victim).await?;
+    let (body, id) = daemons::change(u32::MAX, 0);
+    let version = daemons.apply(entry, &id, body).await?;
+    ensure!(version > 0, "change {id} has no version");
+    let ends = Instant::now() + CONVERGE_TIMEOUT;
+    report.killed_ms = daemons.converged(version, ends).await;
+    if report.killed_ms.is_none() {
+        report.failed += 1;
+    }
+    Ok(())
 }
--- /dev/null
+++ b/standin/src/bench/converge/daemons.rs
@@ -0,0 +1,242 @@
+//! The fleet under measurement.
+
+use super::Options;
+use super::timing::Timing;
+use crate::caller;
+use crate::fleet::{Launcher, Process};
+use anyhow::{Context as _, bail, ensure};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use http::{Method, Request};
+use http_body_util::Full;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+const STARTED_AT_ONCE: usize = 16;
+const POLL: Duration = Duration::from_millis(200);
+/// An address at which nothing listens; the bench makes no calls.
+const NO_BACKEND: &str = "127.0.0.1:9";
+/// Fleets smaller than this have two failure domains, others four.
+const SMALL: usize = 32;
+
+/// The daemons of a run.
+pub struct Daemons {
+    launcher: Launcher,
+    mode: String,
+    platform: SocketAddr,
+    flags: Vec<String>,
+    services: u32,
+    timing: Timing,
+    running: Vec<Running>,
+    /// Processes started so far; each gets a number for its log lines.
+    started: usize,
+    size: usize,
+}
+
+/// A running daemon.
+pub struct Running {
+    /// The process.
+    pub process: Process,
+    index: usize,
+    number: usize,
+}
+
+impl Daemons {
+    /// Prepares a fleet without a daemon.
+    pub fn new(
+        mode: &str,
+        platform: SocketAddr,
+        options: &Options,
+        timing: Timing,
+    ) -> anyhow::Result<Self> {
+        Ok(Daemons {
+            launcher: Launcher::itself()?,
+            mode: mode.into(),
+            platform,
+            flags: options.flags.split_whitespace().map(Into::into).collect(),
+            services: options.services,
+            timing,
+            running: Vec::new(),
+            started: 0,
+            size: 0,
+        })
+    }
+
+    /// Returns the number of running daemons.
+    pub fn len(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the running daemons.
+    pub fn running(&self) -> &[Running] {
+        &self.running
+    }
+
+    /// Returns where the platform listens.
+    pub fn platform(&self) -> SocketAddr {
+        self.platform
+    }
+
+    /// Starts this many daemons.
+    pub async fn start(&mut self, size: usize) -> anyhow::Result<()> {
+        self.size = size;
+        for first in (0..size).step_by(STARTED_AT_ONCE) {
+            let last = size.min(first + STARTED_AT_ONCE);
+            let mut starting = FuturesUnordered::new();
+            for index in first..last {
+                starting.push(self.start_one(index, self.started + index - first));
+            }
+            let mut running = Vec::new();
+            while let Some(started) = starting.next().await {
+                running.push(started?);
+            }
+            drop(starting);
+            running.sort_by_key(|running: &Running| running.index);
+            self.started += running.len();
+            self.running.extend(running);
+        }
+        Ok(())
+    }
+
+    async fn start_one(&self, index: usize, number: usize) -> anyhow::Result<Running> {
+        let domains = if self.size < SMALL { 2 } else { 4 };
+        let domain = index % domains;
+        let service = index % self.services.max(1) as usize;
+        let flags = [
+            ("--name", format!("vm-{index}")),
+            ("--domain", format!("domain-{domain}")),
+            ("--region", format!("region-{}", domain % 2)),
+            ("--service", format!("service-{service}")),
+            ("--backend", NO_BACKEND.into()),
+            ("--platform", self.platform.to_string()),
+            ("--distribution", self.mode.clone()),
+        ];
+        let mut flags: Vec<String> = flags
+            .into_iter()
+            .flat_map(|(flag, value)| [flag.to_owned(), value])
+            .collect();
+        flags.extend(self.flags.iter().cloned());
+        let timing = self.timing.clone();
+        let observe = move |line: &str| timing.read(number, line);
+        let process = self.launcher.start_observed(&flags, observe).await?;
+        Ok(Running {
+            process,
+            index,
+            number,
+        })
+    }
+
+    /// Kills a daemon and starts one of the same name.
+    pub async fn restart(&mut self, index: usize) -> anyhow::Result<()> {
+        let running = &mut self.running[index];
+        running.process.kill().await?;
+        let name = running.index;
+        self.started += 1;
+        let started = self.start_one(name, self.started - 1).await?;
+        self.running[index] = started;
+        Ok(())
+    }
+
+    /// Kills a daemon for good.
+    pub async fn kill(&mut self, index: usize) -> anyhow::Result<()> {
+        let mut running = self.running.remove(index);
+        running.process.kill().await
+    }
+
+    /// Applies the first configuration.
+    pub async fn seed(&self, services: u32) -> anyhow::Result<()> {
+        let mut put = Vec::new();
+        for index in 0..services {
+            let name = format!("service-{index}");
+            put.push(json!({ "kind": "policy", "name": name, "spec": {
+                "kinds": { "lookup": 10, "issue": 100 } } }));
+            put.push(json!({ "kind": "pool", "name": name, "spec": pool(12) }));
+            put.push(json!({ "kind": "service", "name": name, "spec": {
+                "pool": name, "policy": name } }));
+            put.push(json!({ "kind": "route", "name": name, "spec": {
+                "prefix": format!("/{name}"), "service": name, "request_kind": "lookup",
+                "idempotent": true } }));
+        }
+        let body = json!({ "id": "seed", "title": "First configuration", "put": put });
+        self.apply(0, "seed", body.to_string()).await?;
+        Ok(())
+    }
+
+    /// Applies a change at a daemon and returns its version.
+    pub async fn apply(&self, index: usize, id: &str, body: String) -> anyhow::Result<u64> {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri("/v1/changes")
+            .body(Full::from(body))?;
+        let answer = caller::call(self.running[index].process.operator, request).await?;
+        let body: Value = serde_json::from_slice(answer.body())?;
+        ensure!(answer.status().is_success(), "change {id}: {body}");
+        body["version"].as_u64().context("no version")
+    }
+
+    /// Waits until every daemon enforces a version; see [`Timing::converged`].
+    pub async fn converged(&self, version: u64, ends: Instant) -> Option<u64> {
+        let numbers: Vec<usize> = self.running.iter().map(|daemon| daemon.number).collect();
+        self.timing.converged(version, &numbers, ends).await
+    }
+
+    /// Waits until every daemon is ready and knows exactly the running ones.
+    pub async fn wait_ready(&self, timeout: Duration) -> anyhow::Result<()> {
+        let ends = Instant::now() + timeout;
+        for running in &self.running {
+            loop {
+                let state = running.process.state().await?;
+                if is_ready(&state, self.running.len()) {
+                    break;
+                }
+                if Instant::now() >= ends {
+                    bail!(
+                        "{} has version {} and knows {} of {} daemons",
+                        state["admin"]["name"],
+                        state["config"]["version"],
+                        state["members"]["count"],
+                        self.running.len()
+                    );
+                }
+                sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the mean resident memory of a daemon in megabytes.
+    pub fn rss_mb(&self) -> f64 {
+        super::sample::mean(self.running.iter().filter_map(|running| {
+            let id = running.process.id()?;
+            Some(super::sample::rss_kb(id)? as f64 / 1_024.0)
+        }))
+    }
+
+    /// Ends every daemon.
+    pub async fn stop(&mut self) {
+        for running in &mut self.running {
+            // A process that has ended needs no kill.
+            let _ = running.process.kill().await;
+        }
+        self.running.clear();
+    }
+}
+
+fn is_ready(state: &Value, count: usize) -> bool {
+    let version = state["config"]["version"].as_u64().unwrap_or(0);
+    version > 0 && state["members"]["count"].as_u64() == Some(count as u64)
+}
+
+/// Returns a small change and its id.
+pub fn change(index: u32, service: u32) -> (String, String) {
+    let id = format!("change-{index}");
+    let name = format!("service-{service}");
+    let put = json!([{ "kind": "pool", "name": name, "spec": pool(13 + index % 1_000) }]);
+    let body = json!({ "id": id, "title": "Resize a pool", "put": put });
+    (body.to_string(), id)
+}
+
+fn pool(slots: u32) -> Value {
+    json!({ "slots": slots, "connections": 120 })
+}
--- /dev/null
+++ b/standin/src/bench/converge/model.rs
@@ -0,0 +1,201 @@
+//! Measures the decision logic in memory at the target size.
+
+use super::Options;
+use baobabstage::generated::mesh as wire;
+use baobabstage::member::{MemberSet, SetSettings};
+use baobabstage::resource::{Kind, ResourceKey, Spec};
+use baobabstage::snapshot::{Resource, Snapshot};
+use baobabstage::table::Table;
+use prost::Message;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const MEMBERS: u32 = 3_300;
+const DOMAINS: u32 = 22;
+const REGIONS: u32 = 7;
+const ROUNDS: u32 = 20;
+
+/// Prints sizes and times of member records and snapshots at the target size.
+///
+/// # Errors
+///
+/// Fails when the snapshot does not compile.
+pub fn run(options: &Options) -> anyhow::Result<()> {
+    members(options.services);
+    snapshot(options.services)
+}
+
+fn record(index: u32, services: u32) -> wire::Member {
+    let domain = index % DOMAINS;
+    wire::Member {
+        name: format!("vm-{index:04}"),
+        incarnation: 1_790_000_000_000_000 + u64::from(index),
+        sequence: 1,
+        state: wire::MemberState::Ready.into(),
+        service: format!("service-{}", index % services.max(1)),
+        domain: format!("domain-{domain}"),
+        region: format!("region-{}", domain % REGIONS),
+        inbound: format!("10.{}.{}.{}:7001", domain, index / 250, index % 250),
+        mesh: format!("10.{}.{}.{}:7002", domain, index / 250, index % 250),
+        slots: 12,
+    }
+}
+
+fn members(services: u32) {
+    let records: Vec<wire::Member> = (0..MEMBERS).map(|i| record(i, services)).collect();
+    let update = wire::MemberUpdate {
+        members: records.clone(),
+        wanted: Vec::new(),
+    };
+    let plain = update.encode_to_vec();
+    println!("records: {MEMBERS}, encoded {} bytes", plain.len());
+    println!("records, compressed (zlib): {} bytes", compressed(&plain));
+    println!("one record, encoded: {} bytes", records[0].encoded_len());
+
+    let before = resident_kb();
+    let now = Instant::now();
+    let mut set = MemberSet::new("domain-0", SetSettings::default());
+    timed("merge of all records", 1, || {
+        set.merge(records.clone(), now);
+    });
+    let grown = resident_kb().saturating_sub(before);
+    println!("memory of the set: {grown} KB");
+    timed("merge of all records, again", ROUNDS, || {
+        set.merge(records.clone(), now);
+    });
+    let mut sequence = 1;
+    timed("merge of one changed record", ROUNDS, || {
+        sequence += 1;
+        let changed = wire::Member {
+            sequence,
+            ..records[7].clone()
+        };
+        set.merge(vec![changed], now);
+    });
+    timed("digest over all", ROUNDS, || {
+        std::hint::black_box(set.digest());
+    });
+    timed("digests of all failure domains", ROUNDS, || {
+        std::hint::black_box(set.digests());
+    });
+    timed("fleet for routing", ROUNDS, || {
+        std::hint::black_box(set.fleet());
+    });
+    set.start_relay();
+    timed("sweep at a relay", ROUNDS, || {
+        std::hint::black_box(set.sweep(now));
+    });
+    let digests = wire::MemberUpdate {
+        members: Vec::new(),
+        wanted: set.digests().into_iter().map(|d| d.domain).collect(),
+    };
+    let hello = wire::Hello {
+        digests: set.digests(),
+        ..wire::Hello::default()
+    };
+    println!("digests in a hello: {} bytes", hello.encoded_len());
+    println!(
+        "request for all failure domains: {} bytes",
+        digests.encoded_len()
+    );
+}
+
+fn snapshot(services: u32) -> anyhow::Result<()> {
+    let base = Snapshot::new(1, "seed", resources(services)?);
+    let mut changed = base.resources().clone();
+    let key = ResourceKey::new(Kind::Pool, "service-7");
+    let spec = Spec::from_value(Kind::Pool, &json!({ "slots": 13, "connections": 120 }))?;
+    changed.insert(key, Resource::new(2, spec));
+    let next = Snapshot::new(2, "change-2", changed);
+    let delta = next.delta_from(&base);
+    println!(
+        "snapshot: {} resources, encoded {} bytes",
+        base.resources().len(),
+        base.encode().len()
+    );
+    println!("snapshot, packed: {} bytes", base.pack().data.len());
+    println!("delta of one pool: {} bytes", delta.encoded_len());
+    timed("pack of a snapshot", ROUNDS, || {
+        std::hint::black_box(base.pack());
+    });
+    let packed = base.pack();
+    timed("unpack and check of a snapshot", ROUNDS, || {
+        std::hint::black_box(Snapshot::unpack(&packed).is_ok());
+    });
+    timed("delta between two snapshots", ROUNDS, || {
+        std::hint::black_box(next.delta_from(&base));
+    });
+    timed("apply of a delta", ROUNDS, || {
+        std::hint::black_box(base.apply_delta(delta.clone()).is_ok());
+    });
+    let next = Arc::new(next);
+    timed("compile of a table", ROUNDS, || {
+        std::hint::black_box(Table::compile(Arc::clone(&next)).is_ok());
+    });
+    let before = resident_kb();
+    let tables: Result<Vec<Table>, _> = (0..ROUNDS)
+        .map(|_| Table::compile(Arc::new(Snapshot::unpack(&packed)?)))
+        .collect();
+    let tables = tables?;
+    let grown = resident_kb().saturating_sub(before) / u64::from(ROUNDS);
+    println!(
+        "memory of a snapshot with its table: {grown} KB (mean of {})",
+        tables.len()
+    );
+    Ok(())
+}
+
+fn resources(services: u32) -> anyhow::Result<BTreeMap<ResourceKey, Resource>> {
+    let mut resources = BTreeMap::new();
+    for index in 0..services {
+        let name = format!("service-{index}");
+        let specs = [
+            (
+                Kind::Policy,
+                json!({ "kinds": { "lookup": 10, "issue": 100 } }),
+            ),
+            (Kind::Pool, json!({ "slots": 12, "connections": 120 })),
+            (Kind::Service, json!({ "pool": name, "policy": name })),
+            (
+                Kind::Route,
+                json!({ "prefix": format!("/{name}"), "service": name,
+                    "request_kind": "lookup", "idempotent": true }),
+            ),
+        ];
+        for (kind, spec) in specs {
+            let spec = Spec::from_value(kind, &spec)?;
+            resources.insert(
+                ResourceKey::new(kind, name.as_str()),
+                Resource::new(1, spec),
+            );
+        }
+    }
+    Ok(resources)
+}
+
+/// Prints the mean time of a step.
+fn timed(what: &str, rounds: u32, mut step: impl FnMut()) {
+    let start = Instant::now();
+    for _ in 0..rounds {
+        step();
+    }
+    let mean: Duration = start.elapsed() / rounds;
+    println!("{what}: {mean:?}");
+}
+
+fn compressed(data: &[u8]) -> usize {
+    use flate2::{Compression, write::ZlibEncoder};
+    use std::io::Write as _;
+    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::default());
+    // Writing to memory does not fail.
+    let _ = encoder.write_all(data);
+    encoder.finish().map_or(0, |data| data.len())
+}
+
+/// Returns the resident memory of this process.
+fn resident_kb() -> u64 {
+    super::sample::rss_kb(std::process::id()).unwrap_or(0)
+}
--- a/standin/src/bin/bench.rs
+++ b/standin/src/bin/bench.rs
@@ -24,6 +24,14 @@
                 optional --json file: String
                 /// A file to write a plot of cost against size to, as SVG.
                 optional --plot file: String
+                /// Services in the configuration; 150 by default.
+                optional --services count: u32
+                /// Kills a relay during one change.
+                optional --kill-relay
+                /// Further flags of each daemon, as in "--heartbeat-ms 2000".
+                optional --flags text: String
+                /// Measures the decision logic in memory at the target size instead.
+                optional --model
             }
             /// Measures calls at an open-loop rate.
             cmd calls {
@@ -65,6 +73,10 @@
             seed: flags.seed.unwrap_or(1),
             json: flags.json,
             plot: flags.plot,
+            services: flags.services.unwrap_or(150),
+            kill_relay: flags.kill_relay,
+            flags: flags.flags.unwrap_or_default(),
+            model: flags.model,
         }),
         BenchCmd::Calls(flags) => calls::main(&calls::Options {
             profile: flags.profile.unwrap_or_else(|| "certs".into()),
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -50,6 +50,19 @@
     ///
     /// Fails when the process ends or does not bind its listeners in time.
     pub async fn start(&self, flags: &[String]) -> anyhow::Result<Process> {
+        self.start_observed(flags, |_| {}).await
+    }
+
+    /// Starts a daemon as [`Launcher::start`] does and passes each of its log lines on.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Launcher::start`] does.
+    pub async fn start_observed(
+        &self,
+        flags: &[String],
+        observe: impl Fn(&str) + Send + 'static,
+    ) -> anyhow::Result<Process> {
         let mut child = Command::new(&self.program)
             .args(&self.arguments)
             .args(flags)
@@ -68,12 +81,14 @@
             let Some(line) = line.context("listeners are not bound in time")?? else {
                 bail!("daemon ended at its start: {}", said.join("\n"));
             };
+            observe(&line);
             process.read_listener(&line);
             said.push(line);
         }
         let verbose = std::env::var_os("STANDIN_VERBOSE").is_some();
         tokio::spawn(async move {
             while let Ok(Some(line)) = lines.next_line().await {
+                observe(&line);
                 if verbose {
                     eprintln!("{line}");
                 }
