--- /dev/null
+++ b/src/tree/choice.rs
@@ -0,0 +1,20 @@
+//! Which relay or stand-in a daemon turns to.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Orders addresses or names by rendezvous hash with a daemon's name, most preferred first.
+pub fn rank<T: AsRef<str>>(name: &str, choices: &mut [T]) {
+    choices.sort_by_cached_key(|choice| {
+        let weight = weight(name, choice.as_ref());
+        std::cmp::Reverse((weight, choice.as_ref().to_owned()))
+    });
+}
+
+/// Returns the daemon that stands in for the relays of a failure domain: the least name.
+pub fn stand_in<'a>(ready: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    ready.min()
+}
+
+fn weight(name: &str, choice: &str) -> u64 {
+    xxh3_64(format!("{name}\n{choice}").as_bytes())
+}
--- /dev/null
+++ b/src/tree/history.rs
@@ -0,0 +1,141 @@
+//! The newest versions that a daemon holds, and the updates that lead to them.
+
+use crate::error::Result;
+use crate::generated::mesh as wire;
+use crate::generated::mesh::update::Content;
+use crate::snapshot::{Snapshot, Stamp};
+use prost::Message;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+/// Snapshots kept as bases of deltas.
+pub const MAX_SNAPSHOTS: usize = 16;
+
+/// Length of the encodings of all snapshots kept, in bytes; the newest is always kept.
+pub const MAX_KEPT_LEN: usize = 32 * 1024 * 1024;
+
+/// The newest versions that a daemon holds, and the updates that lead to the newest.
+#[derive(Debug)]
+pub struct History {
+    /// Oldest first, each with the length of its encoding.
+    snapshots: VecDeque<(Arc<Snapshot>, usize)>,
+    /// Updates to the newest version by the version that they start from.
+    updates: BTreeMap<Stamp, wire::Update>,
+}
+
+impl Default for History {
+    fn default() -> Self {
+        let empty = Arc::new(Snapshot::default());
+        History {
+            snapshots: VecDeque::from([(empty, 0)]),
+            updates: BTreeMap::new(),
+        }
+    }
+}
+
+impl History {
+    /// Returns the newest version.
+    ///
+    /// # Panics
+    ///
+    /// Does not panic: the newest version is always kept.
+    #[must_use]
+    pub fn newest(&self) -> &Arc<Snapshot> {
+        let newest = self.snapshots.back();
+        &newest.expect("the newest version is always kept").0
+    }
+
+    /// Returns the stamp of the newest version.
+    #[must_use]
+    pub fn stamp(&self) -> Stamp {
+        self.newest().stamp()
+    }
+
+    /// Adds a version and drops those that exceed the bounds; false when it is not newer.
+    pub fn add(&mut self, snapshot: Arc<Snapshot>) -> bool {
+        if snapshot.version() <= self.stamp().version {
+            return false;
+        }
+        let len = snapshot.encode().len();
+        self.snapshots.push_back((snapshot, len));
+        self.updates.clear();
+        let mut total: usize = self.snapshots.iter().map(|(_, len)| len).sum();
+        while self.snapshots.len() > 1
+            && (self.snapshots.len() > MAX_SNAPSHOTS || total > MAX_KEPT_LEN)
+        {
+            let dropped = self.snapshots.pop_front();
+            total -= dropped.map_or(0, |(_, len)| len);
+        }
+        true
+    }
+
+    /// Returns the update from a version to the newest; `None` when there is nothing newer.
+    ///
+    /// It is a delta if the base is still kept and the delta is shorter than the full snapshot.
+    pub fn update_from(&mut self, base: Stamp) -> Option<wire::Update> {
+        if base.version >= self.stamp().version {
+            return None;
+        }
+        if let Some(update) = self.updates.get(&base) {
+            return Some(update.clone());
+        }
+        let update = self.make_update(base);
+        self.updates.insert(base, update.clone());
+        Some(update)
+    }
+
+    /// Makes the snapshot that an update leads to, and checks its hash.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the update is damaged, or its base is not kept.
+    pub fn open(&self, update: wire::Update) -> Result<Arc<Snapshot>> {
+        let snapshot = match update.content {
+            Some(Content::Full(packed)) => Snapshot::unpack(&packed)?,
+            Some(Content::Delta(delta)) => {
+                let base = Stamp::from_wire(delta.base.as_ref());
+                let base = self.find(base).unwrap_or_else(|| self.newest());
+                base.apply_delta(delta)?
+            }
+            None => return Ok(Arc::clone(self.newest())),
+        };
+        Ok(Arc::new(snapshot))
+    }
+
+    fn make_update(&self, base: Stamp) -> wire::Update {
+        let newest = self.newest();
+        let delta = self.find(base).map(|base| newest.delta_from(base));
+        let content = match delta {
+            Some(delta) if base.version > 0 => Content::Delta(delta),
+            _ => Content::Full(newest.pack()),
+        };
+        shorter(content, newest)
+    }
+
+    fn find(&self, stamp: Stamp) -> Option<&Arc<Snapshot>> {
+        let mut snapshots = self.snapshots.iter().map(|(snapshot, _)| snapshot);
+        snapshots.find(|snapshot| snapshot.stamp() == stamp)
+    }
+}
+
+/// Replaces a delta by the full snapshot where that is shorter.
+fn shorter(content: Content, newest: &Snapshot) -> wire::Update {
+    let update = wire::Update {
+        content: Some(content),
+    };
+    let delta = matches!(update.content, Some(Content::Delta(_)));
+    if !delta || update.encoded_len() <= MIN_PACKED_LEN {
+        return update;
+    }
+    let full = wire::Update {
+        content: Some(Content::Full(newest.pack())),
+    };
+    if full.encoded_len() < update.encoded_len() {
+        full
+    } else {
+        update
+    }
+}
+
+/// Deltas up to this length, in bytes, are not compared with the full snapshot.
+const MIN_PACKED_LEN: usize = 4_096;
--- /dev/null
+++ b/src/tree/node/accept.rs
@@ -0,0 +1,283 @@
+//! Streams that begin: who is let in, who is sent elsewhere.
+
+use super::{Effect, Node, Role, Source, is_relay};
+use crate::event;
+use crate::generated::mesh as wire;
+use crate::generated::mesh::frame::Content;
+use crate::snapshot::Stamp;
+use crate::tree::choice;
+use crate::tree::link::{Link, LinkId, Side};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Greatest number of relays named to a daemon.
+const MAX_NAMED: usize = 64;
+
+/// The time after which a daemon that was turned away comes back, before it has a better reason.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Time in which a child is sent to the other relay at most once.
+const MOVE_AGAIN: Duration = Duration::from_mins(5);
+
+impl Node {
+    /// Starts a stream to another daemon; the greeting is the first message in its outbox.
+    pub fn open(&mut self, side: Side, address: &str, now: Instant) -> LinkId {
+        let mut outbox = self.outbox(side, now);
+        outbox.greet(Content::Hello(self.hello(side)));
+        let id = self.links.insert(Link::new(side, address, outbox, now));
+        self.woken.insert(id);
+        id
+    }
+
+    /// Decides on a daemon that wants to attach.
+    ///
+    /// # Errors
+    ///
+    /// Returns where else to go.
+    pub fn accept(
+        &mut self,
+        hello: &wire::Hello,
+        now: Instant,
+    ) -> Result<(LinkId, Vec<Effect>), wire::Redirect> {
+        let side = if hello.peer { Side::Peer } else { Side::Child };
+        self.admit(hello, side, now)?;
+        let mut outbox = self.outbox(side, now);
+        outbox.greet(Content::Welcome(self.welcome(hello)));
+        let have = Stamp::from_wire(hello.have.as_ref());
+        outbox.set_has(have);
+        outbox.offer();
+        let (records, wanted) = self.members.newer_than(&hello.digests);
+        outbox.members(&records, now);
+        outbox.flush(now);
+        outbox.want(wanted, now);
+        let mut link = Link::new(side, &hello.mesh, outbox, now);
+        link.name.clone_from(&hello.name);
+        link.incarnation = hello.incarnation;
+        link.domain.clone_from(&hello.domain);
+        link.relay = hello.relay;
+        let mut effects = self.replace(&link, now);
+        let id = self.links.insert(link);
+        self.woken.insert(id);
+        if side == Side::Child {
+            event!(ChildAttached, "child={}", hello.name);
+        } else {
+            self.tell_attached(id);
+        }
+        if have.version > self.newest().version {
+            effects.push(Effect::Check(id));
+        }
+        Ok((id, effects))
+    }
+
+    pub(super) fn welcomed(
+        &mut self,
+        id: LinkId,
+        welcome: wire::Welcome,
+        now: Instant,
+    ) -> Vec<Effect> {
+        let theirs = Stamp::from_wire(welcome.newest.as_ref());
+        let own = self.own.clone();
+        let Some(link) = self.links.get_mut(id) else {
+            return Vec::new();
+        };
+        link.name = welcome.name;
+        link.domain = welcome.domain;
+        link.relay = welcome.relay;
+        link.outbox.set_has(theirs);
+        link.outbox.offer();
+        if link.side == Side::Parent {
+            link.outbox.ack(self.ack.clone());
+            if let Some(own) = own {
+                link.outbox.members(&[own], now);
+                link.outbox.flush(now);
+            }
+        }
+        let peer = link.side == Side::Peer;
+        self.woken.insert(id);
+        self.learn_relays(welcome.relays);
+        if peer {
+            self.tell_attached(id);
+        }
+        let mut effects = vec![Effect::Floor(welcome.floor.max(theirs.version))];
+        if theirs.version > self.newest().version {
+            effects.push(Effect::Check(id));
+        }
+        effects
+    }
+
+    /// Returns the greatest version that a daemon is known to have put in force.
+    #[must_use]
+    pub fn floor_of(&self, name: &str) -> u64 {
+        self.floors.get(name)
+    }
+
+    /// Sends every child elsewhere.
+    pub(super) fn dismiss(&mut self) {
+        let redirect = self.elsewhere(RETRY);
+        for (id, link) in &mut self.links {
+            if link.side == Side::Child {
+                link.outbox.redirect(redirect.clone());
+                self.woken.insert(id);
+            }
+        }
+    }
+
+    /// Sends a few of the children that prefer the other relay of the failure domain there.
+    pub(super) fn balance(&mut self, now: Instant) {
+        if !matches!(self.role, Role::Relay(_)) {
+            return;
+        }
+        self.moved
+            .retain(|_, at| now.saturating_duration_since(*at) < MOVE_AGAIN);
+        let Some(mate) = self.mate() else {
+            return;
+        };
+        let most = (self.settings.admissions as usize / 4).max(1);
+        let mut sent = 0;
+        for (id, link) in &mut self.links {
+            if sent == most {
+                return;
+            }
+            let mut choices = [self.mesh.as_str(), mate.as_str()];
+            choice::rank(&link.name, &mut choices);
+            let moves = link.side == Side::Child && choices[0] == mate;
+            if !moves || self.moved.contains_key(&link.name) {
+                continue;
+            }
+            self.moved.insert(link.name.clone(), now);
+            link.outbox.redirect(wire::Redirect {
+                addresses: vec![mate.clone()],
+                retry_ms: 0,
+            });
+            self.woken.insert(id);
+            sent += 1;
+        }
+    }
+
+    /// Asks a child to take a vacant slot of this failure domain; `turn` varies the choice.
+    pub fn promote(&mut self, slot: u32, turn: usize) -> bool {
+        let domain = &self.me.domain;
+        let children = self.links.iter_mut();
+        let mut children: Vec<_> = children
+            .filter(|(_, link)| link.side == Side::Child && link.domain == *domain)
+            .collect();
+        children.sort_by(|(_, a), (_, b)| a.name.cmp(&b.name));
+        let count = children.len();
+        if count == 0 {
+            return false;
+        }
+        let (id, link) = &mut children[turn % count];
+        link.outbox.promote(slot);
+        self.woken.insert(*id);
+        true
+    }
+
+    fn admit(&mut self, hello: &wire::Hello, side: Side, now: Instant) -> Result<(), wire::Redirect> {
+        let parent = self.links.values().any(|link| {
+            link.side == Side::Parent && (link.name == hello.name || link.address == hello.mesh)
+        });
+        if hello.name == self.me.name || parent {
+            return Err(self.elsewhere(RETRY));
+        }
+        if side == Side::Peer {
+            let fits = is_relay(self.role);
+            return fits.then_some(()).ok_or_else(|| self.elsewhere(RETRY));
+        }
+        let known = self.links.values().any(|link| {
+            link.name == hello.name && link.side == side && link.incarnation > hello.incarnation
+        });
+        let count = self.links.values().filter(|link| link.side == Side::Child);
+        let full = count.count() >= self.settings.max_children as usize;
+        if self.role == Role::Seeking || known || full {
+            return Err(self.elsewhere(RETRY));
+        }
+        if !self.admissions.take(now) {
+            let wait = self.admissions.wait();
+            return Err(self.elsewhere(wait.max(RETRY)));
+        }
+        Ok(())
+    }
+
+    /// Ends an older stream of the daemon that attaches.
+    fn replace(&mut self, new: &Link, _now: Instant) -> Vec<Effect> {
+        let links = self.links.iter();
+        let old = links.filter(|(_, link)| link.side == new.side && link.name == new.name);
+        old.map(|(id, _)| Effect::Close(id)).collect()
+    }
+
+    /// Names the relays to try, those of this failure domain first.
+    fn elsewhere(&self, retry: Duration) -> wire::Redirect {
+        let mut records: Vec<_> = self.relays.values().collect();
+        records.retain(|record| record.address != self.mesh);
+        records.sort_by_key(|record| record.domain != self.me.domain);
+        let addresses = records.into_iter().take(MAX_NAMED);
+        wire::Redirect {
+            addresses: addresses.map(|record| record.address.clone()).collect(),
+            retry_ms: u32::try_from(retry.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns the address of the other relay of the failure domain, if a stream to it is open.
+    fn mate(&self) -> Option<String> {
+        let mut links = self.links.values();
+        let mate = links.find(|link| {
+            link.side == Side::Peer && link.relay && link.domain == self.me.domain
+        });
+        mate.map(|link| link.address.clone())
+    }
+
+    fn hello(&self, side: Side) -> wire::Hello {
+        wire::Hello {
+            name: self.me.name.clone(),
+            incarnation: self.me.incarnation,
+            domain: self.me.domain.clone(),
+            region: self.me.region.clone(),
+            mesh: self.mesh.clone(),
+            peer: side == Side::Peer,
+            have: Some(self.newest().to_wire()),
+            digests: self.members.digests(),
+            relay: matches!(self.role, Role::Relay(_)),
+        }
+    }
+
+    fn welcome(&self, hello: &wire::Hello) -> wire::Welcome {
+        wire::Welcome {
+            name: self.me.name.clone(),
+            floor: self.floors.get(&hello.name),
+            newest: Some(self.newest().to_wire()),
+            relays: self.relays.values().take(MAX_NAMED).cloned().collect(),
+            domain: self.me.domain.clone(),
+            relay: matches!(self.role, Role::Relay(_)),
+        }
+    }
+
+    fn tell_attached(&mut self, id: LinkId) {
+        let keys = self.members.attached();
+        if let Some(link) = self.links.get_mut(id)
+            && link.domain == self.me.domain
+        {
+            link.outbox.attached(keys);
+            self.woken.insert(id);
+        }
+    }
+
+    /// Tells the other relays of the failure domain what is attached here, if that has changed.
+    pub(super) fn share_attached(&mut self) {
+        let keys = self.members.attached();
+        if keys == self.attached || !is_relay(self.role) {
+            return;
+        }
+        let links = self.links.iter();
+        let peers = links.filter(|(_, link)| link.side == Side::Peer);
+        let peers: Vec<LinkId> = peers.map(|(id, _)| id).collect();
+        for id in peers {
+            self.tell_attached(id);
+        }
+        self.attached = keys;
+    }
+
+    /// Returns the effects and the source of a change that this daemon made itself.
+    pub(super) fn own_change(&mut self, changed: &[wire::Member], now: Instant) -> Vec<Effect> {
+        self.spread(changed, Source::Own, now)
+    }
+}
--- /dev/null
+++ b/src/tree/node/exchange.rs
@@ -0,0 +1,175 @@
+//! Members: announced upward, exchanged between relays, passed on to children.
+
+use super::{Effect, MISSED_HEARTBEATS, Node, Source, is_relay};
+use crate::generated::mesh as wire;
+use crate::generated::mesh::MemberState;
+use crate::tree::link::{Link, LinkId, Side};
+use tokio::time::Instant;
+
+impl Node {
+    /// Announces this daemon. A record that drains is sent without waiting for the batch.
+    pub fn announce(&mut self, record: wire::Member, now: Instant) -> Vec<Effect> {
+        let urgent = record.state() == MemberState::Draining;
+        self.own = Some(record.clone());
+        let changed = if is_relay(self.role) {
+            self.members.attach(record, now)
+        } else {
+            self.members.merge(vec![record], now)
+        };
+        let effects = self.spread(&changed, Source::Own, now);
+        if urgent {
+            for (id, link) in &mut self.links {
+                link.outbox.flush(now);
+                self.woken.insert(id);
+            }
+        }
+        effects
+    }
+
+    /// Does what is due: suspects and removes members, ends dead streams, and balances children.
+    pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
+        let swept = self.members.sweep(now);
+        let mut effects = self.spread(&swept, Source::Own, now);
+        effects.extend(self.refute(now));
+        let patience = self.settings.heartbeat * MISSED_HEARTBEATS;
+        for (id, link) in &self.links {
+            if now.saturating_duration_since(link.heard) >= patience {
+                effects.push(Effect::Close(id));
+            }
+        }
+        self.balance(now);
+        self.share_attached();
+        effects
+    }
+
+    pub(super) fn exchanged(
+        &mut self,
+        id: LinkId,
+        update: wire::MemberUpdate,
+        now: Instant,
+    ) -> Vec<Effect> {
+        let changed = self.merge_from(id, update.members, now);
+        let mut effects = self.spread(&changed, Source::Link(id), now);
+        effects.extend(self.refute(now));
+        let mut records = Vec::new();
+        for domain in &update.wanted {
+            records.extend(self.members.records_of(domain));
+        }
+        let mut wanted = Vec::new();
+        if !update.digests.is_empty() {
+            let (more, want) = self.members.newer_than(&update.digests);
+            records.extend(more);
+            wanted = want;
+        }
+        if let Some(link) = self.links.get_mut(id)
+            && !(records.is_empty() && wanted.is_empty())
+        {
+            link.outbox.members(&records, now);
+            link.outbox.flush(now);
+            link.outbox.want(wanted, now);
+            self.woken.insert(id);
+        }
+        effects
+    }
+
+    pub(super) fn heard_beat(
+        &mut self,
+        id: LinkId,
+        beat: &wire::Heartbeat,
+        now: Instant,
+    ) -> Vec<Effect> {
+        let differs = beat.digest != self.digest;
+        let digests = differs.then(|| self.members.digests());
+        let (newer, name) = (self.newest().version < beat.version, self.me.name.clone());
+        let Some(link) = self.links.get_mut(id) else {
+            return Vec::new();
+        };
+        // Changes under way differ once; only what still differs at the next heartbeat is lost.
+        let lost = differs && link.differs;
+        link.differs = differs && !lost;
+        let compares = match link.side {
+            Side::Parent => true,
+            Side::Peer => name < link.name,
+            Side::Child => false,
+        };
+        if let Some(digests) = digests.filter(|_| lost && compares) {
+            link.outbox.compare(digests, now);
+        }
+        if link.side == Side::Parent {
+            link.outbox.beat_at(now);
+        }
+        self.woken.insert(id);
+        if newer {
+            return vec![Effect::Check(id)];
+        }
+        Vec::new()
+    }
+
+    /// Passes changed records on, and reports that the members have changed.
+    ///
+    /// Relays all attach to each other. So what one of them sends goes on to children only, and
+    /// no record travels between relays twice.
+    pub(super) fn spread(
+        &mut self,
+        changed: &[wire::Member],
+        source: Source,
+        now: Instant,
+    ) -> Vec<Effect> {
+        if changed.is_empty() {
+            return Vec::new();
+        }
+        self.digest = self.members.digest();
+        let from_relay = match source {
+            Source::Own => false,
+            Source::Link(id) => self.links.get(id).is_some_and(is_relay_peer),
+        };
+        for (id, link) in &mut self.links {
+            let skipped = from_relay && is_relay_peer(link);
+            if source == Source::Link(id) || skipped {
+                continue;
+            }
+            link.outbox.members(changed, now);
+            self.woken.insert(id);
+        }
+        vec![Effect::Fleet]
+    }
+
+    fn merge_from(
+        &mut self,
+        id: LinkId,
+        records: Vec<wire::Member>,
+        now: Instant,
+    ) -> Vec<wire::Member> {
+        let Some(link) = self.links.get(id) else {
+            return Vec::new();
+        };
+        let (side, name, incarnation) = (link.side, link.name.clone(), link.incarnation);
+        let (own, rest): (Vec<_>, Vec<_>) = records.into_iter().partition(|record| {
+            side == Side::Child && record.name == name && record.incarnation == incarnation
+        });
+        let mut changed = self.members.merge(rest, now);
+        for record in own {
+            changed.extend(self.members.attach(record, now));
+        }
+        changed
+    }
+
+    /// Announces this daemon again where others hold a worse record of it.
+    fn refute(&mut self, now: Instant) -> Vec<Effect> {
+        let Some(own) = &self.own else {
+            return Vec::new();
+        };
+        let Some(sequence) = self.members.refutation(own) else {
+            return Vec::new();
+        };
+        let record = wire::Member {
+            sequence,
+            ..own.clone()
+        };
+        self.announce(record, now)
+    }
+}
+
+fn is_relay_peer(link: &Link) -> bool {
+    link.side == Side::Peer && link.relay
+}
--- /dev/null
+++ b/src/tree/node/status.rs
@@ -0,0 +1,108 @@
+//! What a node tells of itself.
+
+use super::{Node, Role};
+use crate::generated::mesh as wire;
+use crate::snapshot::Stamp;
+use crate::tree::link::Side;
+use serde::Serialize;
+
+/// Greatest number of names of daemons that lag.
+const MAX_LAGGARDS: usize = 32;
+
+/// What a node tells of itself in the state dump.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct NodeState {
+    /// The role.
+    pub role: String,
+    /// The newest version known.
+    pub newest: Stamp,
+    /// The number of children.
+    pub children: usize,
+    /// The number of peers.
+    pub peers: usize,
+    /// The relay that this daemon is attached to.
+    pub parent: Option<LinkState>,
+    /// The relays known, as failure domain, slot and name.
+    pub relays: Vec<String>,
+    /// The digest over all members.
+    pub digest: u64,
+}
+
+/// A stream in the state dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct LinkState {
+    /// The other daemon's name.
+    pub name: String,
+    /// Its mesh address.
+    pub address: String,
+    /// Whether it holds a relay lease.
+    pub relay: bool,
+}
+
+impl Node {
+    /// Counts this daemon and its children that have put at least a version in force.
+    #[must_use]
+    pub fn status(&self, version: u64, names: bool) -> wire::StatusResponse {
+        let own = match self.ack.error.is_empty() {
+            true => Stamp::from_wire(self.ack.stamp.as_ref()).version,
+            false => 0,
+        };
+        let mut daemons = vec![(self.me.name.as_str(), own)];
+        let children = self.links.values().filter(|link| link.side == Side::Child);
+        daemons.extend(children.map(|link| (link.name.as_str(), link.applied.version)));
+        let (done, lag): (Vec<_>, Vec<_>) =
+            daemons.into_iter().partition(|(_, applied)| *applied >= version);
+        let owned = |(name, _): &(&str, u64)| (*name).to_owned();
+        wire::StatusResponse {
+            attached: u32::try_from(done.len() + lag.len()).unwrap_or(u32::MAX),
+            applied: u32::try_from(done.len()).unwrap_or(u32::MAX),
+            laggards: lag.iter().take(MAX_LAGGARDS).map(owned).collect(),
+            names: if names {
+                done.iter().map(owned).collect()
+            } else {
+                Vec::new()
+            },
+            version: own,
+        }
+    }
+
+    /// Describes the node.
+    #[must_use]
+    pub fn state(&self) -> NodeState {
+        let count = |side| self.links.values().filter(|link| link.side == side).count();
+        let mut parents = self.links.values().filter(|link| link.side == Side::Parent);
+        let parent = parents.find(|link| !link.name.is_empty());
+        let relays = self.relays.values();
+        NodeState {
+            role: role_name(self.role),
+            newest: self.newest(),
+            children: count(Side::Child),
+            peers: count(Side::Peer),
+            parent: parent.map(|link| LinkState {
+                name: link.name.clone(),
+                address: link.address.clone(),
+                relay: link.relay,
+            }),
+            relays: relays
+                .map(|relay| format!("{}/{} {}", relay.domain, relay.slot, relay.name))
+                .collect(),
+            digest: self.digest,
+        }
+    }
+
+    /// Returns the names of the daemons that are peers.
+    #[must_use]
+    pub fn peer_names(&self) -> Vec<String> {
+        let peers = self.links.values().filter(|link| link.side == Side::Peer);
+        peers.map(|link| link.name.clone()).collect()
+    }
+}
+
+fn role_name(role: Role) -> String {
+    match role {
+        Role::Seeking => "seeking".into(),
+        Role::Child => "child".into(),
+        Role::StandIn => "stand-in".into(),
+        Role::Relay(slot) => format!("relay-{slot}"),
+    }
+}
--- /dev/null
+++ b/src/tree/outbox.rs
@@ -0,0 +1,229 @@
+//! What is to be sent on one stream, coalesced while the stream is busy.
+
+use super::history::History;
+use crate::generated::mesh as wire;
+use crate::generated::mesh::frame::Content;
+use crate::member::rank;
+use crate::snapshot::Stamp;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// What is to be sent on one stream.
+///
+/// Nothing here is a queue: a newer version replaces an older one, a newer record of a daemon
+/// replaces an older one, and there is at most one of every other message. So a slow stream costs
+/// at most the newest version and one record for each daemon, and nothing is dropped.
+#[derive(Debug)]
+pub struct Outbox {
+    window: Duration,
+    heartbeat: Duration,
+    first: Option<Content>,
+    redirect: Option<wire::Redirect>,
+    ack: Option<wire::Ack>,
+    need: Option<Stamp>,
+    attached: Option<Vec<u64>>,
+    promote: Option<u32>,
+    /// What the other side has once all that was sent arrives.
+    has: Stamp,
+    offer: bool,
+    members: BTreeMap<String, wire::Member>,
+    wanted: BTreeSet<String>,
+    digests: Option<Vec<wire::DomainDigest>>,
+    flush: Option<Instant>,
+    beat: Instant,
+    greeted: bool,
+}
+
+/// The next step of a stream's writer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// Send this now.
+    Send(Box<Content>),
+    /// Nothing to send before this time.
+    Wait(Instant),
+}
+
+/// What a heartbeat tells.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Beat {
+    /// The newest version that the sender has.
+    pub version: u64,
+    /// The digest over all members.
+    pub digest: u64,
+}
+
+impl Outbox {
+    /// Makes an outbox that batches members for `window` and is never silent for long.
+    #[must_use]
+    pub fn new(window: Duration, heartbeat: Duration, now: Instant) -> Self {
+        Outbox {
+            window,
+            heartbeat,
+            first: None,
+            redirect: None,
+            ack: None,
+            need: None,
+            attached: None,
+            promote: None,
+            has: Stamp::default(),
+            offer: false,
+            members: BTreeMap::new(),
+            wanted: BTreeSet::new(),
+            digests: None,
+            flush: None,
+            beat: now + heartbeat,
+            greeted: false,
+        }
+    }
+
+    /// Sends a greeting before everything else.
+    pub fn greet(&mut self, content: Content) {
+        self.first = Some(content);
+    }
+
+    /// Sends the other side elsewhere.
+    pub fn redirect(&mut self, redirect: wire::Redirect) {
+        self.redirect = Some(redirect);
+    }
+
+    /// Tells that a version is in force or was refused.
+    pub fn ack(&mut self, ack: wire::Ack) {
+        self.ack = Some(ack);
+    }
+
+    /// Asks for an update from a base.
+    pub fn need(&mut self, have: Stamp) {
+        self.need = Some(have);
+    }
+
+    /// Notes what the other side has.
+    pub fn set_has(&mut self, has: Stamp) {
+        self.has = has;
+    }
+
+    /// Notes a version that the other side is known to have, unless it has a newer one.
+    pub fn raise_has(&mut self, has: Stamp) {
+        self.has = self.has.max(has);
+    }
+
+    /// Offers the newest version to the other side.
+    pub fn offer(&mut self) {
+        self.offer = true;
+    }
+
+    /// Sends a heartbeat at this time, which tells of a new version at the least cost.
+    pub fn beat_at(&mut self, time: Instant) {
+        self.beat = self.beat.min(time);
+    }
+
+    /// Tells what is attached here.
+    pub fn attached(&mut self, keys: Vec<u64>) {
+        self.attached = Some(keys);
+    }
+
+    /// Asks the other side to take a relay slot.
+    pub fn promote(&mut self, slot: u32) {
+        self.promote = Some(slot);
+    }
+
+    /// Adds records of members to the batch.
+    pub fn members(&mut self, records: &[wire::Member], now: Instant) {
+        for record in records {
+            let known = self.members.get(&record.name);
+            if known.is_none_or(|known| rank(known) < rank(record)) {
+                self.members.insert(record.name.clone(), record.clone());
+            }
+        }
+        if !records.is_empty() {
+            self.flush.get_or_insert(now + self.window);
+        }
+    }
+
+    /// Ends the batch of members now.
+    pub fn flush(&mut self, now: Instant) {
+        self.flush = Some(now);
+    }
+
+    /// Asks for all records of some domains.
+    pub fn want(&mut self, domains: Vec<String>, now: Instant) {
+        if !domains.is_empty() {
+            self.wanted.extend(domains);
+            self.flush.get_or_insert(now);
+        }
+    }
+
+    /// Sends digests, so that the other side sends what differs.
+    pub fn compare(&mut self, digests: Vec<wire::DomainDigest>, now: Instant) {
+        self.digests = Some(digests);
+        self.flush(now);
+    }
+
+    /// Returns the next message, or the time until which there is none.
+    pub fn next(&mut self, history: &mut History, beat: Beat, now: Instant) -> Next {
+        let content = self.pop(history, beat, now);
+        let Some(content) = content else {
+            return Next::Wait(self.flush.map_or(self.beat, |flush| flush.min(self.beat)));
+        };
+        self.beat = now + self.heartbeat;
+        Next::Send(Box::new(content))
+    }
+
+    fn pop(&mut self, history: &mut History, beat: Beat, now: Instant) -> Option<Content> {
+        if let Some(first) = self.first.take() {
+            self.greeted = true;
+            return Some(first);
+        }
+        if let Some(redirect) = self.redirect.take() {
+            return Some(Content::Redirect(redirect));
+        }
+        if !self.greeted {
+            return None;
+        }
+        if let Some(update) = self.pop_update(history) {
+            return Some(Content::Update(update));
+        }
+        if let Some(ack) = self.ack.take() {
+            return Some(Content::Ack(ack));
+        }
+        if let Some(have) = self.need.take() {
+            let have = Some(have.to_wire());
+            return Some(Content::Need(wire::Need { have }));
+        }
+        if let Some(keys) = self.attached.take() {
+            return Some(Content::Attached(wire::Attached { keys }));
+        }
+        if let Some(slot) = self.promote.take() {
+            return Some(Content::Promote(wire::Promote { slot }));
+        }
+        if self.flush.is_some_and(|flush| flush <= now) {
+            return Some(Content::Members(self.pop_members()));
+        }
+        (self.beat <= now).then(|| {
+            Content::Heartbeat(wire::Heartbeat {
+                version: beat.version,
+                digest: beat.digest,
+            })
+        })
+    }
+
+    fn pop_update(&mut self, history: &mut History) -> Option<wire::Update> {
+        if !std::mem::take(&mut self.offer) {
+            return None;
+        }
+        let update = history.update_from(self.has)?;
+        self.has = history.stamp();
+        Some(update)
+    }
+
+    fn pop_members(&mut self) -> wire::MemberUpdate {
+        self.flush = None;
+        let members = std::mem::take(&mut self.members);
+        let wanted = std::mem::take(&mut self.wanted);
+        wire::MemberUpdate {
+            members: members.into_values().collect(),
+            wanted: wanted.into_iter().collect(),
+            digests: self.digests.take().unwrap_or_default(),
+        }
+    }
+}
