Distribute configuration and members through relays

Cause: every daemon watched the platform and listed all members, so the platform's load grew with the number of daemons.

Change: daemons attach to one of two relays of their failure domain and get deltas, members and heartbeats on one stream. Relays hold leases in the platform, watch head, attach to each other and count acknowledgements; the operator's wait asks them. The control state is one actor over a node without sockets. Direct distribution is kept as the baseline.

--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -1,10 +1,12 @@
-//! The role that brings accepted versions from the platform.
+//! The role that brings accepted versions, from the platform or through the distribution tree.
 
 use crate::daemon::Daemon;
 use crate::error::{Category, Result};
 use crate::event;
 use crate::kernel::{Plugin, Work};
-use prometheus_client::registry::Registry;
+use crate::settings::Distribution;
+use crate::tree::{self, Tree};
+use prometheus_client::registry::{Registry, Unit};
 use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,14 +21,55 @@
 }
 
 fn run(daemon: Arc<Daemon>) -> Work {
-    Box::pin(async move { watch_platform(&daemon).await })
+    Box::pin(async move {
+        match daemon.settings.distribution {
+            Distribution::Direct => watch_platform(&daemon).await,
+            Distribution::Tree => tree::run(daemon).await,
+        }
+    })
 }
 
 fn state(daemon: &Daemon) -> serde_json::Value {
-    daemon.config.state()
+    let mut state = daemon.config.state();
+    if daemon.settings.distribution == Distribution::Tree {
+        let tree = Tree::of(daemon);
+        let traffic = tree.traffic();
+        state["tree"] = serde_json::json!(*tree.state());
+        state["tree"]["sent_bytes"] = traffic.sent.get().into();
+        state["tree"]["received_bytes"] = traffic.received.get().into();
+        state["tree"]["sent_messages"] = traffic.sent_messages.get().into();
+        state["tree"]["received_messages"] = traffic.received_messages.get().into();
+    }
+    state
 }
 
-fn metrics(_: &Daemon, _: &mut Registry) {}
+fn metrics(daemon: &Daemon, registry: &mut Registry) {
+    let tree = Tree::of(daemon);
+    let traffic = tree.traffic();
+    let registry = registry.sub_registry_with_prefix("tree");
+    registry.register_with_unit(
+        "sent",
+        "Messages sent on streams of the distribution tree",
+        Unit::Bytes,
+        traffic.sent.clone(),
+    );
+    registry.register_with_unit(
+        "received",
+        "Messages received on streams of the distribution tree",
+        Unit::Bytes,
+        traffic.received.clone(),
+    );
+    registry.register(
+        "sent_messages",
+        "Messages sent on streams of the distribution tree",
+        traffic.sent_messages.clone(),
+    );
+    registry.register(
+        "received_messages",
+        "Messages received on streams of the distribution tree",
+        traffic.received_messages.clone(),
+    );
+}
 
 /// Watches `head` and applies each version that it names.
 async fn watch_platform(daemon: &Daemon) -> anyhow::Result<()> {
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -7,8 +7,11 @@
 use crate::kernel::{Plugin, Work};
 use crate::member::Fleet;
 use crate::platform::{PlatformError, Swap};
+use crate::settings::Distribution;
+use crate::tree::Tree;
+use crate::tree::actor::Message;
 use prometheus_client::registry::Registry;
-use prost::Message;
+use prost::Message as _;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -24,8 +27,13 @@
 
 fn run(daemon: Arc<Daemon>) -> Work {
     Box::pin(async move {
-        tokio::try_join!(announce(&daemon), list(&daemon))?;
-        Ok(())
+        match daemon.settings.distribution {
+            Distribution::Direct => {
+                tokio::try_join!(announce(&daemon), list(&daemon))?;
+                Ok(())
+            }
+            Distribution::Tree => announce_in_tree(&daemon).await,
+        }
     })
 }
 
@@ -35,6 +43,29 @@
 
 fn metrics(_: &Daemon, _: &mut Registry) {}
 
+/// Announces this daemon through the distribution tree once it is ready, and when it drains.
+async fn announce_in_tree(daemon: &Daemon) -> anyhow::Result<()> {
+    let tree = Tree::of(daemon);
+    let mut phases = daemon.drain.subscribe();
+    let mut actors = tree.subscribe();
+    loop {
+        let actor = tree.started().await?;
+        tree.caught_up(daemon).await?;
+        actors.mark_unchanged();
+        let phase = *phases.borrow_and_update();
+        let record = match phase {
+            Phase::Running => daemon.member(1, MemberState::Ready),
+            Phase::Draining | Phase::Stopped => daemon.member(2, MemberState::Draining),
+        };
+        actor.send(Message::Announce(Box::new(record)));
+        // A control state that is started again knows nothing of this daemon.
+        tokio::select! {
+            changed = phases.changed() => changed?,
+            changed = actors.changed() => changed?,
+        }
+    }
+}
+
 /// Keeps a key in the platform that holds this daemon's record.
 async fn announce(daemon: &Daemon) -> anyhow::Result<()> {
     let mut phases = daemon.drain.subscribe();
--- a/src/role/mesh.rs
+++ b/src/role/mesh.rs
@@ -2,15 +2,22 @@
 
 use crate::daemon::{Daemon, Phase};
 use crate::generated::mesh as wire;
+use crate::generated::mesh::frame::Content;
 use crate::generated::mesh::mesh_server::{Mesh, MeshServer};
 use crate::kernel::{Plugin, Work};
+use crate::settings::Distribution;
 use crate::snapshot::Stamp;
+use crate::tree::actor::Message;
+use crate::tree::{Tree, TreeError, session};
 use prometheus_client::registry::Registry;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tonic::{Request, Response, Status, Streaming};
 
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+
 inventory::submit! {
     Plugin { name: "mesh", run, state, metrics }
 }
@@ -19,10 +26,12 @@
     Box::pin(async move {
         let listener = daemon.sockets.mesh.listener()?;
         let drain = daemon.drain.clone();
-        let service = Service { daemon };
+        let tree = Tree::of(&daemon);
+        let service = MeshServer::new(Service { daemon, tree });
+        let service = service.max_decoding_message_size(session::MAX_FRAME_LEN);
         tonic::transport::Server::builder()
             .tcp_nodelay(true)
-            .add_service(MeshServer::new(service))
+            .add_service(service)
             .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
                 drain.reached(Phase::Stopped).await;
             })
@@ -39,33 +48,65 @@
 
 struct Service {
     daemon: Arc<Daemon>,
+    tree: Arc<Tree>,
 }
 
 #[tonic::async_trait]
 impl Mesh for Service {
-    type AttachStream = ReceiverStream<Result<wire::Down, Status>>;
+    type AttachStream = ReceiverStream<session::Sent>;
 
     async fn attach(
         &self,
-        _: Request<Streaming<wire::Up>>,
+        request: Request<Streaming<wire::Frame>>,
     ) -> Result<Response<Self::AttachStream>, Status> {
-        Err(Status::unimplemented("this daemon takes no children"))
+        let actor = self.tree.actor().map_err(|err| unavailable(&err))?;
+        let mut frames = request.into_inner();
+        let first = tokio::time::timeout(HELLO_TIMEOUT, frames.message()).await;
+        let first = first.map_err(|_| Status::deadline_exceeded("no hello in time"))??;
+        let Some(Content::Hello(hello)) = first.and_then(|frame| frame.content) else {
+            return Err(Status::invalid_argument("first message is no hello"));
+        };
+        let hello = Box::new(hello);
+        let accepted = actor.call(|reply| Message::Accept(hello, reply)).await;
+        let (sender, receiver) = session::queue();
+        match accepted.map_err(|err| unavailable(&err))? {
+            Ok(handle) => {
+                let traffic = Arc::clone(self.tree.traffic());
+                tokio::spawn(session::serve(actor, traffic, handle, frames, sender));
+            }
+            Err(redirect) => {
+                let content = Some(Content::Redirect(redirect));
+                // The queue is empty, and its receiver is at hand.
+                let _ = sender.try_send(Ok(wire::Frame { content }));
+            }
+        }
+        Ok(Response::new(receiver))
     }
 
     async fn fetch(
         &self,
         request: Request<wire::FetchRequest>,
     ) -> Result<Response<wire::FetchResponse>, Status> {
-        let have = Stamp::from_wire(request.into_inner().have.as_ref());
+        let request = request.into_inner();
+        let have = Stamp::from_wire(request.have.as_ref());
         let snapshot = self.daemon.config.snapshot();
         let newest = snapshot.stamp();
         let update = (newest.version > have.version).then(|| wire::Update {
             content: Some(wire::update::Content::Full(snapshot.pack())),
         });
-        Ok(Response::new(wire::FetchResponse {
+        let mut answer = wire::FetchResponse {
             update,
             newest: Some(newest.to_wire()),
-        }))
+            floor: 0,
+            relays: Vec::new(),
+        };
+        if let Ok(actor) = self.tree.actor() {
+            let floor = actor.call(|reply| Message::Floor(request.name, reply));
+            answer.floor = floor.await.map_err(|err| unavailable(&err))?;
+            let relations = actor.call(Message::Relations).await;
+            answer.relays = relations.map_err(|err| unavailable(&err))?.relays;
+        }
+        Ok(Response::new(answer))
     }
 
     async fn status(
@@ -73,28 +114,52 @@
         request: Request<wire::StatusRequest>,
     ) -> Result<Response<wire::StatusResponse>, Status> {
         let request = request.into_inner();
-        let mut stamps = self.daemon.config.subscribe();
         let wait = Duration::from_millis(u64::from(request.wait_ms));
-        let reached = stamps.wait_for(|stamp| stamp.version >= request.version);
-        // A timeout leaves the answer to the version at hand.
-        let _ = tokio::time::timeout(wait, reached).await;
-        let version = self.daemon.config.stamp().version;
-        let name = self.daemon.identity.name.clone();
-        let applied = version >= request.version;
-        Ok(Response::new(wire::StatusResponse {
+        let deadline = Instant::now() + wait;
+        let mut acknowledged = self.tree.acknowledged.subscribe();
+        let mut stamps = self.daemon.config.subscribe();
+        loop {
+            acknowledged.mark_unchanged();
+            stamps.mark_unchanged();
+            let answer = self.count(&request).await?;
+            if answer.applied == answer.attached || Instant::now() >= deadline {
+                return Ok(Response::new(answer));
+            }
+            // A timeout leaves the answer to the versions at hand.
+            tokio::select! {
+                _ = acknowledged.changed() => {}
+                _ = stamps.changed() => {}
+                () = tokio::time::sleep_until(deadline) => {}
+            }
+        }
+    }
+}
+
+impl Service {
+    async fn count(&self, request: &wire::StatusRequest) -> Result<wire::StatusResponse, Status> {
+        let (version, names) = (request.version, request.names);
+        if self.daemon.settings.distribution == Distribution::Tree {
+            let actor = self.tree.actor().map_err(|err| unavailable(&err))?;
+            let status = actor.call(|reply| Message::Status(version, names, reply));
+            return status.await.map_err(|err| unavailable(&err));
+        }
+        let own = self.daemon.config.stamp().version;
+        let name = vec![self.daemon.identity.name.clone()];
+        let (done, lag) = if own >= version {
+            (name, Vec::new())
+        } else {
+            (Vec::new(), name)
+        };
+        Ok(wire::StatusResponse {
             attached: 1,
-            applied: u32::from(applied),
-            laggards: if applied {
-                Vec::new()
-            } else {
-                vec![name.clone()]
-            },
-            names: if applied && request.names {
-                vec![name]
-            } else {
-                Vec::new()
-            },
-            version,
-        }))
+            applied: u32::from(own >= version),
+            laggards: lag,
+            names: done,
+            version: own,
+        })
     }
 }
+
+fn unavailable(err: &TreeError) -> Status {
+    Status::unavailable(err.to_string())
+}
--- a/src/role/operator.rs
+++ b/src/role/operator.rs
@@ -5,10 +5,10 @@
 use crate::error::{Category, Error, Result};
 use crate::event;
 use crate::generated::mesh as wire;
-use crate::generated::mesh::mesh_client::MeshClient;
 use crate::kernel::{Plugin, Work};
 use crate::serve::{Body, full, serve};
 use crate::store::Outcome;
+use crate::tree::force::in_force;
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -208,38 +208,6 @@
     Ok((StatusCode::OK, body))
 }
 
-/// Asks every daemon known whether it applies a version.
-async fn in_force(daemon: &Daemon, version: u64, wait: Duration) -> (usize, Vec<String>) {
-    let fleet = daemon.fleet.load();
-    let mut asked = Vec::new();
-    for member in fleet.members().values() {
-        let member = Arc::clone(member);
-        asked.push(tokio::spawn(async move {
-            let applies = ask(&member, version, wait).await.unwrap_or(false);
-            (!applies).then(|| member.name.clone())
-        }));
-    }
-    let total = asked.len();
-    let mut missing = Vec::new();
-    for answer in asked {
-        missing.extend(answer.await.ok().flatten());
-    }
-    (total, missing)
-}
-
-async fn ask(member: &wire::Member, version: u64, wait: Duration) -> anyhow::Result<bool> {
-    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{}", member.mesh))?
-        .connect_timeout(Duration::from_secs(1))
-        .timeout(wait + Duration::from_secs(2));
-    let mut client = MeshClient::new(endpoint.connect().await?);
-    let request = wire::StatusRequest {
-        version,
-        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
-        names: false,
-    };
-    Ok(client.status(request).await?.into_inner().applied > 0)
-}
-
 async fn read_body(body: Incoming) -> Result<Bytes> {
     let body = Limited::new(body, MAX_BODY_LEN).collect().await;
     body.map(http_body_util::Collected::to_bytes)
--- a/src/store.rs
+++ b/src/store.rs
@@ -9,11 +9,11 @@
 use crate::generated::mesh as wire;
 use crate::platform::{Entry, MAX_VALUE_LEN, Platform, PlatformError, Swap};
 use crate::snapshot::{Snapshot, Stamp};
-use crate::sync::lock;
 use bytes::Bytes;
 use prost::Message;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
 /// The key whose value names the newest accepted version.
@@ -77,7 +77,7 @@
 /// Reads and extends the accepted versions.
 pub struct Store {
     platform: Arc<dyn Platform>,
-    newest: Mutex<Arc<Snapshot>>,
+    newest: watch::Sender<Arc<Snapshot>>,
 }
 
 impl Store {
@@ -86,7 +86,7 @@
     pub fn new(platform: Arc<dyn Platform>) -> Self {
         Store {
             platform,
-            newest: Mutex::default(),
+            newest: watch::Sender::default(),
         }
     }
 
@@ -96,6 +96,12 @@
         &self.platform
     }
 
+    /// Returns a receiver of the newest version that this daemon has read or accepted.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Arc<Snapshot>> {
+        self.newest.subscribe()
+    }
+
     /// Reads `head`.
     ///
     /// # Errors
@@ -365,14 +371,17 @@
     }
 
     fn cached(&self) -> Arc<Snapshot> {
-        Arc::clone(&lock(&self.newest))
+        Arc::clone(&self.newest.borrow())
     }
 
     fn remember(&self, snapshot: &Arc<Snapshot>) {
-        let mut newest = lock(&self.newest);
-        if newest.version() < snapshot.version() {
-            *newest = Arc::clone(snapshot);
-        }
+        self.newest.send_if_modified(|newest| {
+            let newer = newest.version() < snapshot.version();
+            if newer {
+                *newest = Arc::clone(snapshot);
+            }
+            newer
+        });
     }
 }
 
--- a/src/tree/backoff.rs
+++ b/src/tree/backoff.rs
@@ -36,6 +36,18 @@
     }
 }
 
+/// Returns a random time between none and this one.
+#[must_use]
+pub fn jitter(greatest: Duration) -> Duration {
+    greatest.mul_f64(rand::rng().random_range(0.0..1.0))
+}
+
+/// Returns a random time near this one, up to a quarter less or more.
+#[must_use]
+pub fn about(time: Duration) -> Duration {
+    time.mul_f64(rand::rng().random_range(0.75..1.25))
+}
+
 /// A token bucket: so many events a second, with one second's worth in hand.
 #[derive(Clone, Copy, Debug)]
 pub struct Bucket {
--- /dev/null
+++ b/src/tree/force.rs
@@ -0,0 +1,129 @@
+//! Counts the daemons on which a version is in force.
+
+use super::Tree;
+use super::session::CONNECT_TIMEOUT;
+use crate::daemon::Daemon;
+use crate::generated::mesh as wire;
+use crate::generated::mesh::mesh_client::MeshClient;
+use crate::settings::Distribution;
+use crate::sync::lock;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+use tonic::transport::{Channel, Endpoint};
+
+/// Greatest number of channels kept to other daemons.
+const MAX_CHANNELS: usize = 256;
+
+/// Greatest number of daemons asked themselves since no relay answered for them.
+const MAX_ASKED: usize = 64;
+
+/// The longest time that one question to a relay waits.
+const ROUND: Duration = Duration::from_secs(2);
+
+/// The time between two rounds that both found daemons missing.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Channels to other daemons, by address.
+#[derive(Default)]
+struct Channels {
+    open: Mutex<BTreeMap<String, Channel>>,
+}
+
+/// Counts the daemons known, and names those on which a version is not in force.
+///
+/// With `wait` it asks again until none is missing or the time is up.
+pub async fn in_force(daemon: &Daemon, version: u64, wait: Duration) -> (usize, Vec<String>) {
+    let deadline = Instant::now() + wait;
+    loop {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let applied = ask_all(daemon, version, left.min(ROUND)).await;
+        let fleet = daemon.fleet.load();
+        let members = fleet.members();
+        let missing: Vec<String> = members
+            .keys()
+            .filter(|name| !applied.contains(*name))
+            .cloned()
+            .collect();
+        if missing.is_empty() || Instant::now() + PAUSE >= deadline {
+            return (members.len(), missing);
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// Returns the names of the daemons on which a version is in force.
+async fn ask_all(daemon: &Daemon, version: u64, wait: Duration) -> BTreeSet<String> {
+    let fleet = daemon.fleet.load();
+    let relays = match daemon.settings.distribution {
+        Distribution::Tree => relays(daemon).await,
+        Distribution::Direct => fleet.members().values().map(|m| m.mesh.clone()).collect(),
+    };
+    let mut applied = ask(daemon, relays, version, wait).await;
+    if daemon.settings.distribution == Distribution::Tree {
+        // A daemon that is between two relays answers for itself.
+        let rest = fleet.members().values();
+        let rest = rest.filter(|member| !applied.contains(&member.name));
+        let rest: Vec<String> = rest.take(MAX_ASKED).map(|m| m.mesh.clone()).collect();
+        applied.extend(ask(daemon, rest, version, Duration::ZERO).await);
+    }
+    applied
+}
+
+async fn relays(daemon: &Daemon) -> Vec<String> {
+    let Ok(actor) = Tree::of(daemon).actor() else {
+        return Vec::new();
+    };
+    let relations = actor.call(super::actor::Message::Relations).await;
+    let relays = relations.map(|relations| relations.relays);
+    let relays = relays.unwrap_or_default().into_iter();
+    relays.map(|relay| relay.address).collect()
+}
+
+async fn ask(
+    daemon: &Daemon,
+    addresses: Vec<String>,
+    version: u64,
+    wait: Duration,
+) -> BTreeSet<String> {
+    let mut asked = JoinSet::new();
+    for address in addresses {
+        let Some(channel) = channel(daemon, &address) else {
+            continue;
+        };
+        asked.spawn(ask_one(channel, version, wait));
+    }
+    asked.join_all().await.into_iter().flatten().collect()
+}
+
+async fn ask_one(channel: Channel, version: u64, wait: Duration) -> Vec<String> {
+    let request = wire::StatusRequest {
+        version,
+        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        names: true,
+    };
+    let mut client = MeshClient::new(channel);
+    let limit = wait + CONNECT_TIMEOUT;
+    match tokio::time::timeout(limit, client.status(request)).await {
+        Ok(Ok(answer)) => answer.into_inner().names,
+        Ok(Err(_)) | Err(_) => Vec::new(),
+    }
+}
+
+fn channel(daemon: &Daemon, address: &str) -> Option<Channel> {
+    let channels = daemon.part(Channels::default);
+    let mut open = lock(&channels.open);
+    if let Some(channel) = open.get(address) {
+        return Some(channel.clone());
+    }
+    if open.len() >= MAX_CHANNELS {
+        open.clear();
+    }
+    let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+    let endpoint = endpoint.connect_timeout(CONNECT_TIMEOUT).tcp_nodelay(true);
+    let channel = endpoint.connect_lazy();
+    open.insert(address.to_owned(), channel.clone());
+    Some(channel)
+}
--- a/src/tree/node.rs
+++ b/src/tree/node.rs
@@ -73,8 +73,8 @@
     Fleet,
     /// End this stream.
     Close(LinkId),
-    /// After a short time, call [`Node::ask`] for this stream.
-    Check(LinkId),
+    /// After a short time, call [`Node::ask`] for this stream and version.
+    Check(LinkId, u64),
     /// Wake those who wait for acknowledgements.
     Acknowledged,
 }
@@ -168,9 +168,10 @@
         self.relays.values().cloned().collect()
     }
 
-    /// Replaces the relays known by those that the platform lists.
-    pub fn set_relays(&mut self, records: Vec<wire::RelayRecord>) {
-        self.relays.clear();
+    /// Replaces the relays known of a failure domain, or of all without a name.
+    pub fn set_relays(&mut self, domain: &str, records: Vec<wire::RelayRecord>) {
+        let stays = |of: &str| !domain.is_empty() && of != domain;
+        self.relays.retain(|(of, _), _| stays(of));
         self.learn_relays(records);
     }
 
@@ -178,10 +179,7 @@
     pub fn learn_relays(&mut self, records: Vec<wire::RelayRecord>) {
         for record in records {
             let key = (record.domain.clone(), record.slot);
-            let known = self.relays.get(&key);
-            if known.is_none_or(|known| known.incarnation < record.incarnation) {
-                self.relays.insert(key, record);
-            }
+            self.relays.insert(key, record);
         }
     }
 
@@ -208,6 +206,13 @@
         match link.side {
             Side::Child => {
                 event!(ChildDetached, "child={}", link.name);
+                let mut others = self.links.values();
+                let again =
+                    others.any(|other| other.side == Side::Child && other.name == link.name);
+                // The daemon may have attached anew before its old stream ended.
+                if again {
+                    return Vec::new();
+                }
                 let changed = self.members.detach(&link.name, link.incarnation, now);
                 self.spread(&changed, Source::Own, now)
             }
@@ -219,7 +224,7 @@
         }
     }
 
-    /// Takes in a message; false in place of effects is never needed, a bad stream is closed.
+    /// Takes in a message.
     pub fn receive(&mut self, id: LinkId, content: Content, now: Instant) -> Vec<Effect> {
         let Some(link) = self.links.get_mut(id) else {
             return Vec::new();
@@ -278,12 +283,7 @@
         }
     }
 
-    fn take(
-        &mut self,
-        snapshot: Arc<Snapshot>,
-        from: Option<LinkId>,
-        now: Instant,
-    ) -> Vec<Effect> {
+    fn take(&mut self, snapshot: Arc<Snapshot>, from: Option<LinkId>, now: Instant) -> Vec<Effect> {
         if !self.history.add(Arc::clone(&snapshot)) {
             return Vec::new();
         }
@@ -329,7 +329,12 @@
             return Vec::new();
         };
         if !ack.error.is_empty() {
-            event!(VersionRefused, "child={} version={stamp} error={}", link.name, ack.error);
+            event!(
+                VersionRefused,
+                "child={} version={stamp} error={}",
+                link.name,
+                ack.error
+            );
             return Vec::new();
         }
         link.applied = link.applied.max(stamp);
--- a/src/tree/node/accept.rs
+++ b/src/tree/node/accept.rs
@@ -1,6 +1,6 @@
 //! Streams that begin: who is let in, who is sent elsewhere.
 
-use super::{Effect, Node, Role, Source, is_relay};
+use super::{Effect, Node, Role, is_relay};
 use crate::event;
 use crate::generated::mesh as wire;
 use crate::generated::mesh::frame::Content;
@@ -55,7 +55,7 @@
         link.incarnation = hello.incarnation;
         link.domain.clone_from(&hello.domain);
         link.relay = hello.relay;
-        let mut effects = self.replace(&link, now);
+        let mut effects = self.replace(&link);
         let id = self.links.insert(link);
         self.woken.insert(id);
         if side == Side::Child {
@@ -64,7 +64,7 @@
             self.tell_attached(id);
         }
         if have.version > self.newest().version {
-            effects.push(Effect::Check(id));
+            effects.push(Effect::Check(id, have.version));
         }
         Ok((id, effects))
     }
@@ -100,7 +100,7 @@
         }
         let mut effects = vec![Effect::Floor(welcome.floor.max(theirs.version))];
         if theirs.version > self.newest().version {
-            effects.push(Effect::Check(id));
+            effects.push(Effect::Check(id, theirs.version));
         }
         effects
     }
@@ -172,7 +172,12 @@
         true
     }
 
-    fn admit(&mut self, hello: &wire::Hello, side: Side, now: Instant) -> Result<(), wire::Redirect> {
+    fn admit(
+        &mut self,
+        hello: &wire::Hello,
+        side: Side,
+        now: Instant,
+    ) -> Result<(), wire::Redirect> {
         let parent = self.links.values().any(|link| {
             link.side == Side::Parent && (link.name == hello.name || link.address == hello.mesh)
         });
@@ -199,7 +204,7 @@
     }
 
     /// Ends an older stream of the daemon that attaches.
-    fn replace(&mut self, new: &Link, _now: Instant) -> Vec<Effect> {
+    fn replace(&self, new: &Link) -> Vec<Effect> {
         let links = self.links.iter();
         let old = links.filter(|(_, link)| link.side == new.side && link.name == new.name);
         old.map(|(id, _)| Effect::Close(id)).collect()
@@ -220,9 +225,8 @@
     /// Returns the address of the other relay of the failure domain, if a stream to it is open.
     fn mate(&self) -> Option<String> {
         let mut links = self.links.values();
-        let mate = links.find(|link| {
-            link.side == Side::Peer && link.relay && link.domain == self.me.domain
-        });
+        let mate = links
+            .find(|link| link.side == Side::Peer && link.relay && link.domain == self.me.domain);
         mate.map(|link| link.address.clone())
     }
 
@@ -275,9 +279,4 @@
         }
         self.attached = keys;
     }
-
-    /// Returns the effects and the source of a change that this daemon made itself.
-    pub(super) fn own_change(&mut self, changed: &[wire::Member], now: Instant) -> Vec<Effect> {
-        self.spread(changed, Source::Own, now)
-    }
 }
--- a/src/tree/node/exchange.rs
+++ b/src/tree/node/exchange.rs
@@ -8,7 +8,12 @@
 
 impl Node {
     /// Announces this daemon. A record that drains is sent without waiting for the batch.
-    pub fn announce(&mut self, record: wire::Member, now: Instant) -> Vec<Effect> {
+    ///
+    /// The sequence is raised above that of every earlier announcement.
+    pub fn announce(&mut self, mut record: wire::Member, now: Instant) -> Vec<Effect> {
+        if let Some(own) = self.own.as_ref().filter(|own| **own != record) {
+            record.sequence = record.sequence.max(own.sequence + 1);
+        }
         let urgent = record.state() == MemberState::Draining;
         self.own = Some(record.clone());
         let changed = if is_relay(self.role) {
@@ -100,7 +105,7 @@
         }
         self.woken.insert(id);
         if newer {
-            return vec![Effect::Check(id)];
+            return vec![Effect::Check(id, beat.version)];
         }
         Vec::new()
     }
--- a/src/tree/node/status.rs
+++ b/src/tree/node/status.rs
@@ -43,15 +43,17 @@
     /// Counts this daemon and its children that have put at least a version in force.
     #[must_use]
     pub fn status(&self, version: u64, names: bool) -> wire::StatusResponse {
-        let own = match self.ack.error.is_empty() {
-            true => Stamp::from_wire(self.ack.stamp.as_ref()).version,
-            false => 0,
+        let own = if self.ack.error.is_empty() {
+            Stamp::from_wire(self.ack.stamp.as_ref()).version
+        } else {
+            0
         };
         let mut daemons = vec![(self.me.name.as_str(), own)];
         let children = self.links.values().filter(|link| link.side == Side::Child);
         daemons.extend(children.map(|link| (link.name.as_str(), link.applied.version)));
-        let (done, lag): (Vec<_>, Vec<_>) =
-            daemons.into_iter().partition(|(_, applied)| *applied >= version);
+        let (done, lag): (Vec<_>, Vec<_>) = daemons
+            .into_iter()
+            .partition(|(_, applied)| *applied >= version);
         let owned = |(name, _): &(&str, u64)| (*name).to_owned();
         wire::StatusResponse {
             attached: u32::try_from(done.len() + lag.len()).unwrap_or(u32::MAX),
--- /dev/null
+++ b/src/tree/session.rs
@@ -0,0 +1,200 @@
+//! Moves the messages of one stream between its two ends.
+
+use super::actor::{Handle, Message, TreeRef};
+use super::link::Side;
+use super::outbox::Next;
+use super::{Traffic, TreeError};
+use crate::generated::mesh as wire;
+use crate::generated::mesh::frame::Content;
+use crate::generated::mesh::mesh_client::MeshClient;
+use prost::Message as _;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Status, Streaming};
+
+/// Time to connect to another daemon and to be answered by it.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The greatest length of a message between daemons, in bytes.
+pub const MAX_FRAME_LEN: usize = 2 * crate::snapshot::MAX_SNAPSHOT_LEN;
+
+/// Messages that wait for the transport of one stream. What does not fit stays in the outbox,
+/// where newer state replaces older.
+const QUEUE_LEN: usize = 1;
+
+/// A frame on its way to the transport, or the fault that ends the stream.
+pub type Sent = Result<wire::Frame, Status>;
+
+/// How a stream to another daemon came to its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The other daemon names others to try, and a time to wait in milliseconds.
+    Redirected(Vec<String>, u32),
+    /// The other daemon asked this one to take a relay slot.
+    Promoted(u32),
+    /// The stream was open and has ended.
+    Lost(String),
+    /// No stream could be opened.
+    Refused(String),
+}
+
+/// Serves a daemon that has attached, until the stream ends.
+pub async fn serve(
+    tree: TreeRef,
+    traffic: Arc<Traffic>,
+    handle: Handle,
+    mut frames: Streaming<wire::Frame>,
+    sender: mpsc::Sender<Sent>,
+) {
+    let read = async {
+        while let Ok(Some(frame)) = frames.message().await {
+            if receive(&tree, &traffic, &handle, frame).await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = read => {}
+        () = write(&tree, &traffic, &handle, &sender) => {}
+        () = handle.ended.notified() => {}
+    }
+    tree.send(Message::Closed(handle.id));
+}
+
+/// Makes the queue of one stream.
+#[must_use]
+pub fn queue() -> (mpsc::Sender<Sent>, ReceiverStream<Sent>) {
+    let (sender, receiver) = mpsc::channel(QUEUE_LEN);
+    (sender, ReceiverStream::new(receiver))
+}
+
+/// Attaches to another daemon and stays attached until the stream ends.
+///
+/// `welcomed` runs once the other daemon has taken this one in.
+pub async fn attach(
+    tree: &TreeRef,
+    traffic: &Arc<Traffic>,
+    address: &str,
+    side: Side,
+    welcomed: impl FnOnce(&wire::Welcome),
+) -> End {
+    let channel = match connect(address).await {
+        Ok(channel) => channel,
+        Err(err) => return End::Refused(err.to_string()),
+    };
+    let opened = tree.call(|reply| Message::Open(side, address.into(), reply));
+    let handle = match opened.await {
+        Ok(handle) => handle,
+        Err(err) => return End::Refused(err.to_string()),
+    };
+    let (sender, receiver) = queue();
+    let end = tokio::select! {
+        end = read(tree, traffic, &handle, channel, receiver, welcomed) => end,
+        () = write(tree, traffic, &handle, &sender) => End::Lost("stream has ended".into()),
+        () = handle.ended.notified() => End::Lost("no message in time".into()),
+    };
+    tree.send(Message::Closed(handle.id));
+    end
+}
+
+async fn connect(address: &str) -> Result<MeshClient<tonic::transport::Channel>, TreeError> {
+    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|err| TreeError::Connect(address.into(), err.to_string()))?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true);
+    let channel = tokio::time::timeout(CONNECT_TIMEOUT, endpoint.connect()).await;
+    let channel = channel
+        .map_err(|_| TreeError::Connect(address.into(), "no answer in time".into()))?
+        .map_err(|err| TreeError::Connect(address.into(), err.to_string()))?;
+    Ok(MeshClient::new(channel).max_decoding_message_size(MAX_FRAME_LEN))
+}
+
+async fn read(
+    tree: &TreeRef,
+    traffic: &Arc<Traffic>,
+    handle: &Handle,
+    mut client: MeshClient<tonic::transport::Channel>,
+    receiver: ReceiverStream<Sent>,
+    welcomed: impl FnOnce(&wire::Welcome),
+) -> End {
+    use tokio_stream::StreamExt;
+    let outgoing = receiver.filter_map(Result::ok);
+    let greeting = async {
+        let mut frames = client.attach(outgoing).await?.into_inner();
+        let first = frames.message().await?;
+        Ok::<_, Status>((frames, first))
+    };
+    let (mut frames, first) = match tokio::time::timeout(CONNECT_TIMEOUT, greeting).await {
+        Ok(Ok((frames, Some(first)))) => (frames, first),
+        Ok(Ok((_, None))) => return End::Refused("stream has ended".into()),
+        Ok(Err(status)) => return End::Refused(status.message().into()),
+        Err(_) => return End::Refused("no answer in time".into()),
+    };
+    match &first.content {
+        Some(Content::Welcome(welcome)) => welcomed(welcome),
+        Some(Content::Redirect(redirect)) => return redirected(redirect.clone()),
+        _ => return End::Refused("first message is no welcome".into()),
+    }
+    let mut frame = first;
+    loop {
+        match &frame.content {
+            Some(Content::Redirect(redirect)) => return redirected(redirect.clone()),
+            Some(Content::Promote(promote)) => return End::Promoted(promote.slot),
+            _ => {}
+        }
+        if let Err(err) = receive(tree, traffic, handle, frame).await {
+            return End::Lost(err.to_string());
+        }
+        frame = match frames.message().await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => return End::Lost("stream has ended".into()),
+            Err(status) => return End::Lost(status.message().into()),
+        };
+    }
+}
+
+fn redirected(redirect: wire::Redirect) -> End {
+    End::Redirected(redirect.addresses, redirect.retry_ms)
+}
+
+async fn receive(
+    tree: &TreeRef,
+    traffic: &Traffic,
+    handle: &Handle,
+    frame: wire::Frame,
+) -> Result<(), TreeError> {
+    traffic.received(frame.encoded_len());
+    let Some(content) = frame.content else {
+        return Ok(());
+    };
+    let (id, content) = (handle.id, Box::new(content));
+    tree.call(|reply| Message::Received(id, content, reply))
+        .await
+}
+
+/// Sends what the control state has for this stream, as fast as the transport takes it.
+async fn write(tree: &TreeRef, traffic: &Traffic, handle: &Handle, sender: &mpsc::Sender<Sent>) {
+    loop {
+        let next = tree.call(|reply| Message::Next(handle.id, reply)).await;
+        match next {
+            Ok(Some(Next::Send(content))) => {
+                let frame = wire::Frame {
+                    content: Some(*content),
+                };
+                traffic.sent(frame.encoded_len());
+                if sender.send(Ok(frame)).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Some(Next::Wait(until))) => {
+                tokio::select! {
+                    () = handle.woken.notified() => {}
+                    () = tokio::time::sleep_until(until) => {}
+                }
+            }
+            Ok(None) | Err(_) => return,
+        }
+    }
+}
--- /dev/null
+++ b/src/tree/start.rs
@@ -0,0 +1,97 @@
+//! What a daemon learns at its start: the least version that it may serve.
+
+use super::actor::{Message, TreeRef};
+use super::session::{CONNECT_TIMEOUT, MAX_FRAME_LEN};
+use crate::daemon::Daemon;
+use crate::generated::mesh as wire;
+use crate::generated::mesh::mesh_client::MeshClient;
+use crate::generated::mesh::update::Content;
+use crate::snapshot::Snapshot;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// Greatest number of daemons asked at a start without the platform.
+const MAX_ASKED: usize = 32;
+
+/// The time between two looks at whether the version in force has reached the floor.
+const CATCH_UP_EVERY: Duration = Duration::from_secs(2);
+
+/// Learns the newest version from the platform, or without it from every daemon in reach.
+pub(super) async fn learn(daemon: &Daemon, actor: &TreeRef) -> anyhow::Result<()> {
+    let own = daemon.config.snapshot();
+    if own.version() > 0 {
+        actor.call(|reply| Message::Loaded(own, reply)).await?;
+    }
+    if let Ok(head) = daemon.store.head().await {
+        daemon.config.raise_floor(head.stamp().version);
+        return Ok(());
+    }
+    let peers = daemon.settings.peers.iter();
+    let mut asked: BTreeSet<String> = BTreeSet::new();
+    let mut next: Vec<String> = peers.map(ToString::to_string).collect();
+    // The second time it asks the relays that the peers named.
+    for _ in 0..2 {
+        next.retain(|address| asked.len() < MAX_ASKED && asked.insert(address.clone()));
+        let answers = ask(&daemon.identity.name, std::mem::take(&mut next)).await;
+        for answer in answers {
+            next.extend(answer.relays.iter().map(|relay| relay.address.clone()));
+            take_in(daemon, actor, answer).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Reads the newest version from the platform while the version in force is below the floor.
+///
+/// A relay that is cut off may not have the version that this daemon knows to be accepted.
+pub(super) async fn catch_up(daemon: &Daemon, actor: &TreeRef) -> anyhow::Result<()> {
+    loop {
+        sleep(CATCH_UP_EVERY).await;
+        if daemon.config.stamp().version >= daemon.config.floor() {
+            continue;
+        }
+        if let Ok((_, snapshot)) = daemon.store.newest().await {
+            actor.call(|reply| Message::Loaded(snapshot, reply)).await?;
+        }
+    }
+}
+
+async fn ask(name: &str, addresses: Vec<String>) -> Vec<wire::FetchResponse> {
+    let mut asked = JoinSet::new();
+    for address in addresses {
+        let name = name.to_owned();
+        asked.spawn(async move { fetch(&address, name).await.ok() });
+    }
+    asked.join_all().await.into_iter().flatten().collect()
+}
+
+async fn fetch(address: &str, name: String) -> anyhow::Result<wire::FetchResponse> {
+    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{address}"))?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .timeout(CONNECT_TIMEOUT * 2);
+    let client = MeshClient::new(endpoint.connect().await?);
+    let mut client = client.max_decoding_message_size(MAX_FRAME_LEN);
+    let request = wire::FetchRequest { have: None, name };
+    Ok(client.fetch(request).await?.into_inner())
+}
+
+async fn take_in(
+    daemon: &Daemon,
+    actor: &TreeRef,
+    answer: wire::FetchResponse,
+) -> anyhow::Result<()> {
+    daemon.config.raise_floor(answer.floor);
+    actor.send(Message::LearnRelays(answer.relays));
+    let content = answer.update.and_then(|update| update.content);
+    if let Some(Content::Full(packed)) = content
+        && let Ok(snapshot) = Snapshot::unpack(&packed)
+    {
+        daemon.config.raise_floor(snapshot.version());
+        let snapshot = Arc::new(snapshot);
+        actor.call(|reply| Message::Loaded(snapshot, reply)).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/tree/uplink.rs
@@ -0,0 +1,247 @@
+//! Keeps a daemon that is no relay attached to one, and makes it a relay where one is missing.
+
+use super::actor::{Message, TreeRef};
+use super::backoff::{Backoff, about, jitter};
+use super::lease::{self, Held};
+use super::link::Side;
+use super::node::{Role, is_relay};
+use super::seek::{Seeker, Step, View};
+use super::session::{self, End};
+use super::{Tree, start};
+use crate::daemon::{Daemon, Phase};
+use crate::event;
+use crate::generated::mesh as wire;
+use crate::generated::mesh::MemberState;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+const RETRY_MIN: Duration = Duration::from_millis(200);
+const RETRY_MAX: Duration = Duration::from_secs(5);
+
+/// Greatest delay before a daemon that lost its relay turns to the other one.
+const LOST_JITTER: Duration = Duration::from_millis(200);
+
+/// Greatest delay before a daemon takes a vacant slot, in which another may take it.
+const ACQUIRE_JITTER: Duration = Duration::from_millis(500);
+
+/// Time between two attempts of a stand-in to find a relay.
+const STAND_IN_RETRY: Duration = Duration::from_secs(3);
+
+/// Keeps this daemon attached to a relay until it becomes one, and again afterwards.
+///
+/// # Errors
+///
+/// Fails when the control state has stopped.
+pub async fn run(daemon: &Daemon, tree: &Arc<Tree>, actor: &TreeRef) -> anyhow::Result<()> {
+    start::learn(daemon, actor).await?;
+    let uplink = Uplink {
+        daemon,
+        tree,
+        actor,
+    };
+    let mut roles = tree.role.subscribe();
+    loop {
+        roles
+            .wait_for(|role| !matches!(role, Role::Relay(_)))
+            .await?;
+        uplink.seek().await?;
+    }
+}
+
+struct Uplink<'a> {
+    daemon: &'a Daemon,
+    tree: &'a Arc<Tree>,
+    actor: &'a TreeRef,
+}
+
+impl Uplink<'_> {
+    /// Looks for a relay again and again, until this daemon holds a relay slot itself.
+    async fn seek(&self) -> anyhow::Result<()> {
+        let identity = &self.daemon.identity;
+        let mut seeker = Seeker::new(&identity.name, &identity.domain, &self.mesh());
+        let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
+        let mut least = Duration::ZERO;
+        loop {
+            match seeker.step(&self.view().await?) {
+                Step::Dial(address) => match self.attach(&address).await? {
+                    End::Redirected(addresses, wait_ms) => {
+                        event!(Redirected, "from={address} to={addresses:?}");
+                        least = Duration::from_millis(u64::from(wait_ms));
+                        seeker.redirected(addresses);
+                    }
+                    End::Promoted(slot) => {
+                        if self.acquire(slot).await? {
+                            return Ok(());
+                        }
+                        seeker.restart();
+                    }
+                    End::Lost(reason) => {
+                        event!(Detached, "address={address} reason={reason}");
+                        self.lost().await?;
+                        backoff.reset();
+                        seeker.restart();
+                    }
+                    End::Refused(reason) => {
+                        log::debug!(target: "baobabstage", "attach to {address}: {reason}");
+                    }
+                },
+                Step::List => self.list(&mut seeker).await?,
+                Step::Acquire(slot) => {
+                    sleep(jitter(ACQUIRE_JITTER)).await;
+                    if self.is_vacant(slot).await && self.acquire(slot).await? {
+                        return Ok(());
+                    }
+                }
+                Step::StandIn => {
+                    self.stand_in().await?;
+                    sleep(about(STAND_IN_RETRY)).await;
+                    seeker.restart();
+                }
+                Step::Wait => {
+                    let delay = backoff.delay(&mut rand::rng()).max(least);
+                    least = Duration::ZERO;
+                    sleep(delay).await;
+                    seeker.restart();
+                }
+            }
+        }
+    }
+
+    async fn attach(&self, address: &str) -> anyhow::Result<End> {
+        let (sender, welcome) = tokio::sync::oneshot::channel();
+        let traffic = self.tree.traffic();
+        let attached = session::attach(self.actor, traffic, address, Side::Parent, |welcome| {
+            // The receiver lives until the stream has ended.
+            let _ = sender.send(welcome.name.clone());
+        });
+        let noted = async {
+            if let Ok(name) = welcome.await {
+                event!(Attached, "relay={name} address={address}");
+                set_role(self.tree, self.actor, Role::Child).await?;
+            }
+            std::future::pending::<anyhow::Result<()>>().await
+        };
+        tokio::select! {
+            end = attached => Ok(end),
+            failed = noted => Err(failed.err().unwrap_or_else(|| anyhow::anyhow!("no stream"))),
+        }
+    }
+
+    async fn lost(&self) -> anyhow::Result<()> {
+        if self.tree.role() == Role::Child {
+            set_role(self.tree, self.actor, Role::Seeking).await?;
+        }
+        sleep(jitter(LOST_JITTER)).await;
+        Ok(())
+    }
+
+    async fn list(&self, seeker: &mut Seeker) -> anyhow::Result<()> {
+        let domain = &self.daemon.identity.domain;
+        let listed = lease::list(self.daemon.store.platform().as_ref(), domain).await;
+        match listed {
+            Ok(records) => {
+                seeker.listed(Some(&records));
+                let domain = domain.clone();
+                self.actor
+                    .call(|reply| Message::Relays(domain, records, reply))
+                    .await?;
+            }
+            Err(_) => seeker.listed(None),
+        }
+        Ok(())
+    }
+
+    async fn is_vacant(&self, slot: u32) -> bool {
+        let domain = &self.daemon.identity.domain;
+        let listed = lease::list(self.daemon.store.platform().as_ref(), domain).await;
+        let Ok(records) = listed else {
+            return false;
+        };
+        let vacant = records.iter().all(|record| record.slot != slot);
+        self.actor.send(Message::LearnRelays(records));
+        vacant
+    }
+
+    /// Takes a relay slot; false when another daemon was faster or the platform is out of reach.
+    async fn acquire(&self, slot: u32) -> anyhow::Result<bool> {
+        if self.daemon.drain.phase() != Phase::Running {
+            return Ok(false);
+        }
+        let platform = self.daemon.store.platform().as_ref();
+        let record = relay_record(self.daemon, slot);
+        let Ok(Some(held)) = lease::acquire(platform, &record).await else {
+            return Ok(false);
+        };
+        become_relay(self.tree, self.actor, held).await?;
+        Ok(true)
+    }
+
+    async fn stand_in(&self) -> anyhow::Result<()> {
+        if self.daemon.drain.phase() == Phase::Running && self.tree.role() != Role::StandIn {
+            event!(RelayStandIn, "domain={}", self.daemon.identity.domain);
+            set_role(self.tree, self.actor, Role::StandIn).await?;
+        }
+        Ok(())
+    }
+
+    async fn view(&self) -> anyhow::Result<View> {
+        let relations = self.actor.call(Message::Relations).await?;
+        let identity = &self.daemon.identity;
+        let fleet = self.daemon.fleet.load();
+        let mates = fleet.members().values().filter(|member| {
+            member.domain == identity.domain
+                && member.name != identity.name
+                && member.state() == MemberState::Ready
+        });
+        Ok(View {
+            relays: relations.relays,
+            mates: mates
+                .map(|member| (member.name.clone(), member.mesh.clone()))
+                .collect(),
+            peers: self
+                .daemon
+                .settings
+                .peers
+                .iter()
+                .map(ToString::to_string)
+                .collect(),
+        })
+    }
+
+    fn mesh(&self) -> String {
+        let bound = self.daemon.addresses().mesh;
+        self.daemon.advertised(bound).to_string()
+    }
+}
+
+/// Changes the role, in the control state first.
+pub(super) async fn set_role(tree: &Tree, actor: &TreeRef, role: Role) -> anyhow::Result<()> {
+    if tree.role() == role {
+        return Ok(());
+    }
+    actor.call(|reply| Message::Role(role, reply)).await?;
+    let before = tree.role.send_replace(role);
+    if is_relay(role) {
+        event!(RelayStarted, "role={role:?}");
+    } else if is_relay(before) {
+        event!(RelayEnded, "role={role:?}");
+    }
+    Ok(())
+}
+
+async fn become_relay(tree: &Tree, actor: &TreeRef, held: Held) -> anyhow::Result<()> {
+    *crate::sync::lock(&tree.held) = Some(held);
+    set_role(tree, actor, Role::Relay(held.slot)).await
+}
+
+/// Describes this daemon as the holder of a relay slot.
+pub(super) fn relay_record(daemon: &Daemon, slot: u32) -> wire::RelayRecord {
+    wire::RelayRecord {
+        name: daemon.identity.name.clone(),
+        address: daemon.advertised(daemon.addresses().mesh).to_string(),
+        domain: daemon.identity.domain.clone(),
+        incarnation: daemon.identity.incarnation,
+        slot,
+    }
+}
