--- a/src/call.rs
+++ b/src/call.rs
@@ -1,6 +1,15 @@
 //! What the outbound and inbound sides of a call share.
 
+pub mod admission;
+pub mod attempt;
+pub mod body;
+pub mod budget;
+pub mod choose;
+pub mod fence;
+pub mod gate;
+pub mod request;
 pub mod upstream;
+pub mod view;
 
 use crate::serve::{Body, full};
 use http::{HeaderMap, HeaderName, Response, StatusCode, header};
@@ -16,18 +25,29 @@
 /// The time left for a call, in milliseconds.
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("x-baobab-deadline-ms");
 
-/// The incarnation of the daemon that the call is for.
-pub const INCARNATION: HeaderName = HeaderName::from_static("x-baobab-incarnation");
+/// Marks a call whose retries belong to a caller further up the call tree.
+///
+/// Backend servers pass it on with the calls that they make.
+pub const RETRY: HeaderName = HeaderName::from_static("x-baobab-retry");
 
-/// The route that the outbound side chose.
-pub const ROUTE: HeaderName = HeaderName::from_static("x-baobab-route");
+/// The attempt that a request between daemons belongs to; see [`attempt::Attempt`].
+pub const ATTEMPT: HeaderName = HeaderName::from_static("x-baobab-attempt");
+
+/// Asks an inbound side what became of an attempt, and answers that question.
+pub const FENCE: HeaderName = HeaderName::from_static("x-baobab-fence");
+
+/// Asks an inbound side for its incarnation and clock, and answers that question.
+pub const HELLO: HeaderName = HeaderName::from_static("x-baobab-hello");
+
+/// Said by a backend server that takes no new calls.
+pub const DRAIN: HeaderName = HeaderName::from_static("x-baobab-drain");
+
+/// The start of the names of the headers that belong to daemons.
+const RESERVED: &str = "x-baobab-";
 
 /// The load of a backend server: calls in flight, queued, and slots, separated by slashes.
 pub const LOAD: HeaderName = HeaderName::from_static("x-baobab-load");
 
-/// The configuration version of the sender.
-pub const VERSION: HeaderName = HeaderName::from_static("x-baobab-version");
-
 /// Whether a call that failed was run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -152,3 +172,28 @@
         headers.remove(name);
     }
 }
+
+/// Removes the headers that only daemons may set, but for those listed.
+pub fn drop_reserved_headers(headers: &mut HeaderMap, kept: &[HeaderName]) {
+    let reserved = |name: &&HeaderName| name.as_str().starts_with(RESERVED);
+    if !headers.keys().any(|name| reserved(&name)) {
+        return;
+    }
+    let names = headers.keys().filter(reserved);
+    let names: Vec<HeaderName> = names.filter(|name| !kept.contains(name)).cloned().collect();
+    for name in names {
+        headers.remove(name);
+    }
+}
+
+/// Returns a header's value as text.
+#[must_use]
+pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Returns a header's value as a number.
+#[must_use]
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
--- /dev/null
+++ b/src/call/body.rs
@@ -0,0 +1,268 @@
+//! Bodies that pass through: held guards, limits, deadlines, and replay.
+
+use crate::serve::{Body, BodyError, full};
+use crate::sync::lock;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use hyper::body::Bytes;
+use std::collections::VecDeque;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use tokio::time::{Instant, Sleep};
+
+/// The start of a request's body that is kept for another attempt, in bytes.
+pub const MAX_REPLAY_LEN: usize = 64 * 1024;
+
+/// Why a body was cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CutOffError {
+    /// The call's deadline has passed.
+    #[error("deadline has passed")]
+    Deadline,
+    /// The body is longer than the policy allows.
+    #[error("body is longer than {0} bytes")]
+    TooLong(u64),
+    /// The body was passed on in part by an earlier attempt.
+    #[error("body cannot be sent again")]
+    Spent,
+}
+
+/// A body that holds a guard until its end and is cut off at a deadline.
+pub struct Guarded<B, G> {
+    body: B,
+    guard: Option<G>,
+    deadline: Instant,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl<B, G> Guarded<B, G> {
+    /// Makes a guarded body.
+    pub fn new(body: B, guard: G, deadline: Instant) -> Self {
+        Guarded {
+            body,
+            guard: Some(guard),
+            deadline,
+            timer: None,
+        }
+    }
+
+    fn is_late(&mut self, cx: &mut Context<'_>) -> bool {
+        let deadline = self.deadline;
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(deadline)));
+        timer.as_mut().poll(cx).is_ready()
+    }
+}
+
+impl<B, G> HttpBody for Guarded<B, G>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+    B::Error: Into<BodyError>,
+    G: Unpin,
+{
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = &mut *self;
+        let frame = Pin::new(&mut this.body).poll_frame(cx);
+        match &frame {
+            Poll::Pending if this.guard.is_some() && this.is_late(cx) => {
+                this.guard = None;
+                return Poll::Ready(Some(Err(CutOffError::Deadline.into())));
+            }
+            Poll::Ready(None | Some(Err(_))) => this.guard = None,
+            Poll::Ready(Some(Ok(_))) if this.body.is_end_stream() => this.guard = None,
+            _ => {}
+        }
+        frame.map_err(Into::into)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A request's body whose start is kept, so that another attempt may send it again.
+#[derive(Clone)]
+pub struct Replay {
+    source: Option<Arc<Mutex<Source>>>,
+}
+
+struct Source {
+    body: Body,
+    limit: u64,
+    read: u64,
+    kept: VecDeque<Frame<Bytes>>,
+    spent: bool,
+    ended: bool,
+    failed: bool,
+    /// The attempt that may read on; earlier ones may still be polled for a moment.
+    attempt: u32,
+}
+
+impl Replay {
+    /// Makes the body of a request, at most so many bytes long.
+    #[must_use]
+    pub fn new(body: Body, limit: u64) -> Self {
+        if body.is_end_stream() {
+            return Replay { source: None };
+        }
+        let source = Source {
+            body,
+            limit,
+            read: 0,
+            kept: VecDeque::new(),
+            spent: false,
+            ended: false,
+            failed: false,
+            attempt: 0,
+        };
+        Replay {
+            source: Some(Arc::new(Mutex::new(source))),
+        }
+    }
+
+    /// Tests whether the whole body can be sent again.
+    #[must_use]
+    pub fn is_replayable(&self) -> bool {
+        let source = self.source.as_ref();
+        source.is_none_or(|source| {
+            let source = lock(source);
+            !source.spent && !source.failed
+        })
+    }
+
+    /// Tests whether the caller broke off its body or sent too much.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        let source = self.source.as_ref();
+        source.is_some_and(|source| lock(source).failed)
+    }
+
+    /// Returns the body for one attempt.
+    #[must_use]
+    pub fn attempt(&self) -> Body {
+        match &self.source {
+            None => full(Bytes::new()),
+            Some(source) => {
+                let mut state = lock(source);
+                state.attempt += 1;
+                Body::new(Replaying {
+                    source: Arc::clone(source),
+                    attempt: state.attempt,
+                    next: 0,
+                })
+            }
+        }
+    }
+}
+
+struct Replaying {
+    source: Arc<Mutex<Source>>,
+    attempt: u32,
+    next: usize,
+}
+
+impl Source {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(cx));
+        match frame {
+            None => {
+                self.ended = true;
+                Poll::Ready(None)
+            }
+            Some(Err(err)) => {
+                self.failed = true;
+                Poll::Ready(Some(Err(err)))
+            }
+            Some(Ok(frame)) => Poll::Ready(Some(self.keep(frame))),
+        }
+    }
+
+    fn keep(&mut self, frame: Frame<Bytes>) -> Result<Frame<Bytes>, BodyError> {
+        let len = frame.data_ref().map_or(0, Bytes::len);
+        self.read += u64::try_from(len).unwrap_or(u64::MAX);
+        if self.read > self.limit {
+            self.failed = true;
+            return Err(CutOffError::TooLong(self.limit).into());
+        }
+        if self.read > MAX_REPLAY_LEN as u64 {
+            self.spent = true;
+            self.kept.clear();
+        }
+        if !self.spent {
+            let copy = match frame.data_ref() {
+                Some(data) => Some(Frame::data(data.clone())),
+                None => frame.trailers_ref().cloned().map(Frame::trailers),
+            };
+            self.kept.extend(copy);
+        }
+        Ok(frame)
+    }
+}
+
+impl HttpBody for Replaying {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = &mut *self;
+        let mut source = lock(&this.source);
+        if source.attempt != this.attempt || source.spent && this.next == 0 {
+            return Poll::Ready(Some(Err(CutOffError::Spent.into())));
+        }
+        if let Some(frame) = source.kept.get(this.next) {
+            this.next += 1;
+            let copy = match frame.data_ref() {
+                Some(data) => Frame::data(data.clone()),
+                None => Frame::trailers(frame.trailers_ref().cloned().unwrap_or_default()),
+            };
+            return Poll::Ready(Some(Ok(copy)));
+        }
+        let frame = source.poll(cx);
+        if let Poll::Ready(Some(_)) = &frame {
+            this.next += 1;
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        let source = lock(&self.source);
+        source.ended && self.next >= source.kept.len()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let source = lock(&self.source);
+        let rest = source.body.size_hint();
+        let kept: usize = source
+            .kept
+            .iter()
+            .skip(self.next)
+            .filter_map(Frame::data_ref)
+            .map(Bytes::len)
+            .sum();
+        let kept = kept as u64;
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower() + kept);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + kept);
+        }
+        hint
+    }
+}
--- /dev/null
+++ b/src/call/choose.rs
@@ -0,0 +1,375 @@
+//! Which of a service's upstreams takes a call.
+
+use super::attempt::Load;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The age at which a reported load counts for nothing.
+const LOAD_AGE_MS: u64 = 1_000;
+
+/// Failures in a row after which an upstream is ejected.
+const MAX_FAILURES: u32 = 3;
+
+const EJECTION_MIN_MS: u64 = 1_000;
+const EJECTION_MAX_MS: u64 = 30_000;
+
+/// The share of calls that a new upstream starts with, in thousandths.
+const COLD_SHARE: u64 = 100;
+
+/// How much worse an upstream counts that may be out of reach.
+const SUSPECT_PENALTY: u64 = 4;
+
+/// How much worse an upstream counts that sheds calls itself.
+const SHED_PENALTY: u64 = 4;
+
+/// The greatest time for which an upstream counts as shedding.
+const SHED_MAX: Duration = Duration::from_secs(5);
+
+/// The share of a new answer time in the moving average, as a divisor.
+const AVERAGE_DIVISOR: u64 = 8;
+
+/// How an upstream is chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Choice {
+    /// One after the other.
+    RoundRobin,
+    /// The one of two random ones with fewer calls of this daemon in flight.
+    TwoChoices,
+    /// Two random ones compared by load and answer time, in the own failure domain first.
+    #[default]
+    Load,
+}
+
+/// The sizes that bear on the choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Sizes {
+    /// Calls that an upstream runs at once.
+    pub slots: u32,
+    /// Load in percent of slots above which calls go to other failure domains.
+    pub spill_percent: u32,
+    /// Share of the upstreams that are never ejected, in percent.
+    pub keep_percent: u32,
+    /// Time in which a new upstream's share of calls grows to its full size.
+    pub warm: Duration,
+}
+
+/// What is fixed about an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Facts {
+    /// The name of the daemon beside it.
+    pub name: String,
+    /// The incarnation of that daemon.
+    pub incarnation: u64,
+    /// Where that daemon takes calls.
+    pub address: SocketAddr,
+    /// Whether it is in the own failure domain.
+    pub near: bool,
+    /// Whether it may be out of reach.
+    pub suspect: bool,
+    /// When it joined, if it counts as cold.
+    pub joined: Option<Instant>,
+}
+
+/// What the answers of an upstream have shown. Kept across rebuilds of a [`Group`].
+#[derive(Debug)]
+pub struct Health {
+    start: Instant,
+    in_flight: AtomicU32,
+    /// Calls of others that it runs or queues, as reported.
+    others: AtomicU32,
+    reported_ms: AtomicU64,
+    answer_us: AtomicU64,
+    failures: AtomicU32,
+    ejected_ms: AtomicU64,
+    shedding_ms: AtomicU64,
+}
+
+impl Health {
+    /// Makes the state of an upstream that has not answered yet.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Health {
+            start: now,
+            in_flight: AtomicU32::new(0),
+            others: AtomicU32::new(0),
+            reported_ms: AtomicU64::new(0),
+            answer_us: AtomicU64::new(0),
+            failures: AtomicU32::new(0),
+            ejected_ms: AtomicU64::new(0),
+            shedding_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Counts a call as in flight.
+    pub fn begin(&self) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a call as ended.
+    pub fn end(&self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns the calls of this daemon in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Notes the load that an answer states.
+    pub fn report(&self, now: Instant, load: Load) {
+        let total = load.running + load.queued;
+        let others = total.saturating_sub(self.in_flight());
+        self.others.store(others, Ordering::Relaxed);
+        self.reported_ms.store(self.millis(now), Ordering::Relaxed);
+    }
+
+    /// Notes an answer and the time that it took. Returns true when the upstream was ejected.
+    pub fn succeed(&self, took: Duration) -> bool {
+        let new = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        let old = self.answer_us.load(Ordering::Relaxed);
+        let mixed = match old {
+            0 => new,
+            _ => (old * (AVERAGE_DIVISOR - 1) + new) / AVERAGE_DIVISOR,
+        };
+        self.answer_us.store(mixed.max(1), Ordering::Relaxed);
+        if self.failures.load(Ordering::Relaxed) == 0 {
+            return false;
+        }
+        self.failures.store(0, Ordering::Relaxed);
+        self.ejected_ms.swap(0, Ordering::Relaxed) != 0
+    }
+
+    /// Notes that no answer came. Returns the time of the ejection that follows, if one does.
+    pub fn fail(&self, now: Instant) -> Option<Duration> {
+        let failures = self.failures.fetch_add(1, Ordering::Relaxed) + 1;
+        let over = failures.checked_sub(MAX_FAILURES)?;
+        let time = (EJECTION_MIN_MS << over.min(8)).min(EJECTION_MAX_MS);
+        let until = self.millis(now) + time;
+        self.ejected_ms.store(until, Ordering::Relaxed);
+        Some(Duration::from_millis(time))
+    }
+
+    /// Notes that the backend server itself sheds calls for a time.
+    pub fn shed(&self, now: Instant, time: Duration) {
+        let until = self.millis(now + time.min(SHED_MAX));
+        self.shedding_ms.store(until, Ordering::Relaxed);
+    }
+
+    /// Tests whether the upstream is ejected.
+    #[must_use]
+    pub fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_ms.load(Ordering::Relaxed) > self.millis(now)
+    }
+
+    fn is_shedding(&self, now: Instant) -> bool {
+        self.shedding_ms.load(Ordering::Relaxed) > self.millis(now)
+    }
+
+    /// Estimates the calls that the upstream runs or queues, in thousandths.
+    fn load(&self, now: Instant) -> u64 {
+        let age = self.millis(now);
+        let age = age.saturating_sub(self.reported_ms.load(Ordering::Relaxed));
+        let fresh = LOAD_AGE_MS.saturating_sub(age);
+        let others = u64::from(self.others.load(Ordering::Relaxed));
+        let others = others * 1_000 * fresh / LOAD_AGE_MS;
+        u64::from(self.in_flight()) * 1_000 + others
+    }
+
+    fn millis(&self, now: Instant) -> u64 {
+        let age = now.saturating_duration_since(self.start);
+        // Zero stands for never.
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX - 1) + 1
+    }
+}
+
+/// An upstream of a [`Group`].
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// What is fixed about it.
+    pub facts: Facts,
+    /// What its answers have shown.
+    pub health: Arc<Health>,
+}
+
+impl Upstream {
+    /// Rates the upstream; less is better.
+    fn cost(&self, now: Instant, sizes: &Sizes) -> u64 {
+        let answer_us = self.health.answer_us.load(Ordering::Relaxed);
+        let mut cost = (self.health.load(now) + 1_000) * answer_us.max(1);
+        if self.facts.suspect {
+            cost = cost.saturating_mul(SUSPECT_PENALTY);
+        }
+        if self.health.is_shedding(now) {
+            cost = cost.saturating_mul(SHED_PENALTY);
+        }
+        cost.saturating_mul(1_000) / self.warmth(now, sizes)
+    }
+
+    /// Returns the share of calls that a new upstream takes, in thousandths.
+    fn warmth(&self, now: Instant, sizes: &Sizes) -> u64 {
+        let Some(joined) = self.facts.joined else {
+            return 1_000;
+        };
+        let age = now.saturating_duration_since(joined);
+        if age >= sizes.warm {
+            return 1_000;
+        }
+        let share = age.as_millis() * 1_000 / sizes.warm.as_millis().max(1);
+        u64::try_from(share).unwrap_or(1_000).max(COLD_SHARE)
+    }
+
+    /// Tests whether its load calls for other failure domains.
+    fn is_loaded(&self, now: Instant, sizes: &Sizes) -> bool {
+        let most = u64::from(sizes.slots) * u64::from(sizes.spill_percent) * 10;
+        self.health.load(now) >= most || self.health.is_shedding(now)
+    }
+}
+
+/// A place in a [`Group`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Index(pub usize);
+
+/// The upstreams of one service, those of the own failure domain first.
+#[derive(Debug)]
+pub struct Group {
+    upstreams: Vec<Upstream>,
+    near: usize,
+    sizes: Sizes,
+    next: AtomicU32,
+}
+
+/// Two random numbers for one choice.
+pub type Dice = (u32, u32);
+
+impl Group {
+    /// Makes a group.
+    #[must_use]
+    pub fn new(mut upstreams: Vec<Upstream>, sizes: Sizes) -> Self {
+        upstreams.sort_by_key(|upstream| !upstream.facts.near);
+        let near = upstreams.partition_point(|upstream| upstream.facts.near);
+        Group {
+            upstreams,
+            near,
+            sizes,
+            next: AtomicU32::new(0),
+        }
+    }
+
+    /// Returns the upstreams, in the order of their indices.
+    #[must_use]
+    pub fn upstreams(&self) -> &[Upstream] {
+        &self.upstreams
+    }
+
+    /// Chooses an upstream that is not among those tried; `None` when there is none.
+    #[must_use]
+    pub fn choose(
+        &self,
+        now: Instant,
+        choice: Choice,
+        dice: Dice,
+        tried: &[Index],
+    ) -> Option<Index> {
+        let all = 0..self.upstreams.len();
+        match choice {
+            Choice::RoundRobin => {
+                let turn = self.next.fetch_add(1, Ordering::Relaxed);
+                self.usable(now, all, turn, tried)
+            }
+            Choice::TwoChoices => {
+                let load = |upstream: &Upstream| u64::from(upstream.health.in_flight());
+                self.better(now, all, dice, tried, load)
+            }
+            Choice::Load => self.near_first(now, dice, tried),
+        }
+    }
+
+    fn near_first(&self, now: Instant, dice: Dice, tried: &[Index]) -> Option<Index> {
+        let cost = |upstream: &Upstream| upstream.cost(now, &self.sizes);
+        let near = self.better(now, 0..self.near, dice, tried, cost);
+        let loaded = |index: Index| self.upstreams[index.0].is_loaded(now, &self.sizes);
+        if near.is_some_and(|index| !loaded(index)) {
+            return near;
+        }
+        let far = self.near..self.upstreams.len();
+        let far = self.better(now, far, dice, tried, cost);
+        match (near, far) {
+            (Some(near), Some(far)) => Some(self.cheaper(near, far, cost)),
+            (near, far) => near.or(far),
+        }
+    }
+
+    /// Returns the better of two random upstreams of a range.
+    fn better(
+        &self,
+        now: Instant,
+        range: std::ops::Range<usize>,
+        dice: Dice,
+        tried: &[Index],
+        cost: impl Fn(&Upstream) -> u64,
+    ) -> Option<Index> {
+        let one = self.usable(now, range.clone(), dice.0, tried)?;
+        if range.len() == 1 {
+            return Some(one);
+        }
+        // The second draw is among the places after the first.
+        let width = u32::try_from(range.len() - 1).unwrap_or(u32::MAX);
+        let step = 1 + dice.1 % width;
+        let from = u32::try_from(one.0 - range.start).unwrap_or(0) + step;
+        let two = self.usable(now, range, from, tried)?;
+        Some(self.cheaper(one, two, cost))
+    }
+
+    fn cheaper(&self, one: Index, two: Index, cost: impl Fn(&Upstream) -> u64) -> Index {
+        let (a, b) = (&self.upstreams[one.0], &self.upstreams[two.0]);
+        if cost(b) < cost(a) { two } else { one }
+    }
+
+    /// Returns the first usable upstream of a range from a place on, around its end.
+    ///
+    /// Ejected ones are passed over unless too many are ejected, and taken when nothing is left.
+    fn usable(
+        &self,
+        now: Instant,
+        range: std::ops::Range<usize>,
+        from: u32,
+        tried: &[Index],
+    ) -> Option<Index> {
+        let len = range.len();
+        if len == 0 {
+            return None;
+        }
+        let from = from as usize % len;
+        let places = (0..len).map(|step| Index(range.start + (from + step) % len));
+        let mut last = None;
+        let untried = places.filter(|index| !tried.contains(index));
+        for index in untried {
+            let ejected = self.upstreams[index.0].health.is_ejected(now);
+            if !ejected || self.keeps_ejected(now) {
+                return Some(index);
+            }
+            last.get_or_insert(index);
+        }
+        if range.len() == self.upstreams.len() || self.none_usable(now, tried) {
+            return last;
+        }
+        None
+    }
+
+    /// Tests whether so many are ejected that ejection no longer counts.
+    fn keeps_ejected(&self, now: Instant) -> bool {
+        let ejected = self.upstreams.iter();
+        let ejected = ejected.filter(|u| u.health.is_ejected(now)).count();
+        let kept = self.upstreams.len() - ejected;
+        kept * 100 < self.upstreams.len() * self.sizes.keep_percent as usize
+    }
+
+    fn none_usable(&self, now: Instant, tried: &[Index]) -> bool {
+        let mut all = self.upstreams.iter().enumerate();
+        all.all(|(place, u)| u.health.is_ejected(now) || tried.contains(&Index(place)))
+    }
+}
--- /dev/null
+++ b/src/call/gate.rs
@@ -0,0 +1,218 @@
+//! Waiting for a slot of the backend server.
+
+use super::admission::{Admission, Decision, Limits, Reason, Ticket, Turn};
+use super::attempt::Load;
+use crate::sync::lock;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// A call was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{reason}")]
+pub struct Rejected {
+    /// Why.
+    pub reason: Reason,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+type Grant = Result<Permit, Rejected>;
+
+#[derive(Default)]
+struct State {
+    admission: Admission,
+    waiting: BTreeMap<Ticket, oneshot::Sender<Grant>>,
+    version: u64,
+}
+
+/// The way to one backend server.
+#[derive(Clone, Default)]
+pub struct Gate {
+    state: Arc<Mutex<State>>,
+}
+
+impl Gate {
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// Fails as soon as it is known that the call gets none in time.
+    pub async fn admit(&self, weight: u32, deadline: Instant) -> Result<Permit, Rejected> {
+        match self.offer(weight, deadline) {
+            Offer::Decided(grant) => grant,
+            Offer::Waits(waiting) => waiting.grant().await,
+        }
+    }
+
+    fn offer(&self, weight: u32, deadline: Instant) -> Offer<'_> {
+        let now = Instant::now();
+        let mut state = lock(&self.state);
+        let (decision, turn) = state.admission.offer(now, weight, deadline);
+        let untaken = self.take_turn(&mut state, turn);
+        let offer = match decision {
+            Decision::Run => Offer::Decided(Ok(self.permit())),
+            Decision::Refuse(reason) => Offer::Decided(Err(state.rejected(reason))),
+            Decision::Wait(ticket) => {
+                let (sender, receiver) = oneshot::channel();
+                state.waiting.insert(ticket, sender);
+                let latest = deadline - state.admission.service_time();
+                Offer::Waits(Waiting {
+                    gate: self,
+                    ticket,
+                    receiver,
+                    latest,
+                })
+            }
+        };
+        drop(state);
+        drop(untaken);
+        offer
+    }
+
+    /// Puts limits of a configuration version in force.
+    pub fn set_limits(&self, version: u64, limits: Limits) {
+        let mut state = lock(&self.state);
+        if state.version >= version {
+            return;
+        }
+        state.version = version;
+        let turn = state.admission.set_limits(Instant::now(), limits);
+        let untaken = self.take_turn(&mut state, turn);
+        drop(state);
+        drop(untaken);
+    }
+
+    /// Returns the configuration version of the limits.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        lock(&self.state).version
+    }
+
+    /// Refuses every call that waits.
+    pub fn drain(&self) {
+        let mut state = lock(&self.state);
+        let turn = state.admission.drain();
+        let untaken = self.take_turn(&mut state, turn);
+        drop(state);
+        drop(untaken);
+    }
+
+    /// Returns how loaded the backend server is.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        lock(&self.state).admission.load()
+    }
+
+    fn permit(&self) -> Permit {
+        Permit {
+            gate: self.clone(),
+            since: Instant::now(),
+            used: false,
+        }
+    }
+
+    fn finish(&self, ran: Option<Duration>) {
+        let mut state = lock(&self.state);
+        let turn = state.admission.finish(Instant::now(), ran);
+        let untaken = self.take_turn(&mut state, turn);
+        drop(state);
+        drop(untaken);
+    }
+
+    /// Tells the calls that waited. What they no longer take is returned, to be dropped unlocked.
+    fn take_turn(&self, state: &mut State, turn: Turn) -> Vec<Grant> {
+        let mut untaken = Vec::new();
+        for ticket in turn.start {
+            let permit = self.permit();
+            match state.waiting.remove(&ticket) {
+                Some(sender) => untaken.extend(sender.send(Ok(permit)).err()),
+                None => untaken.push(Ok(permit)),
+            }
+        }
+        for (ticket, reason) in turn.refuse {
+            let rejected = state.rejected(reason);
+            if let Some(sender) = state.waiting.remove(&ticket) {
+                untaken.extend(sender.send(Err(rejected)).err());
+            }
+        }
+        untaken
+    }
+}
+
+impl State {
+    fn rejected(&self, reason: Reason) -> Rejected {
+        Rejected {
+            reason,
+            retry_after: self.admission.retry_after(),
+        }
+    }
+}
+
+enum Offer<'a> {
+    Decided(Grant),
+    Waits(Waiting<'a>),
+}
+
+/// A call that waits. It leaves the queue when its caller goes away.
+struct Waiting<'a> {
+    gate: &'a Gate,
+    ticket: Ticket,
+    receiver: oneshot::Receiver<Grant>,
+    /// The last time at which the call may start.
+    latest: Instant,
+}
+
+impl Waiting<'_> {
+    async fn grant(mut self) -> Grant {
+        let grant = tokio::time::timeout_at(self.latest, &mut self.receiver).await;
+        match grant {
+            Ok(grant) => grant.unwrap_or_else(|_| Err(self.too_late())),
+            Err(_) if self.cancel() => Err(self.too_late()),
+            // It was decided at the same moment.
+            Err(_) => {
+                let grant = (&mut self.receiver).await;
+                grant.unwrap_or_else(|_| Err(self.too_late()))
+            }
+        }
+    }
+
+    fn too_late(&self) -> Rejected {
+        lock(&self.gate.state).rejected(Reason::Late)
+    }
+
+    fn cancel(&self) -> bool {
+        let mut state = lock(&self.gate.state);
+        state.waiting.remove(&self.ticket);
+        state.admission.cancel(self.ticket)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.cancel();
+    }
+}
+
+/// A slot of the backend server, held until it is dropped.
+pub struct Permit {
+    gate: Gate,
+    since: Instant,
+    used: bool,
+}
+
+impl Permit {
+    /// Notes that the call was sent, so that its time counts.
+    pub fn mark_used(&mut self) {
+        self.used = true;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let ran = self.used.then(|| self.since.elapsed());
+        self.gate.finish(ran);
+    }
+}
--- /dev/null
+++ b/src/call/request.rs
@@ -0,0 +1,97 @@
+//! The heads of requests.
+
+use super::{REQUEST_ID, RETRY, Refusal};
+use crate::call;
+use crate::table::{RouteEntry, Table};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+/// Checks that the length of a request's body is stated once and is within a limit.
+///
+/// # Errors
+///
+/// Fails when it is not; the call was not run.
+pub fn check_length(headers: &HeaderMap, limit: u64) -> Result<(), Refusal> {
+    let bad = |reason: &str| Err(Refusal::not_run(StatusCode::BAD_REQUEST, reason));
+    if headers.contains_key(header::TRANSFER_ENCODING)
+        && headers.contains_key(header::CONTENT_LENGTH)
+    {
+        return bad("request has both a content length and a transfer encoding");
+    }
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    let first = lengths.next();
+    if lengths.any(|other| Some(other) != first) {
+        return bad("request has conflicting content lengths");
+    }
+    match call::number(headers, &header::CONTENT_LENGTH) {
+        Some(len) if len > limit => {
+            let reason = format!("request body of {len} bytes; at most {limit} are allowed");
+            Err(Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, reason))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Finds the route of a request.
+///
+/// # Errors
+///
+/// Fails when no route matches.
+pub fn find_route<'a>(
+    table: &'a Table,
+    request: &Request<Incoming>,
+) -> Result<&'a RouteEntry, Refusal> {
+    let host = request.uri().host().or_else(|| {
+        let host = request.headers().get(header::HOST)?.to_str().ok()?;
+        Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
+    });
+    let path = request.uri().path();
+    let entry = table.route(host, path, request.method().as_str());
+    entry.ok_or_else(|| Refusal::not_run(StatusCode::NOT_FOUND, format!("no route for {path}")))
+}
+
+/// Returns the request id that the caller gave, or a new one.
+#[must_use]
+pub fn request_id(request: &Request<Incoming>) -> String {
+    let given = call::text(request.headers(), &REQUEST_ID);
+    given.map_or_else(
+        || format!("{:032x}", rand::random::<u128>()),
+        ToOwned::to_owned,
+    )
+}
+
+/// Makes the head that every attempt of a call shares.
+///
+/// # Errors
+///
+/// Fails when the request has no valid address or id.
+pub fn outgoing(mut head: Parts, id: &str) -> Result<Parts, Refusal> {
+    let bad = |err: &dyn std::fmt::Display| Refusal::not_run(StatusCode::BAD_REQUEST, err);
+    call::drop_hop_headers(&mut head.headers);
+    call::drop_reserved_headers(&mut head.headers, &[]);
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let host = head.headers.remove(header::HOST);
+    let authority = host.as_ref().and_then(|host| host.to_str().ok());
+    let authority = authority.or(head.uri.host()).unwrap_or("localhost");
+    head.uri = http::Uri::builder()
+        .scheme("http")
+        .authority(authority)
+        .path_and_query(path)
+        .build()
+        .map_err(|err| bad(&err))?;
+    head.version = http::Version::HTTP_2;
+    let id = HeaderValue::from_str(id).map_err(|err| bad(&err))?;
+    head.headers.insert(REQUEST_ID, id);
+    head.headers
+        .insert(RETRY, HeaderValue::from_static("above"));
+    Ok(head)
+}
+/// Writes the time left until a deadline in milliseconds, at least one.
+#[must_use]
+pub fn left_ms(deadline: Instant) -> HeaderValue {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    HeaderValue::from(left.max(1))
+}
--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -1,13 +1,14 @@
 //! Connections to backend servers and to other daemons.
 
-use crate::serve::{Body, BodyError, incoming};
+use super::{FENCE, HELLO, attempt::Attempt, fence::Fate};
+use crate::serve::{Body, BodyError, full};
 use crate::sync::lock;
-use http::{Request, Response};
+use arc_swap::ArcSwapOption;
+use http::{HeaderValue, Request, Response};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::{http1, http2};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
@@ -15,10 +16,25 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 /// Time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for an inbound side to tell what became of an attempt.
+const FENCE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Data of one stream that may be under way between daemons, in bytes.
+const STREAM_WINDOW: u32 = 256 * 1024;
+
+/// Data of one connection that may be under way between daemons, in bytes.
+const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
+
+/// Time between probes of a connection between daemons, and for the answer to one.
+const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Why a call to an upstream has no answer.
 #[derive(Debug, Error)]
 pub enum UpstreamError {
@@ -46,80 +62,159 @@
 #[derive(Clone)]
 pub struct BackendPool {
     address: SocketAddr,
-    idle: Arc<Mutex<Vec<http1::SendRequest<Body>>>>,
+    idle: Arc<Mutex<Vec<Connection>>>,
+    /// The connections that may still be opened.
+    room: Arc<Semaphore>,
+    most: Arc<Mutex<usize>>,
+}
+
+/// A connection to a backend server. It is closed when it is dropped.
+struct Connection {
+    sender: http1::SendRequest<Body>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
 }
 
 impl BackendPool {
-    /// Makes an empty pool.
+    /// Makes an empty pool that opens no connections yet.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
         BackendPool {
             address,
             idle: Arc::default(),
+            room: Arc::new(Semaphore::new(0)),
+            most: Arc::default(),
+        }
+    }
+
+    /// Changes how many connections may be open at once.
+    pub fn set_limit(&self, limit: usize) {
+        let mut most = lock(&self.most);
+        if limit > *most {
+            self.room.add_permits(limit - *most);
+            *most = limit;
+            return;
         }
+        let surplus = *most - limit;
+        drop(lock(&self.idle).drain(..));
+        *most -= self.room.forget_permits(surplus);
     }
 
-    /// Sends a request. A connection is used again only after a whole answer.
+    /// Gets a connection on which nothing is under way.
     ///
     /// # Errors
     ///
-    /// Fails with [`UpstreamError::NotSent`] only when nothing of the request was sent.
-    pub async fn send(&self, request: Request<Body>) -> Result<Response<Body>, UpstreamError> {
-        let mut sender = match self.take_idle() {
-            Some(sender) => sender,
+    /// Fails with [`UpstreamError::NotSent`].
+    pub async fn connection(&self) -> Result<Lease, UpstreamError> {
+        let connection = match self.take_idle() {
+            Some(connection) => connection,
             None => self.connect().await?,
         };
-        let answer = sender.try_send_request(request).await;
-        let answer = answer.map_err(|mut err| match err.take_message() {
-            Some(_) => UpstreamError::NotSent(self.address, err.into_error().to_string()),
-            None => UpstreamError::Lost(self.address, err.into_error().to_string()),
-        })?;
-        let (head, body) = answer.into_parts();
-        let body = Returning {
-            body,
-            sender: Some(sender),
+        Ok(Lease {
+            address: self.address,
+            connection,
             idle: Arc::clone(&self.idle),
-        };
-        Ok(Response::from_parts(head, Body::new(body)))
+        })
     }
 
-    fn take_idle(&self) -> Option<http1::SendRequest<Body>> {
+    fn take_idle(&self) -> Option<Connection> {
         let mut idle = lock(&self.idle);
-        while let Some(sender) = idle.pop() {
-            if sender.is_ready() {
-                return Some(sender);
+        while let Some(connection) = idle.pop() {
+            if connection.sender.is_ready() {
+                return Some(connection);
             }
         }
         None
     }
 
-    async fn connect(&self) -> Result<http1::SendRequest<Body>, UpstreamError> {
+    async fn connect(&self) -> Result<Connection, UpstreamError> {
+        let not_sent = |err: String| UpstreamError::NotSent(self.address, err);
+        let room = Arc::clone(&self.room).acquire_owned();
+        let room = tokio::time::timeout(CONNECT_TIMEOUT, room).await;
+        let room = room.map_err(|_| not_sent("too many connections".into()))?;
+        let room = room.map_err(|err| not_sent(err.to_string()))?;
         let io = connect(self.address).await?;
         let (sender, connection) = http1::handshake(io)
             .await
-            .map_err(|err| UpstreamError::NotSent(self.address, err.to_string()))?;
-        // Its error also reaches the request at hand.
-        tokio::spawn(connection);
-        Ok(sender)
+            .map_err(|err| not_sent(err.to_string()))?;
+        let task = tokio::spawn(run_connection(connection, room));
+        let task = task.abort_handle();
+        Ok(Connection { sender, task })
     }
 }
 
-/// A body that gives its connection back when it has ended.
-struct Returning {
+async fn run_connection(
+    connection: http1::Connection<TokioIo<TcpStream>, Body>,
+    _room: OwnedSemaphorePermit,
+) {
+    // Its error also reaches the request at hand.
+    let _ = connection.await;
+}
+
+/// A connection to the backend server for one call.
+pub struct Lease {
+    address: SocketAddr,
+    connection: Connection,
+    idle: Arc<Mutex<Vec<Connection>>>,
+}
+
+impl Lease {
+    /// Sends a request. The connection is used again only after a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`UpstreamError::NotSent`] only when nothing of the request was sent.
+    pub async fn send(
+        mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Returning>, UpstreamError> {
+        let answer = self.connection.sender.try_send_request(request).await;
+        let answer = answer.map_err(|mut err| match err.take_message() {
+            Some(_) => UpstreamError::NotSent(self.address, err.into_error().to_string()),
+            None => UpstreamError::Lost(self.address, err.into_error().to_string()),
+        })?;
+        let (head, body) = answer.into_parts();
+        let mut body = Returning {
+            body,
+            lease: Some(self),
+        };
+        if body.body.is_end_stream() {
+            body.give_back();
+        }
+        Ok(Response::from_parts(head, body))
+    }
+}
+
+/// An answer's body that gives its connection back when it has ended.
+///
+/// The connection is closed when the body is dropped before.
+pub struct Returning {
     body: Incoming,
-    sender: Option<http1::SendRequest<Body>>,
-    idle: Arc<Mutex<Vec<http1::SendRequest<Body>>>>,
+    lease: Option<Lease>,
 }
 
 impl Returning {
     fn give_back(&mut self) {
-        let Some(mut sender) = self.sender.take() else {
+        let Some(Lease {
+            mut connection,
+            idle,
+            ..
+        }) = self.lease.take()
+        else {
             return;
         };
-        let idle = Arc::clone(&self.idle);
+        if connection.sender.is_ready() {
+            lock(&idle).push(connection);
+            return;
+        }
         tokio::spawn(async move {
-            if sender.ready().await.is_ok() {
-                lock(&idle).push(sender);
+            if connection.sender.ready().await.is_ok() {
+                lock(&idle).push(connection);
             }
         });
     }
@@ -137,7 +232,7 @@
         match &frame {
             Poll::Ready(None) => self.give_back(),
             Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.give_back(),
-            Poll::Ready(Some(Err(_))) => self.sender = None,
+            Poll::Ready(Some(Err(_))) => self.lease = None,
             _ => {}
         }
         frame.map_err(Into::into)
@@ -152,69 +247,161 @@
     }
 }
 
-impl Drop for Returning {
-    fn drop(&mut self) {
-        // An empty body is not polled; an unfinished one closes its connection.
-        if self.body.is_end_stream() {
-            self.give_back();
-        }
-    }
+/// A multiplexed connection to another daemon's inbound side, opened when it is needed.
+pub struct Link {
+    address: SocketAddr,
+    incarnation: u64,
+    open: ArcSwapOption<Open>,
+    opening: tokio::sync::Mutex<()>,
 }
 
-/// Multiplexed connections to other daemons, one for each address.
-#[derive(Clone, Default)]
-pub struct MeshPool {
-    open: Arc<Mutex<BTreeMap<SocketAddr, http2::SendRequest<Body>>>>,
+/// An open connection with the inbound side's clock as it was when the connection was opened.
+struct Open {
+    sender: http2::SendRequest<Body>,
+    clock_ms: u64,
+    at: Instant,
 }
 
-impl MeshPool {
-    /// Sends a request to a daemon's inbound side.
+impl Link {
+    /// Makes a link to an incarnation of a daemon.
+    #[must_use]
+    pub fn new(address: SocketAddr, incarnation: u64) -> Self {
+        Link {
+            address,
+            incarnation,
+            open: ArcSwapOption::empty(),
+            opening: tokio::sync::Mutex::default(),
+        }
+    }
+
+    /// Returns where the inbound side listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Gets ready to send.
     ///
     /// # Errors
     ///
-    /// Fails with [`UpstreamError::NotSent`] only when nothing of the request was sent.
-    pub async fn send(
-        &self,
-        address: SocketAddr,
-        request: Request<Body>,
-    ) -> Result<Response<Body>, UpstreamError> {
-        let mut sender = self.sender(address).await?;
+    /// Fails with [`UpstreamError::NotSent`].
+    pub async fn ready(&self) -> Result<Ready, UpstreamError> {
+        let open = self.open().await?;
+        let passed = u64::try_from(open.at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let mut sender = open.sender.clone();
         sender
             .ready()
             .await
-            .map_err(|err| UpstreamError::NotSent(address, err.to_string()))?;
-        let answer = sender.try_send_request(request).await;
-        let answer = answer.map_err(|mut err| match err.take_message() {
-            Some(_) => UpstreamError::NotSent(address, err.into_error().to_string()),
-            None => UpstreamError::Lost(address, err.into_error().to_string()),
-        })?;
-        Ok(answer.map(incoming))
+            .map_err(|err| UpstreamError::NotSent(self.address, err.to_string()))?;
+        Ok(Ready {
+            address: self.address,
+            sent_ms: open.clock_ms + passed,
+            sender,
+        })
     }
 
-    async fn sender(&self, address: SocketAddr) -> Result<http2::SendRequest<Body>, UpstreamError> {
-        if let Some(sender) = self.open_sender(address) {
-            return Ok(sender);
+    /// Asks the inbound side what became of an attempt, and bars it from running if it has not.
+    pub async fn fence(&self, attempt: &Attempt) -> Option<Fate> {
+        let ask = async {
+            let value = HeaderValue::from_str(&attempt.to_string()).ok()?;
+            let mut request = Request::new(full(Bytes::new()));
+            *request.uri_mut() = http::Uri::from_static("http://inbound/");
+            request.headers_mut().insert(FENCE, value);
+            let answer = self.ready().await.ok()?.send(request).await.ok()?;
+            Fate::read(super::text(answer.headers(), &FENCE)?)
+        };
+        tokio::time::timeout(FENCE_TIMEOUT, ask).await.ok()?
+    }
+
+    async fn open(&self) -> Result<Arc<Open>, UpstreamError> {
+        if let Some(open) = self.usable() {
+            return Ok(open);
         }
-        let io = connect(address).await?;
-        let (sender, connection) = http2::Builder::new(TokioExecutor::new())
+        let _opening = self.opening.lock().await;
+        if let Some(open) = self.usable() {
+            return Ok(open);
+        }
+        let open = tokio::time::timeout(CONNECT_TIMEOUT, self.connect()).await;
+        let open = open.unwrap_or_else(|_| Err(self.not_sent("no answer in time")))?;
+        let open = Arc::new(open);
+        self.open.store(Some(Arc::clone(&open)));
+        Ok(open)
+    }
+
+    fn usable(&self) -> Option<Arc<Open>> {
+        let open = self.open.load_full()?;
+        (!open.sender.is_closed()).then_some(open)
+    }
+
+    async fn connect(&self) -> Result<Open, UpstreamError> {
+        let io = connect(self.address).await?;
+        let (mut sender, connection) = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
-            .adaptive_window(true)
+            .initial_stream_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW)
+            .keep_alive_interval(PROBE_INTERVAL)
+            .keep_alive_timeout(PROBE_INTERVAL)
             .handshake(io)
             .await
-            .map_err(|err| UpstreamError::NotSent(address, err.to_string()))?;
+            .map_err(|err| self.not_sent(&err.to_string()))?;
         tokio::spawn(connection);
-        let mut open = lock(&self.open);
-        open.insert(address, sender.clone());
-        Ok(sender)
+        let mut request = Request::new(full(Bytes::new()));
+        *request.uri_mut() = http::Uri::from_static("http://inbound/");
+        let asked = HeaderValue::from_static("1");
+        request.headers_mut().insert(HELLO, asked);
+        let answer = sender.send_request(request).await;
+        let answer = answer.map_err(|err| self.not_sent(&err.to_string()))?;
+        let (incarnation, clock_ms) =
+            read_hello(&answer).ok_or_else(|| self.not_sent("answer to hello is not valid"))?;
+        if incarnation != self.incarnation {
+            return Err(self.not_sent("another incarnation is there"));
+        }
+        let at = Instant::now();
+        Ok(Open {
+            sender,
+            clock_ms,
+            at,
+        })
     }
 
-    fn open_sender(&self, address: SocketAddr) -> Option<http2::SendRequest<Body>> {
-        let mut open = lock(&self.open);
-        let sender = open.get(&address)?;
-        if sender.is_closed() {
-            open.remove(&address);
-            return None;
-        }
-        Some(sender.clone())
+    fn not_sent(&self, reason: &str) -> UpstreamError {
+        UpstreamError::NotSent(self.address, reason.into())
+    }
+}
+
+/// Writes an inbound side's incarnation and clock.
+#[must_use]
+pub fn hello(incarnation: u64, clock_ms: u64) -> String {
+    format!("{incarnation}.{clock_ms}")
+}
+
+fn read_hello<B>(answer: &Response<B>) -> Option<(u64, u64)> {
+    let (incarnation, clock_ms) = super::text(answer.headers(), &HELLO)?.split_once('.')?;
+    Some((incarnation.parse().ok()?, clock_ms.parse().ok()?))
+}
+
+/// A connection to another daemon that takes a request now.
+pub struct Ready {
+    address: SocketAddr,
+    /// The inbound side's clock at this time, at the most.
+    pub sent_ms: u64,
+    sender: http2::SendRequest<Body>,
+}
+
+impl Ready {
+    /// Sends a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`UpstreamError::NotSent`] only when nothing of the request was sent.
+    pub async fn send(
+        mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, UpstreamError> {
+        let answer = self.sender.try_send_request(request).await;
+        answer.map_err(|mut err| match err.take_message() {
+            Some(_) => UpstreamError::NotSent(self.address, err.into_error().to_string()),
+            None => UpstreamError::Lost(self.address, err.into_error().to_string()),
+        })
     }
 }
--- /dev/null
+++ b/src/call/view.rs
@@ -0,0 +1,221 @@
+//! The services and their upstreams as an outbound side sees them.
+
+use super::budget::Budget;
+use super::choose::{Facts, Group, Health, Index, Sizes, Upstream};
+use super::upstream::Link;
+use crate::generated::mesh as wire;
+use crate::generated::mesh::MemberState;
+use crate::member::Fleet;
+use crate::sync::lock;
+use crate::table::{ServiceEntry, ServiceId, Table};
+use arc_swap::ArcSwapOption;
+use slotmap::SecondaryMap;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A service's upstreams with the ways to them.
+pub struct ServiceView {
+    /// The upstreams to choose among.
+    pub group: Group,
+    /// The retries at hand.
+    pub budget: Arc<Budget>,
+    /// The links, in the order of the group; `None` for this daemon itself.
+    links: Vec<Option<Arc<Link>>>,
+}
+
+impl ServiceView {
+    /// Returns the link to an upstream; `None` when it is beside this daemon.
+    #[must_use]
+    pub fn link(&self, index: Index) -> Option<&Arc<Link>> {
+        self.links[index.0].as_ref()
+    }
+}
+
+/// One version of the configuration with the members known at one time. It is never changed.
+pub struct View {
+    /// The configuration.
+    pub table: Arc<Table>,
+    fleet: Arc<Fleet>,
+    services: SecondaryMap<ServiceId, ServiceView>,
+}
+
+impl View {
+    /// Returns a service of the table.
+    #[must_use]
+    pub fn service(&self, id: ServiceId) -> Option<&ServiceView> {
+        self.services.get(id)
+    }
+
+    /// Returns every service by name.
+    pub fn services(&self) -> impl Iterator<Item = (&str, &ServiceView)> {
+        let services = self.services.iter();
+        services.map(|(id, view)| (self.table.service(id).name.as_str(), view))
+    }
+}
+
+/// Who looks.
+#[derive(Clone, Debug)]
+pub struct Viewer {
+    /// The daemon's name.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+}
+
+/// The newest view, made again when the configuration or the members have changed.
+pub struct ViewCell {
+    viewer: Viewer,
+    view: ArcSwapOption<View>,
+    known: Mutex<Known>,
+}
+
+/// What outlives a view.
+#[derive(Default)]
+struct Known {
+    nodes: BTreeMap<(String, u64), Node>,
+    budgets: BTreeMap<String, Arc<Budget>>,
+}
+
+#[derive(Clone)]
+struct Node {
+    link: Arc<Link>,
+    health: Arc<Health>,
+    joined: Option<Instant>,
+}
+
+impl ViewCell {
+    /// Makes a cell without a view.
+    #[must_use]
+    pub fn new(viewer: Viewer) -> Self {
+        ViewCell {
+            viewer,
+            view: ArcSwapOption::empty(),
+            known: Mutex::default(),
+        }
+    }
+
+    /// Returns the view of this configuration and these members.
+    #[must_use]
+    pub fn get(&self, table: Arc<Table>, fleet: Arc<Fleet>) -> Arc<View> {
+        if let Some(view) = self.current(&table, &fleet) {
+            return view;
+        }
+        let mut known = lock(&self.known);
+        if let Some(view) = self.current(&table, &fleet) {
+            return view;
+        }
+        let view = Arc::new(known.view(&self.viewer, table, fleet));
+        self.view.store(Some(Arc::clone(&view)));
+        view
+    }
+
+    /// Returns the view that was made last.
+    #[must_use]
+    pub fn last(&self) -> Option<Arc<View>> {
+        self.view.load_full()
+    }
+
+    fn current(&self, table: &Arc<Table>, fleet: &Arc<Fleet>) -> Option<Arc<View>> {
+        let view = self.view.load();
+        let view = view.as_ref()?;
+        let same = Arc::ptr_eq(&view.table, table) && Arc::ptr_eq(&view.fleet, fleet);
+        same.then(|| Arc::clone(view))
+    }
+}
+
+impl Known {
+    fn view(&mut self, viewer: &Viewer, table: Arc<Table>, fleet: Arc<Fleet>) -> View {
+        let now = Instant::now();
+        let mut nodes = BTreeMap::new();
+        let mut services = SecondaryMap::new();
+        for (id, entry) in table.services() {
+            let members = fleet.upstreams(&entry.name);
+            let seen = members.iter().any(|member| self.knows(member));
+            let joined = seen.then_some(now);
+            let mut upstreams = Vec::new();
+            for member in members {
+                let Some(node) = self.node(member, joined, now) else {
+                    continue;
+                };
+                upstreams.push(upstream(viewer, member, &node));
+                nodes.insert(node_key(member), node);
+            }
+            let group = Group::new(upstreams, sizes(entry));
+            let links = links(viewer, &group, &nodes);
+            let budget = self.budgets.entry(entry.name.clone()).or_default();
+            let view = ServiceView {
+                group,
+                budget: Arc::clone(budget),
+                links,
+            };
+            services.insert(id, view);
+        }
+        self.nodes = nodes;
+        View {
+            table,
+            fleet,
+            services,
+        }
+    }
+
+    fn knows(&self, member: &wire::Member) -> bool {
+        self.nodes.contains_key(&node_key(member))
+    }
+
+    fn node(&self, member: &wire::Member, joined: Option<Instant>, now: Instant) -> Option<Node> {
+        if let Some(node) = self.nodes.get(&node_key(member)) {
+            return Some(node.clone());
+        }
+        let address = member.inbound.parse().ok()?;
+        Some(Node {
+            link: Arc::new(Link::new(address, member.incarnation)),
+            health: Arc::new(Health::new(now)),
+            joined,
+        })
+    }
+}
+
+fn node_key(member: &wire::Member) -> (String, u64) {
+    (member.name.clone(), member.incarnation)
+}
+
+fn upstream(viewer: &Viewer, member: &wire::Member, node: &Node) -> Upstream {
+    let facts = Facts {
+        name: member.name.clone(),
+        incarnation: member.incarnation,
+        address: node.link.address(),
+        near: member.domain == viewer.domain,
+        suspect: member.state() == MemberState::Suspect,
+        joined: node.joined,
+    };
+    let health = Arc::clone(&node.health);
+    Upstream { facts, health }
+}
+
+fn links(
+    viewer: &Viewer,
+    group: &Group,
+    nodes: &BTreeMap<(String, u64), Node>,
+) -> Vec<Option<Arc<Link>>> {
+    let upstreams = group.upstreams().iter();
+    upstreams
+        .map(|upstream| {
+            let Facts {
+                name, incarnation, ..
+            } = &upstream.facts;
+            let node = nodes.get(&(name.clone(), *incarnation))?;
+            (*name != viewer.name).then(|| Arc::clone(&node.link))
+        })
+        .collect()
+}
+
+fn sizes(entry: &ServiceEntry) -> Sizes {
+    Sizes {
+        slots: entry.pool.slots,
+        spill_percent: entry.pool.spill_percent,
+        keep_percent: entry.pool.keep_percent,
+        warm: Duration::from_millis(entry.pool.warm_ms),
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -28,6 +28,9 @@
 /// Time for other daemons to learn that this one drains.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(500);
 
+/// Time for connections to end once no call is in flight.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Who this process is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Identity {
@@ -135,6 +138,9 @@
         tokio::time::sleep(ANNOUNCE_TIME).await;
         // Calls that outlast the timeout are cut off.
         let _ = tokio::time::timeout(self.settings.drain_timeout, self.drain.landed()).await;
+        self.drain.advance(Phase::Closing);
+        // What was written last is still on its way out.
+        let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.drain.closed()).await;
         self.drain.advance(Phase::Stopped);
     }
 
--- a/src/daemon/drain.rs
+++ b/src/daemon/drain.rs
@@ -1,7 +1,8 @@
 //! Graceful shutdown: the phase of the process and the calls in flight.
 
 use std::sync::Arc;
-use tokio::sync::watch;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use tokio::sync::{Notify, watch};
 
 /// How far a graceful shutdown has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -11,15 +12,18 @@
     Running,
     /// New calls are refused; those in flight run on.
     Draining,
+    /// No call is in flight; connections of callers and daemons are ended.
+    Closing,
     /// The process ends.
     Stopped,
 }
 
-/// The phase of the process and the calls in flight.
+/// The phase of the process, the calls in flight and the connections that carry calls.
 #[derive(Clone, Default)]
 pub struct Drain {
     phase: Arc<watch::Sender<Phase>>,
-    flights: Arc<watch::Sender<usize>>,
+    flights: Arc<Count>,
+    connections: Arc<Count>,
 }
 
 impl Drain {
@@ -56,31 +60,75 @@
     /// Counts a call until the value returned is dropped.
     #[must_use]
     pub fn flight(&self) -> Flight {
-        self.flights.send_modify(|count| *count += 1);
-        let flights = Arc::clone(&self.flights);
-        Flight { flights }
+        Flight::new(&self.flights)
+    }
+
+    /// Counts a connection that carries calls until the value returned is dropped.
+    #[must_use]
+    pub fn connection(&self) -> Flight {
+        Flight::new(&self.connections)
     }
 
     /// Returns the number of calls in flight.
     #[must_use]
     pub fn in_flight(&self) -> usize {
-        *self.flights.borrow()
+        self.flights.now.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of connections that carry calls.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections.now.load(Ordering::SeqCst)
     }
 
     /// Waits until no call is in flight.
     pub async fn landed(&self) {
-        let mut flights = self.flights.subscribe();
-        let _ = flights.wait_for(|count| *count == 0).await;
+        self.flights.emptied().await;
+    }
+
+    /// Waits until no connection carries calls.
+    pub async fn closed(&self) {
+        self.connections.emptied().await;
     }
 }
 
-/// A call in flight.
+/// A number that can be waited on to reach zero.
+#[derive(Default)]
+struct Count {
+    now: AtomicUsize,
+    empty: Notify,
+}
+
+impl Count {
+    async fn emptied(&self) {
+        loop {
+            let mut emptied = std::pin::pin!(self.empty.notified());
+            emptied.as_mut().enable();
+            if self.now.load(Ordering::SeqCst) == 0 {
+                return;
+            }
+            emptied.await;
+        }
+    }
+}
+
+/// A call in flight, or a connection.
 pub struct Flight {
-    flights: Arc<watch::Sender<usize>>,
+    count: Arc<Count>,
+}
+
+impl Flight {
+    fn new(count: &Arc<Count>) -> Self {
+        count.now.fetch_add(1, Ordering::SeqCst);
+        let count = Arc::clone(count);
+        Flight { count }
+    }
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.flights.send_modify(|count| *count -= 1);
+        if self.count.now.fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.count.empty.notify_waiters();
+        }
     }
 }
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -1,64 +1,120 @@
 //! The outbound side: takes calls from callers and chooses where they go.
 
-use crate::call::upstream::{MeshPool, UpstreamError};
-use crate::call::{self, Refusal};
-use crate::daemon::{Daemon, Phase};
+mod attempt;
+
+use crate::call::attempt::{Attempt, AttemptId};
+use crate::call::body::Guarded;
+use crate::call::budget::backoff;
+use crate::call::choose::{Choice, Health, Index, Upstream};
+use crate::call::upstream::{Link, UpstreamError};
+use crate::call::view::{ServiceView, ViewCell, Viewer};
+use crate::call::{Refusal, request};
+use crate::daemon::{Daemon, Flight, Phase};
 use crate::event;
 use crate::kernel::{Plugin, Work};
-use crate::serve::{Body, incoming, serve};
-use crate::table::RouteEntry;
+use crate::role::inbound;
+use crate::serve::{Body, incoming, serve_calls};
+use attempt::{Call, Failed, judge, no_upstream};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use prometheus_client::registry::Registry;
-use rand::Rng;
-use std::net::SocketAddr;
+use serde_json::{Value, json};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::time::Instant;
 
 inventory::submit! {
     Plugin { name: "outbound", run, state, metrics }
 }
 
+/// Chooses another way to choose upstreams, for comparisons: `round-robin` or `two-choices`.
+const CHOICE_VARIABLE: &str = "BAOBAB_BENCH_CHOICE";
+
 fn run(daemon: Arc<Daemon>) -> Work {
     Box::pin(async move {
-        let side = daemon.part(Outbound::default);
+        let side = of(&daemon);
         let shared = Arc::clone(&daemon);
         let handler = move |request| {
             let (daemon, side) = (Arc::clone(&shared), Arc::clone(&side));
             async move { side.answer(&daemon, request).await }
         };
-        serve(
-            &daemon.sockets.outbound,
-            daemon.drain.clone(),
-            Phase::Draining,
-            handler,
-        )
-        .await
+        let drain = daemon.drain.clone();
+        serve_calls(&daemon.sockets.outbound, drain, Phase::Draining, handler).await
+    })
+}
+
+fn of(daemon: &Daemon) -> Arc<Outbound> {
+    daemon.part(|| Outbound::new(daemon))
+}
+
+fn state(daemon: &Daemon) -> Value {
+    let now = Instant::now();
+    let view = of(daemon).views.last();
+    let services = view.iter().flat_map(|view| {
+        let services = view.services();
+        let services = services.map(|(name, service)| (name.to_owned(), describe(service, now)));
+        services.collect::<Vec<_>>()
+    });
+    json!({
+        "address": daemon.addresses().outbound,
+        "services": services.collect::<serde_json::Map<_, _>>(),
     })
 }
 
-fn state(daemon: &Daemon) -> serde_json::Value {
-    serde_json::json!({ "address": daemon.addresses().outbound })
+fn describe(service: &ServiceView, now: Instant) -> Value {
+    let upstreams = service.group.upstreams().iter();
+    let upstreams: Vec<Value> = upstreams
+        .map(|upstream| {
+            json!({
+                "name": upstream.facts.name,
+                "near": upstream.facts.near,
+                "suspect": upstream.facts.suspect,
+                "in_flight": upstream.health.in_flight(),
+                "ejected": upstream.health.is_ejected(now),
+            })
+        })
+        .collect();
+    json!({ "retries_left": service.budget.left(), "upstreams": upstreams })
 }
 
 fn metrics(_: &Daemon, _: &mut Registry) {}
 
-#[derive(Default)]
 struct Outbound {
-    pool: MeshPool,
+    views: ViewCell,
+    choice: Choice,
+    attempts: AtomicU64,
+    incarnation: u64,
 }
 
 impl Outbound {
+    fn new(daemon: &Daemon) -> Self {
+        let viewer = Viewer {
+            name: daemon.identity.name.clone(),
+            domain: daemon.identity.domain.clone(),
+        };
+        Outbound {
+            views: ViewCell::new(viewer),
+            choice: read_choice(),
+            attempts: AtomicU64::new(0),
+            incarnation: daemon.identity.incarnation,
+        }
+    }
+
     async fn answer(&self, daemon: &Daemon, request: Request<Incoming>) -> Response<Body> {
         let flight = daemon.drain.flight();
-        let id = request_id(&request);
-        let answer = match self.forward(daemon, request, &id).await {
-            Ok(answer) => answer,
-            Err(refusal) => {
-                event!(CallRefused, "request={id} reason={:?}", refusal.reason);
-                refusal.into_answer(&id)
-            }
-        };
-        drop(flight);
+        let version = request.version();
+        let id = request::request_id(&request);
+        let answer = self.forward(daemon, request, &id, flight).await;
+        let mut answer = answer.unwrap_or_else(|refusal| {
+            event!(CallRefused, "request={id} reason={:?}", refusal.reason);
+            refusal.into_answer(&id)
+        });
+        *answer.version_mut() = version;
+        let draining = daemon.drain.phase() != Phase::Running;
+        if draining && version < http::Version::HTTP_2 {
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(header::CONNECTION, close);
+        }
         answer
     }
 
@@ -67,79 +123,153 @@
         daemon: &Daemon,
         request: Request<Incoming>,
         id: &str,
+        flight: Flight,
     ) -> Result<Response<Body>, Refusal> {
-        let table = daemon.config.table();
-        let entry = find_route(&table, &request)?;
-        let service = table.service(entry.service);
-        let fleet = daemon.fleet.load();
-        let upstreams = fleet.upstreams(&service.name);
-        if upstreams.is_empty() {
-            let reason = format!("service {} has no backend server", service.name);
-            return Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).retry_after(1));
+        let view = self.views.get(daemon.config.table(), daemon.fleet.load());
+        let entry = request::find_route(&view.table, &request)?;
+        let call = Call::new(daemon, &view, entry, request, id)?;
+        self.run(&call, flight).await
+    }
+
+    /// Makes attempts until one has an answer for the caller.
+    async fn run(&self, call: &Call<'_>, flight: Flight) -> Result<Response<Body>, Refusal> {
+        let group = &call.service.group;
+        let mut flight = Some(flight);
+        let mut tried = Vec::new();
+        let mut last: Option<Box<Response<Body>>> = None;
+        loop {
+            let dice = rand::random();
+            let index = group.choose(Instant::now(), self.choice, dice, &tried);
+            let Some(index) = index else {
+                return last.map(|answer| *answer).ok_or_else(no_upstream);
+            };
+            let made = u32::try_from(tried.len()).unwrap_or(u32::MAX);
+            let failed = match self.attempt(call, index, made, &mut flight).await {
+                Ok(answer) => return Ok(answer),
+                Err(failed) => failed,
+            };
+            tried.push(index);
+            let made = made + 1;
+            let now = Instant::now();
+            let mut terms = call.terms;
+            terms.replayable = call.body.is_replayable();
+            if !terms.allow(now, made, failed.failure) || !call.service.budget.spend() {
+                return Ok(*failed.answer);
+            }
+            last = Some(failed.answer);
+            let pause = backoff(made, failed.failure, rand::random());
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
+
+    async fn attempt(
+        &self,
+        call: &Call<'_>,
+        index: Index,
+        made: u32,
+        flight: &mut Option<Flight>,
+    ) -> Result<Response<Body>, Failed> {
+        let upstream = &call.service.group.upstreams()[index.0];
+        let busy = Busy::new(&upstream.health);
+        let started = Instant::now();
+        let until = call.terms.attempt_deadline(started, made);
+        let answer = match call.service.link(index) {
+            Some(link) => self.send_far(call, upstream, link, until).await?,
+            None => self.send_near(call, upstream, until).await?,
+        };
+        let answer = judge(call, upstream, answer, started)?;
+        let guard = (busy, flight.take());
+        let deadline = call.terms.deadline;
+        let guarded = answer.map(|body| Body::new(Guarded::new(body, guard, deadline)));
+        Ok(guarded)
+    }
+
+    /// Sends an attempt to another daemon.
+    async fn send_far(
+        &self,
+        call: &Call<'_>,
+        upstream: &Upstream,
+        link: &Link,
+        until: Instant,
+    ) -> Result<Response<Body>, Failed> {
+        let ready = tokio::time::timeout_at(until, link.ready()).await;
+        let ready = match ready {
+            Ok(Ok(ready)) => ready,
+            Ok(Err(err)) => return Err(call.not_sent(upstream, &err)),
+            Err(_) => return Err(call.late(upstream)),
+        };
+        let attempt = self.new_attempt(call, upstream, ready.sent_ms);
+        let request = call.request(&attempt);
+        let request = request.map_err(|refusal| call.refused(refusal))?;
+        match tokio::time::timeout_at(until, ready.send(request)).await {
+            Ok(Ok(answer)) => Ok(answer.map(incoming)),
+            Ok(Err(err @ UpstreamError::NotSent(..))) => Err(call.not_sent(upstream, &err)),
+            Ok(Err(err @ UpstreamError::Lost(..))) => {
+                let reason = err.to_string();
+                Err(call.lost(upstream, link, &attempt, &reason).await)
+            }
+            Err(_) => Err(call
+                .lost(upstream, link, &attempt, "no answer in time")
+                .await),
+        }
+    }
+
+    /// Hands an attempt to this daemon's own inbound side.
+    async fn send_near(
+        &self,
+        call: &Call<'_>,
+        upstream: &Upstream,
+        until: Instant,
+    ) -> Result<Response<Body>, Failed> {
+        let side = inbound::of(call.daemon);
+        let attempt = self.new_attempt(call, upstream, side.clock_ms());
+        let request = call.request(&attempt);
+        let request = request.map_err(|refusal| call.refused(refusal))?;
+        let answer = side.answer(call.daemon, request);
+        match tokio::time::timeout_at(until, answer).await {
+            Ok(answer) => Ok(answer),
+            Err(_) => Err(call.unknown(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
+        }
+    }
+
+    fn new_attempt(&self, call: &Call<'_>, upstream: &Upstream, sent_ms: u64) -> Attempt {
+        let count = self.attempts.fetch_add(1, Ordering::Relaxed);
+        let id = u128::from(self.incarnation) << 64 | u128::from(count);
+        Attempt {
+            id: AttemptId(id),
+            incarnation: upstream.facts.incarnation,
+            sent_ms,
+            weight: call.weight,
+            idempotent: call.terms.idempotent,
         }
-        let member = &upstreams[rand::rng().random_range(0..upstreams.len())];
-        let address: SocketAddr = member.inbound.parse().map_err(|_| {
-            let reason = format!("address of {} is not valid", member.name);
-            Refusal::not_run(StatusCode::BAD_GATEWAY, reason)
-        })?;
-        let request = outgoing(request, entry, id, member.incarnation)?;
-        let sent = self.pool.send(address, request);
-        let answer = tokio::time::timeout(entry.timeout, sent).await;
-        let answer = answer
-            .map_err(|_| Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))?;
-        answer.map_err(|err| match err {
-            UpstreamError::NotSent(..) => Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, err),
-            UpstreamError::Lost(..) => Refusal::unknown(StatusCode::BAD_GATEWAY, err),
-        })
     }
 }
 
-fn find_route<'a>(
-    table: &'a crate::table::Table,
-    request: &Request<Incoming>,
-) -> Result<&'a RouteEntry, Refusal> {
-    let host = request.uri().host().or_else(|| {
-        let host = request.headers().get(header::HOST)?.to_str().ok()?;
-        Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
-    });
-    let path = request.uri().path();
-    let entry = table.route(host, path, request.method().as_str());
-    entry.ok_or_else(|| Refusal::not_run(StatusCode::NOT_FOUND, format!("no route for {path}")))
+/// Counts a call at an upstream while it lives.
+struct Busy {
+    health: Arc<Health>,
 }
 
-fn request_id(request: &Request<Incoming>) -> String {
-    let given = request.headers().get(call::REQUEST_ID);
-    let given = given.and_then(|value| value.to_str().ok());
-    given.map_or_else(
-        || format!("{:032x}", rand::random::<u128>()),
-        ToOwned::to_owned,
-    )
+impl Busy {
+    fn new(health: &Arc<Health>) -> Self {
+        health.begin();
+        let health = Arc::clone(health);
+        Busy { health }
+    }
 }
 
-fn outgoing(
-    request: Request<Incoming>,
-    entry: &RouteEntry,
-    id: &str,
-    incarnation: u64,
-) -> Result<Request<Body>, Refusal> {
-    let bad = |err: &dyn std::fmt::Display| Refusal::not_run(StatusCode::BAD_REQUEST, err);
-    let (mut head, body) = request.into_parts();
-    call::drop_hop_headers(&mut head.headers);
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let host = head.headers.remove(header::HOST);
-    let authority = host.as_ref().and_then(|host| host.to_str().ok());
-    let authority = authority.or(head.uri.host()).unwrap_or("localhost");
-    head.uri = http::Uri::builder()
-        .scheme("http")
-        .authority(authority)
-        .path_and_query(path)
-        .build()
-        .map_err(|err| bad(&err))?;
-    head.version = http::Version::HTTP_2;
-    let id = HeaderValue::from_str(id).map_err(|err| bad(&err))?;
-    head.headers.insert(call::REQUEST_ID, id);
-    head.headers.insert(call::INCARNATION, incarnation.into());
-    let left = u64::try_from(entry.timeout.as_millis()).unwrap_or(u64::MAX);
-    head.headers.insert(call::DEADLINE_MS, left.into());
-    Ok(Request::from_parts(head, incoming(body)))
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.health.end();
+    }
+}
+
+fn read_choice() -> Choice {
+    match std::env::var(CHOICE_VARIABLE).as_deref() {
+        Ok("round-robin") => Choice::RoundRobin,
+        Ok("two-choices") => Choice::TwoChoices,
+        _ => Choice::Load,
+    }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,6 @@
 //! The accept loop of the HTTP listeners.
 
-use crate::daemon::{Drain, Phase, Socket};
+use crate::daemon::{Drain, Flight, Phase, Socket};
 use crate::event;
 use http::{Request, Response};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -13,7 +13,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// A fault within a body.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -29,6 +29,12 @@
 
 const MAX_STREAMS: u32 = 1_024;
 
+/// Data of one stream that may be under way, in bytes.
+const STREAM_WINDOW: u32 = 256 * 1024;
+
+/// Data of one connection that may be under way, in bytes.
+const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
+
 /// Makes a body of bytes at hand.
 #[must_use]
 pub fn full(data: impl Into<Bytes>) -> Body {
@@ -62,28 +68,84 @@
 {
     let listener = socket.listener()?;
     let graceful = GracefulShutdown::new();
+    accept(&listener, socket, &drain, until, |stream| {
+        spawn_connection(stream, &graceful, None, handler.clone());
+    })
+    .await;
+    drop(listener);
+    graceful.shutdown().await;
+    drain.reached(Phase::Stopped).await;
+    Ok(())
+}
+
+/// Takes connections that carry calls, until no call is in flight.
+///
+/// Connections that are open when the phase `polite` is reached are ended politely; those opened
+/// later carry on, since calls in flight may make calls themselves.
+///
+/// # Errors
+///
+/// Fails when the listener cannot be used.
+pub async fn serve_calls<H, F>(
+    socket: &Socket,
+    drain: Drain,
+    polite: Phase,
+    handler: H,
+) -> anyhow::Result<()>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = socket.listener()?;
+    let early = GracefulShutdown::new();
+    let spawn = |stream, graceful: &GracefulShutdown| {
+        let guard = drain.connection();
+        spawn_connection(stream, graceful, Some(guard), handler.clone());
+    };
+    accept(&listener, socket, &drain, polite, |stream| {
+        spawn(stream, &early);
+    })
+    .await;
+    let ended = tokio::spawn(early.shutdown());
+    let late = GracefulShutdown::new();
+    accept(&listener, socket, &drain, Phase::Closing, |stream| {
+        spawn(stream, &late);
+    })
+    .await;
+    drop(listener);
+    late.shutdown().await;
+    ended.await?;
+    drain.reached(Phase::Stopped).await;
+    Ok(())
+}
+
+async fn accept(
+    listener: &TcpListener,
+    socket: &Socket,
+    drain: &Drain,
+    until: Phase,
+    mut spawn: impl FnMut(TcpStream),
+) {
     loop {
-        let stream = tokio::select! {
+        tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
+                Ok((stream, _)) => spawn(stream),
                 Err(err) => {
                     event!(ConnectionFailed, "listener={} error={err}", socket.address());
                     tokio::time::sleep(Duration::from_millis(10)).await;
-                    continue;
                 }
             },
-            () = drain.reached(until) => break,
-        };
-        spawn_connection(stream, &graceful, handler.clone());
+            () = drain.reached(until) => return,
+        }
     }
-    drop(listener);
-    graceful.shutdown().await;
-    drain.reached(Phase::Stopped).await;
-    Ok(())
 }
 
-fn spawn_connection<H, F>(stream: TcpStream, graceful: &GracefulShutdown, handler: H)
-where
+fn spawn_connection<H, F>(
+    stream: TcpStream,
+    graceful: &GracefulShutdown,
+    guard: Option<Flight>,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -102,6 +164,8 @@
     builder
         .http2()
         .timer(TokioTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
         .max_header_list_size(u32::try_from(MAX_HEAD_LEN).unwrap_or(u32::MAX))
         .max_concurrent_streams(MAX_STREAMS);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
@@ -110,5 +174,6 @@
         if let Err(err) = connection.await {
             event!(ConnectionFailed, "error={err}");
         }
+        drop(guard);
     });
 }
--- a/src/table.rs
+++ b/src/table.rs
@@ -109,6 +109,11 @@
         &self.services[id]
     }
 
+    /// Returns every service.
+    pub fn services(&self) -> impl Iterator<Item = (ServiceId, &ServiceEntry)> {
+        self.services.iter()
+    }
+
     /// Finds a service by name.
     #[must_use]
     pub fn service_named(&self, name: &str) -> Option<&ServiceEntry> {
--- /dev/null
+++ b/tests/call_admission.rs
@@ -0,0 +1,126 @@
+//! Which calls a backend server runs, which wait, and which are refused.
+
+use baobabstage::call::admission::{Admission, Decision, Limits, Reason, Turn};
+use baobabstage::call::gate::Gate;
+use std::time::Duration;
+use test_case::test_case;
+use tokio::time::Instant;
+
+const MINUTE: Duration = Duration::from_mins(1);
+
+fn busy(now: Instant, queue: u32) -> Admission {
+    let mut admission = Admission::new(Limits { slots: 1, queue });
+    assert_eq!(admission.offer(now, 1, now + MINUTE).0, Decision::Run);
+    admission.finish(now, Some(Duration::from_millis(100)));
+    assert_eq!(admission.offer(now, 1, now + MINUTE).0, Decision::Run);
+    admission
+}
+
+#[test]
+fn offer_sheds_the_lightest_that_waits() {
+    let now = Instant::now();
+    let mut admission = busy(now, 2);
+    let (Decision::Wait(heavy), _) = admission.offer(now, 100, now + MINUTE) else {
+        panic!("not queued");
+    };
+    let (Decision::Wait(light), _) = admission.offer(now, 10, now + MINUTE) else {
+        panic!("not queued");
+    };
+    let (decision, _) = admission.offer(now, 10, now + MINUTE);
+    assert_eq!(decision, Decision::Refuse(Reason::Full));
+    let (decision, turn) = admission.offer(now, 50, now + MINUTE);
+    let Decision::Wait(middle) = decision else {
+        panic!("not queued in favour of a lighter one");
+    };
+    assert_eq!(turn.refuse, [(light, Reason::Full)]);
+    assert_eq!(admission.finish(now, None).start, [heavy]);
+    assert_eq!(admission.finish(now, None).start, [middle]);
+}
+
+#[test]
+fn offer_refuses_a_deadline_that_cannot_be_met() {
+    let now = Instant::now();
+    let mut admission = busy(now, 10);
+    let deadline = now + Duration::from_millis(150);
+    let (decision, _) = admission.offer(now, 1, deadline);
+    assert_eq!(decision, Decision::Refuse(Reason::Late));
+    let (decision, _) = admission.offer(now, 1, now + Duration::from_millis(250));
+    assert!(matches!(decision, Decision::Wait(_)));
+}
+
+#[test]
+fn finish_refuses_what_became_late() {
+    let now = Instant::now();
+    let mut admission = busy(now, 10);
+    let (Decision::Wait(first), _) = admission.offer(now, 1, now + Duration::from_millis(300))
+    else {
+        panic!("not queued");
+    };
+    let (Decision::Wait(second), _) = admission.offer(now, 1, now + MINUTE) else {
+        panic!("not queued");
+    };
+    let turn = admission.finish(now + Duration::from_millis(250), None);
+    let expected = Turn {
+        start: vec![second],
+        refuse: vec![(first, Reason::Late)],
+    };
+    assert_eq!(turn, expected);
+}
+
+#[test_case(1; "one slot")]
+#[test_case(9; "nine slots")]
+fn offer_never_runs_more_than_slots(slots: u32) {
+    let now = Instant::now();
+    let mut admission = Admission::new(Limits {
+        slots,
+        queue: 1_000,
+    });
+    for weight in 0..100 {
+        let _ = admission.offer(now, weight, now + MINUTE);
+        assert!(admission.load().running <= slots);
+    }
+    for _ in 0..100 {
+        admission.finish(now, None);
+        assert!(admission.load().running <= slots);
+    }
+    assert_eq!(admission.load().running, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn admit_answers_at_once_when_it_gives_up() {
+    let gate = Gate::default();
+    gate.set_limits(1, Limits { slots: 1, queue: 1 });
+    let deadline = Instant::now() + MINUTE;
+    let held = gate.admit(1, deadline).await.unwrap();
+    let light = tokio::spawn({
+        let gate = gate.clone();
+        async move { gate.admit(1, deadline).await.map(drop) }
+    });
+    tokio::task::yield_now().await;
+    let heavy = tokio::spawn({
+        let gate = gate.clone();
+        async move { gate.admit(2, deadline).await.map(drop) }
+    });
+    let started = Instant::now();
+    let rejected = light.await.unwrap().unwrap_err();
+    assert_eq!(rejected.reason, Reason::Full);
+    assert!(rejected.retry_after >= Duration::from_secs(1));
+    assert_eq!(started.elapsed(), Duration::ZERO);
+    drop(held);
+    heavy.await.unwrap().unwrap();
+    assert_eq!(gate.load().running, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn admit_forgets_a_caller_that_goes_away() {
+    let gate = Gate::default();
+    gate.set_limits(1, Limits { slots: 1, queue: 4 });
+    let deadline = Instant::now() + MINUTE;
+    let held = gate.admit(1, deadline).await.unwrap();
+    let waiting = tokio::time::timeout(Duration::from_secs(1), gate.admit(1, deadline));
+    assert!(waiting.await.is_err());
+    assert_eq!(gate.load().queued, 0);
+    drop(held);
+    drop(gate.admit(1, deadline).await.unwrap());
+    assert_eq!(gate.load().running, 0);
+}
--- /dev/null
+++ b/tests/call_fence.rs
@@ -0,0 +1,125 @@
+//! What an inbound side says about the fate of an attempt.
+
+use baobabstage::call::attempt::{Attempt, AttemptId};
+use baobabstage::call::fence::{ArrivalError, Fate, MAX_AGE, Record, WINDOW};
+use std::time::Duration;
+use test_case::test_case;
+use tokio::time::Instant;
+
+const ONE: AttemptId = AttemptId(1);
+
+fn record() -> (Record, Instant) {
+    let start = Instant::now();
+    (Record::new(start, 100), start)
+}
+
+#[test]
+fn fence_bars_an_attempt_that_has_not_come() {
+    let (mut record, now) = record();
+    assert_eq!(record.fence(now, ONE, 0), Fate::NeverRuns);
+    assert_eq!(record.arrive(now, ONE, 0), Err(ArrivalError::Fenced));
+}
+
+#[test]
+fn fence_bars_an_attempt_that_waits() {
+    let (mut record, now) = record();
+    record.arrive(now, ONE, 0).unwrap();
+    assert_eq!(record.fence(now, ONE, 0), Fate::NeverRuns);
+    assert!(!record.dispatch(ONE));
+}
+
+#[test]
+fn fence_tells_of_a_run() {
+    let (mut record, now) = record();
+    record.arrive(now, ONE, 0).unwrap();
+    assert!(record.dispatch(ONE));
+    assert_eq!(record.fence(now, ONE, 0), Fate::Running);
+    record.finish(ONE);
+    assert_eq!(record.fence(now, ONE, 0), Fate::Ran);
+}
+
+#[test]
+fn arrive_refuses_a_second_time() {
+    let (mut record, now) = record();
+    record.arrive(now, ONE, 0).unwrap();
+    assert_eq!(record.arrive(now, ONE, 0), Err(ArrivalError::Repeated));
+}
+
+#[test]
+fn finish_bars_an_attempt_that_was_given_up() {
+    let (mut record, now) = record();
+    record.arrive(now, ONE, 0).unwrap();
+    record.finish(ONE);
+    assert!(!record.dispatch(ONE));
+    assert_eq!(record.fence(now, ONE, 0), Fate::NeverRuns);
+}
+
+#[test_case(Duration::ZERO; "fresh")]
+#[test_case(MAX_AGE; "as old as allowed")]
+fn arrive_takes(age: Duration) {
+    let (mut record, start) = record();
+    assert_eq!(record.arrive(start + age, ONE, 0), Ok(()));
+}
+
+#[test]
+fn arrive_refuses_old_attempts() {
+    let (mut record, start) = record();
+    let late = start + MAX_AGE + Duration::from_millis(1);
+    assert_eq!(record.arrive(late, ONE, 0), Err(ArrivalError::TooOld));
+}
+
+/// Runs attempts a millisecond apart and returns the time after the last.
+fn run_others(record: &mut Record, mut now: Instant, count: u128) -> Instant {
+    for id in 2..count + 2 {
+        let id = AttemptId(id);
+        record.arrive(now, id, record.clock_ms(now)).unwrap();
+        assert!(record.dispatch(id));
+        record.finish(id);
+        now += Duration::from_millis(1);
+    }
+    now
+}
+
+/// An attempt that ran and was forgotten must not be said never to run.
+#[test_case(1, WINDOW + Duration::from_secs(1); "by age")]
+#[test_case(300, Duration::from_secs(1); "by number")]
+fn fence_admits_what_it_forgot(others: u128, later: Duration) {
+    let (mut record, start) = record();
+    record.arrive(start, ONE, 0).unwrap();
+    assert!(record.dispatch(ONE));
+    record.finish(ONE);
+    let now = run_others(&mut record, start + later, others);
+    assert!(record.len() <= 100);
+    assert_eq!(record.fence(now, ONE, 0), Fate::Forgotten);
+    assert_eq!(record.arrive(now, ONE, 0), Err(ArrivalError::TooOld));
+}
+
+/// A fence that was forgotten must not let its attempt run.
+#[test]
+fn arrive_refuses_what_a_forgotten_fence_barred() {
+    let (mut record, start) = record();
+    assert_eq!(record.fence(start, ONE, 0), Fate::NeverRuns);
+    let now = run_others(&mut record, start + Duration::from_secs(1), 300);
+    assert_eq!(record.arrive(now, ONE, 0), Err(ArrivalError::TooOld));
+}
+
+#[test]
+fn record_keeps_what_runs() {
+    let (mut record, start) = record();
+    record.arrive(start, ONE, 0).unwrap();
+    assert!(record.dispatch(ONE));
+    let now = run_others(&mut record, start + Duration::from_secs(1), 300);
+    assert_eq!(record.fence(now, ONE, 0), Fate::Running);
+}
+
+#[test]
+fn attempt_reads_what_it_writes() {
+    let attempt = Attempt {
+        id: AttemptId(u128::MAX),
+        incarnation: 7,
+        sent_ms: 8,
+        weight: 9,
+        idempotent: true,
+    };
+    assert_eq!(attempt.to_string().parse(), Ok(attempt));
+}
