--- a/src/change.rs
+++ b/src/change.rs
@@ -16,6 +16,9 @@
 /// The greatest length of a change's id or title, in bytes.
 pub const MAX_TITLE_LEN: usize = 200;
 
+/// The greatest length of a change as written, in bytes.
+pub const MAX_CHANGE_LEN: usize = 16 * 1024 * 1024;
+
 /// A change as written in a file or sent to the operator API.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -95,9 +98,10 @@
         let (id, title) = (id.into(), title.into());
         check::name("change", "id", &id)?;
         if title.len() > MAX_TITLE_LEN || title.chars().any(char::is_control) {
-            return input(format!(
-                "change {id}: title is over {MAX_TITLE_LEN} bytes or has control characters"
-            ));
+            let message = format!(
+                "change {id}: field title: over {MAX_TITLE_LEN} bytes or with control characters"
+            );
+            return Err(Error::new(Category::Input, message).in_field("title"));
         }
         if operations.is_empty() || operations.len() > MAX_OPERATIONS {
             let count = operations.len();
@@ -107,8 +111,15 @@
         }
         let mut seen = BTreeSet::new();
         for op in &operations {
+            check::name(&op.key.to_string(), "name", &op.key.name).map_err(|err| {
+                let message = format!("change {id}: {err}");
+                err.with_message(message)
+            })?;
             if !seen.insert(&op.key) {
-                return input(format!("change {id}: {} is named twice", op.key));
+                let message = format!("change {id}: {} is named twice", op.key);
+                return Err(Error::new(Category::Input, message)
+                    .in_resource(&op.key)
+                    .in_field("name"));
             }
         }
         Ok(Change {
@@ -139,6 +150,9 @@
     /// # Ok::<(), baobabstage::Error>(())
     /// ```
     pub fn from_toml(text: &str) -> Result<Self> {
+        if text.len() > MAX_CHANGE_LEN {
+            return too_long(text.len());
+        }
         let file: ChangeFile =
             toml::from_str(text).map_err(|err| Error::new(Category::Input, err))?;
         Change::from_file(file)
@@ -150,6 +164,9 @@
     ///
     /// Fails as [`Change::from_toml`] does.
     pub fn from_json(body: &[u8]) -> Result<Self> {
+        if body.len() > MAX_CHANGE_LEN {
+            return too_long(body.len());
+        }
         let file: ChangeFile =
             serde_json::from_slice(body).map_err(|err| Error::new(Category::Input, err))?;
         Change::from_file(file)
@@ -165,7 +182,9 @@
         for put in file.put {
             let spec = Spec::from_value(put.kind, &put.spec).map_err(|err| {
                 let place = format!("change {}: {}/{}", file.id, put.kind, put.name);
-                Error::new(err.category(), format!("{place}: {err}"))
+                let message = format!("{place}: {err}");
+                err.with_message(message)
+                    .in_resource(format_args!("{}/{}", put.kind, put.name))
             })?;
             operations.push(Operation {
                 key: ResourceKey::new(put.kind, put.name),
@@ -301,7 +320,7 @@
                     "change {} cannot be reverted: {key} has changed since (revision {revision})",
                     record.change
                 );
-                return Err(Error::new(Category::Conflict, message));
+                return Err(Error::new(Category::Conflict, message).in_resource(&key));
             }
             let spec = match &effect.before {
                 Some(body) => Some(Arc::new(Spec::from_json(kind, body)?)),
@@ -328,11 +347,11 @@
                 "change {}: {} is at revision {revision}, not {based_on}",
                 self.id, op.key
             );
-            return Err(Error::new(Category::Conflict, message));
+            return Err(Error::new(Category::Conflict, message).in_resource(&op.key));
         }
         if op.spec.is_none() && before.is_none() {
             let message = format!("change {}: {} does not exist", self.id, op.key);
-            return Err(Error::new(Category::Missing, message));
+            return Err(Error::new(Category::Missing, message).in_resource(&op.key));
         }
         Ok(())
     }
@@ -347,6 +366,12 @@
     pub record: wire::ChangeRecord,
 }
 
+fn too_long<T>(len: usize) -> Result<T> {
+    input(format!(
+        "change: {len} bytes; at most {MAX_CHANGE_LEN} are allowed"
+    ))
+}
+
 fn input<T>(message: String) -> Result<T> {
     Err(Error::new(Category::Input, message))
 }
--- a/src/check.rs
+++ b/src/check.rs
@@ -27,7 +27,9 @@
     match name_problem(value) {
         Some(problem) => {
             let message = format!("{owner}: field {field}: {problem}");
-            Err(Error::new(Category::Input, message))
+            Err(Error::new(Category::Input, message)
+                .in_resource(owner)
+                .in_field(field))
         }
         None => Ok(()),
     }
@@ -69,11 +71,15 @@
 #[derive(Default)]
 struct Faults {
     list: Vec<String>,
+    /// The resource and field of the first fault.
+    first: Option<(String, String)>,
 }
 
 impl Faults {
     fn add(&mut self, key: &ResourceKey, field: &str, problem: &str) {
         self.list.push(format!("{key}: field {field}: {problem}"));
+        self.first
+            .get_or_insert_with(|| (key.to_string(), field.to_owned()));
     }
 
     fn range(&mut self, key: &ResourceKey, field: &str, value: u64, allowed: &RangeInclusive<u64>) {
@@ -92,7 +98,11 @@
         if more > 0 {
             self.list.push(format!("and {more} more"));
         }
-        Err(Error::new(Category::Input, self.list.join("; ")))
+        let error = Error::new(Category::Input, self.list.join("; "));
+        Err(match self.first {
+            Some((resource, field)) => error.in_resource(resource).in_field(field),
+            None => error,
+        })
     }
 }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -22,7 +22,32 @@
     Internal,
 }
 
+impl Category {
+    /// Returns the category's name as told to operators.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Category::Input => "input",
+            Category::Conflict => "conflict",
+            Category::Missing => "missing",
+            Category::Unavailable => "unavailable",
+            Category::Unknown => "unknown",
+            Category::Internal => "internal",
+        }
+    }
+}
+
 /// A fault with its place and its [`Category`].
+///
+/// # Examples
+///
+/// ```
+/// use baobabstage::{Category, Change};
+///
+/// let err = Change::from_json(br#"{"id": "x", "put": [], "colour": 1}"#).unwrap_err();
+/// assert_eq!(err.category(), Category::Input);
+/// assert!(err.to_string().contains("colour"));
+/// ```
 #[derive(Clone)]
 pub struct Error {
     inner: Box<Inner>,
@@ -32,6 +57,8 @@
 struct Inner {
     category: Category,
     message: String,
+    resource: Option<String>,
+    field: Option<String>,
 }
 
 impl Error {
@@ -39,15 +66,55 @@
     pub fn new(category: Category, message: impl fmt::Display) -> Self {
         let message = message.to_string();
         Error {
-            inner: Box::new(Inner { category, message }),
+            inner: Box::new(Inner {
+                category,
+                message,
+                resource: None,
+                field: None,
+            }),
         }
     }
 
+    /// Names the resource that is at fault, unless one is named already.
+    #[must_use]
+    pub fn in_resource(mut self, resource: impl fmt::Display) -> Self {
+        let named = &mut self.inner.resource;
+        named.get_or_insert_with(|| resource.to_string());
+        self
+    }
+
+    /// Names the field that is at fault, unless one is named already.
+    #[must_use]
+    pub fn in_field(mut self, field: impl Into<String>) -> Self {
+        let named = &mut self.inner.field;
+        named.get_or_insert_with(|| field.into());
+        self
+    }
+
+    /// Replaces the message and keeps the category and the place.
+    #[must_use]
+    pub fn with_message(mut self, message: impl fmt::Display) -> Self {
+        self.inner.message = message.to_string();
+        self
+    }
+
     /// Returns the category of this error.
     #[must_use]
     pub fn category(&self) -> Category {
         self.inner.category
     }
+
+    /// Returns the resource at fault, as `kind/name`.
+    #[must_use]
+    pub fn resource(&self) -> Option<&str> {
+        self.inner.resource.as_deref()
+    }
+
+    /// Returns the field at fault.
+    #[must_use]
+    pub fn field(&self) -> Option<&str> {
+        self.inner.field.as_deref()
+    }
 }
 
 impl fmt::Display for Error {
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,6 +1,8 @@
 //! Numbered log events. The catalogue is `docs/EVENTS.md`.
 
+use log::kv::{Error, Key, Source, Value, VisitSource};
 use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 macro_rules! events {
     ($($name:ident = $number:literal, $level:ident, $text:literal;)+) => {
@@ -82,21 +84,76 @@
         self as u16
     }
 
+    /// Returns how often the event has come about in this process.
+    #[must_use]
+    pub fn count(self) -> u64 {
+        COUNTS[usize::from(self.number())].load(Ordering::Relaxed)
+    }
+
     /// Logs the event with what it is about.
     pub fn log(self, detail: fmt::Arguments<'_>) {
-        log::log!(
-            target: "baobabstage",
-            self.level(),
-            event = self.number(),
-            name:? = self;
-            "{detail}"
-        );
+        self.log_record(&[], detail);
+    }
+
+    /// Logs the event with fields; the values are quoted where needed.
+    pub fn log_fields(self, fields: &[Field<'_>]) {
+        self.log_record(fields, format_args!(""));
+    }
+
+    fn log_record(self, fields: &[Field<'_>], detail: fmt::Arguments<'_>) {
+        COUNTS[usize::from(self.number())].fetch_add(1, Ordering::Relaxed);
+        let level = self.level();
+        if level > log::max_level() {
+            return;
+        }
+        let pairs = Pairs {
+            event: self,
+            fields,
+        };
+        let record = log::Record::builder()
+            .level(level)
+            .target("baobabstage")
+            .key_values(&pairs)
+            .args(detail)
+            .build();
+        log::logger().log(&record);
+    }
+}
+
+const NUMBERS: usize = 1_000;
+
+/// How often each event has come about, by number.
+static COUNTS: [AtomicU64; NUMBERS] = [const { AtomicU64::new(0) }; NUMBERS];
+
+/// A field of a log line: its key and value.
+pub type Field<'a> = (&'static str, &'a (dyn fmt::Display + Sync));
+
+/// The key-value pairs of a log record.
+struct Pairs<'a> {
+    event: Event,
+    fields: &'a [Field<'a>],
+}
+
+impl Source for Pairs<'_> {
+    fn visit<'kvs>(&'kvs self, visitor: &mut dyn VisitSource<'kvs>) -> Result<(), Error> {
+        visitor.visit_pair(Key::from("event"), Value::from(self.event.number()))?;
+        visitor.visit_pair(Key::from("name"), Value::from_debug(&self.event))?;
+        for (key, value) in self.fields {
+            visitor.visit_pair(Key::from(*key), Value::from_dyn_display(value))?;
+        }
+        Ok(())
     }
 }
 
-/// Logs an [`Event`] with what it is about, as `key=value` pairs.
+/// Logs an [`Event`](crate::event::Event) with what it is about, as `key = value` fields or as a
+/// format string.
+///
+/// Fields are quoted one by one; a format string must only hold values without spaces.
 #[macro_export]
 macro_rules! event {
     ($name:ident) => { $crate::event::Event::$name.log(format_args!("")) };
+    ($name:ident, $($key:ident = $value:expr),+ $(,)?) => {
+        $crate::event::Event::$name.log_fields(&[$((stringify!($key), &$value)),+])
+    };
     ($name:ident, $($arg:tt)+) => { $crate::event::Event::$name.log(format_args!($($arg)+)) };
 }
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -4,7 +4,7 @@
 use anyhow::Context as _;
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
-use std::collections::BTreeMap;
+use std::borrow::Cow;
 use std::fmt::{Arguments, Write as _};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -35,23 +35,40 @@
     );
     for (key, value) in pairs(record) {
         // Writing to a string does not fail.
-        let _ = write!(line, " {key}={value}");
+        let _ = write!(line, " {key}={}", quoted(&value));
     }
     let message = message.to_string();
     if !message.is_empty() {
         line.push(' ');
-        line.push_str(&message.replace('\n', " "));
+        line.extend(
+            message
+                .chars()
+                .map(|c| if c.is_control() { ' ' } else { c }),
+        );
     }
     line
 }
 
+/// Quotes a value that would not read as one word.
+fn quoted(value: &str) -> Cow<'_, str> {
+    let plain = |c: char| !c.is_control() && !c.is_whitespace() && !matches!(c, '"' | '=' | '\\');
+    if !value.is_empty() && value.chars().all(plain) {
+        Cow::Borrowed(value)
+    } else {
+        Cow::Owned(format!("{value:?}"))
+    }
+}
+
 fn json_line(name: &str, message: &Arguments<'_>, record: &Record<'_>) -> String {
     let mut line = serde_json::json!({
         "time_ms": now_ms(),
         "level": record.level().as_str(),
         "daemon": name,
-        "detail": message.to_string(),
     });
+    let message = message.to_string();
+    if !message.is_empty() {
+        line["detail"] = message.into();
+    }
     for (key, value) in pairs(record) {
         line[key] = value.into();
     }
@@ -63,7 +80,8 @@
     since.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
 }
 
-fn pairs(record: &Record<'_>) -> BTreeMap<String, String> {
+/// Returns the key-value pairs of a record, in the order in which they were logged.
+fn pairs(record: &Record<'_>) -> Vec<(String, String)> {
     let mut pairs = Pairs::default();
     // The visitor itself never fails.
     let _ = record.key_values().visit(&mut pairs);
@@ -72,12 +90,12 @@
 
 #[derive(Default)]
 struct Pairs {
-    found: BTreeMap<String, String>,
+    found: Vec<(String, String)>,
 }
 
 impl<'kvs> VisitSource<'kvs> for Pairs {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        self.found.insert(key.to_string(), value.to_string());
+        self.found.push((key.to_string(), value.to_string()));
         Ok(())
     }
 }
--- a/src/resource.rs
+++ b/src/resource.rs
@@ -217,7 +217,16 @@
     ///
     /// # Errors
     ///
-    /// Fails on unknown or missing fields and wrong types, naming the field.
+    /// Fails on unknown, repeated or missing fields and wrong types, naming the field.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use baobabstage::resource::{Kind, Spec};
+    ///
+    /// let err = Spec::from_json(Kind::Pool, br#"{"slots": "many", "connections": 1}"#).unwrap_err();
+    /// assert_eq!(err.field(), Some("slots"));
+    /// ```
     pub fn from_json(kind: Kind, body: &[u8]) -> Result<Self> {
         let spec = match kind {
             Kind::Policy => serde_json::from_slice(body).map(Spec::Policy),
@@ -225,7 +234,10 @@
             Kind::Route => serde_json::from_slice(body).map(Spec::Route),
             Kind::Service => serde_json::from_slice(body).map(Spec::Service),
         };
-        spec.map_err(|err| Error::new(Category::Input, format!("{kind} specification: {err}")))
+        spec.map_err(|err| {
+            let fields = serde_json::from_slice(body).unwrap_or_default();
+            spec_error(kind, &fields, &err)
+        })
     }
 
     /// Reads a specification of a kind from a JSON value.
@@ -234,7 +246,16 @@
     ///
     /// Fails as [`Spec::from_json`] does.
     pub fn from_value(kind: Kind, value: &serde_json::Value) -> Result<Self> {
-        Spec::from_json(kind, value.to_string().as_bytes())
+        let spec = match kind {
+            Kind::Policy => Policy::deserialize(value).map(Spec::Policy),
+            Kind::Pool => Pool::deserialize(value).map(Spec::Pool),
+            Kind::Route => Route::deserialize(value).map(Spec::Route),
+            Kind::Service => Service::deserialize(value).map(Spec::Service),
+        };
+        spec.map_err(|err| {
+            let fields = value.as_object().cloned().unwrap_or_default();
+            spec_error(kind, &fields, &err)
+        })
     }
 
     /// Writes the specification as canonical JSON: fields in declared order, maps ordered by key.
@@ -283,3 +304,46 @@
         }
     }
 }
+
+type Fields = serde_json::Map<String, serde_json::Value>;
+
+fn spec_error(kind: Kind, fields: &Fields, err: &serde_json::Error) -> Error {
+    match faulty_field(kind, fields, err) {
+        Some(field) => {
+            let message = format!("{kind} specification: field {field}: {err}");
+            Error::new(Category::Input, message).in_field(field)
+        }
+        None => Error::new(Category::Input, format!("{kind} specification: {err}")),
+    }
+}
+
+/// Finds the field that an error of the deserializer is about.
+///
+/// Fields are read in order: with the fields up to the faulty one the error is another than that
+/// of a missing field.
+fn faulty_field(kind: Kind, fields: &Fields, err: &serde_json::Error) -> Option<String> {
+    if let Some(field) = missing_field(err) {
+        return Some(field);
+    }
+    let mut part = Fields::new();
+    for (name, value) in fields {
+        part.insert(name.clone(), value.clone());
+        let value = serde_json::Value::Object(part.clone());
+        let read = match kind {
+            Kind::Policy => Policy::deserialize(&value).map(drop),
+            Kind::Pool => Pool::deserialize(&value).map(drop),
+            Kind::Route => Route::deserialize(&value).map(drop),
+            Kind::Service => Service::deserialize(&value).map(drop),
+        };
+        if read.is_err_and(|err| missing_field(&err).is_none()) {
+            return Some(name.clone());
+        }
+    }
+    None
+}
+
+fn missing_field(err: &serde_json::Error) -> Option<String> {
+    let message = err.to_string();
+    let rest = message.strip_prefix("missing field `")?;
+    Some(rest.split_once('`')?.0.to_owned())
+}
--- /dev/null
+++ b/src/role/operator/resources.rs
@@ -0,0 +1,155 @@
+//! Single resources: reading them, and changes of one operation.
+
+use super::changes;
+use super::reply::{self, Fault};
+use super::request::{Query, read_body};
+use crate::change::{Change, Operation};
+use crate::daemon::Daemon;
+use crate::error::{Category, Error};
+use crate::resource::{Kind, ResourceKey, Spec};
+use crate::serve::Body;
+use crate::snapshot::Resource;
+use crate::store::Outcome;
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use std::sync::Arc;
+
+/// The header that names the change made by a `PUT` or `DELETE`.
+const CHANGE_HEADER: &str = "x-baobab-change";
+
+/// Writes a resource as operators see it.
+pub fn resource_json(key: &ResourceKey, resource: &Resource) -> Value {
+    let spec = serde_json::from_slice::<Value>(&resource.body);
+    json!({
+        "kind": key.kind,
+        "name": key.name,
+        "revision": resource.revision,
+        "spec": spec.unwrap_or_default(),
+    })
+}
+
+/// Lists the resources in force, of one kind or all.
+pub fn list(daemon: &Daemon, kind: Option<Kind>) -> Response<Body> {
+    let snapshot = daemon.config.snapshot();
+    let wanted = snapshot
+        .resources()
+        .iter()
+        .filter(|(key, _)| kind.is_none_or(|kind| kind == key.kind));
+    let resources: Vec<Value> = wanted.map(|(key, res)| resource_json(key, res)).collect();
+    reply::json(&json!({ "version": snapshot.version(), "resources": resources }))
+}
+
+/// Shows one resource in force, with its revision as `ETag`.
+pub fn get(daemon: &Daemon, key: &ResourceKey) -> Result<Response<Body>, Fault> {
+    let snapshot = daemon.config.snapshot();
+    let Some(resource) = snapshot.resources().get(key) else {
+        let version = snapshot.version();
+        let message = format!("{key} does not exist in version {version}");
+        return Err(Error::new(Category::Missing, message)
+            .in_resource(key)
+            .into());
+    };
+    let mut answer = reply::json(&resource_json(key, resource));
+    let tag = format!("\"{}\"", resource.revision);
+    if let Ok(tag) = HeaderValue::from_str(&tag) {
+        answer.headers_mut().insert(header::ETAG, tag);
+    }
+    Ok(answer)
+}
+
+/// Creates or replaces one resource by a change of one operation.
+pub async fn put(
+    daemon: &Arc<Daemon>,
+    key: ResourceKey,
+    head: &Parts,
+    query: &Query,
+    body: Incoming,
+) -> Result<Response<Body>, Fault> {
+    changes::require_json(&head.headers)?;
+    let body = read_body(body).await?;
+    let spec = Spec::from_json(key.kind, &body).map_err(|err| {
+        let message = format!("{key}: {err}");
+        Fault::not_accepted(err.with_message(message).in_resource(&key))
+    })?;
+    operate(daemon, key, Some(Arc::new(spec)), head, query).await
+}
+
+/// Deletes one resource by a change of one operation.
+pub async fn delete(
+    daemon: &Arc<Daemon>,
+    key: ResourceKey,
+    head: &Parts,
+    query: &Query,
+) -> Result<Response<Body>, Fault> {
+    operate(daemon, key, None, head, query).await
+}
+
+async fn operate(
+    daemon: &Arc<Daemon>,
+    key: ResourceKey,
+    spec: Option<Arc<Spec>>,
+    head: &Parts,
+    query: &Query,
+) -> Result<Response<Body>, Fault> {
+    let id = change_id(&head.headers, query)?;
+    let based_on = precondition(&head.headers)?;
+    let verb = if spec.is_some() { "Put" } else { "Delete" };
+    let title = format!("{verb} {key}");
+    let operation = Operation {
+        key,
+        based_on,
+        spec,
+    };
+    let change = Change::new(id.as_str(), title, vec![operation]).map_err(Fault::not_accepted)?;
+    let outcome = changes::submit(daemon, change).await;
+    let stale = matches!(&outcome, Outcome::Refused(err)
+        if err.category() == Category::Conflict && err.resource().is_some());
+    reply::outcome(outcome, &id).map_err(|fault| {
+        if stale && based_on.is_some() {
+            fault.with_status(StatusCode::PRECONDITION_FAILED)
+        } else {
+            fault
+        }
+    })
+}
+
+/// Returns the id that the operator chose, or a random one.
+fn change_id(headers: &HeaderMap, query: &Query) -> Result<String, Fault> {
+    if let Some(id) = query.get("change") {
+        return Ok(id.to_owned());
+    }
+    match headers.get(CHANGE_HEADER) {
+        Some(id) => match id.to_str() {
+            Ok(id) => Ok(id.to_owned()),
+            Err(err) => Err(Fault::bad_request(format!("header {CHANGE_HEADER}: {err}"))),
+        },
+        None => Ok(format!("api-{:032x}", rand::random::<u128>())),
+    }
+}
+
+/// Returns the revision that the operator saw, from `If-Match` or `If-None-Match`.
+fn precondition(headers: &HeaderMap) -> Result<Option<u64>, Fault> {
+    let if_match = headers.get(header::IF_MATCH);
+    let if_none = headers.get(header::IF_NONE_MATCH);
+    match (if_match, if_none) {
+        (None, None) => Ok(None),
+        (Some(tag), None) => revision_of(tag).map(Some),
+        (None, Some(tag)) if tag == "*" => Ok(Some(0)),
+        (None, Some(_)) => Err(Fault::bad_request("header if-none-match: only * is taken")),
+        (Some(_), Some(_)) => Err(Fault::bad_request(
+            "headers if-match and if-none-match exclude each other",
+        )),
+    }
+}
+
+fn revision_of(tag: &HeaderValue) -> Result<u64, Fault> {
+    let text = tag.to_str().unwrap_or_default();
+    let quoted = text.strip_prefix('"').and_then(|t| t.strip_suffix('"'));
+    let revision = quoted.and_then(|text| text.parse().ok());
+    let revision = revision.filter(|revision| *revision > 0);
+    revision.ok_or_else(|| {
+        Fault::bad_request(format!("header if-match: {text:?} is not one strong ETag"))
+    })
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -394,7 +394,7 @@
     match entry {
         Some(entry) => {
             let message = format!("{err}; changed by change {}", entry.change);
-            Error::new(Category::Conflict, message)
+            err.with_message(message)
         }
         None => err,
     }
