Complete the operators' command line

Cause: baobabctl lacked get, list, watch, status and state, had one daemon at a time and no tables. Change: all commands, tables and JSON, fail-over that believes no refusal after a lost answer, exit codes in the help. Conclusion: an operator's script runs on exit codes alone.

--- a/src/bin/baobabctl.rs
+++ b/src/bin/baobabctl.rs
@@ -4,5 +4,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    ctl::main(&Flags::from_env_or_exit())
+    ctl::main(Flags::from_env_or_exit())
 }
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -1,17 +1,22 @@
 //! The operators' command line.
 
+mod change_file;
 mod flags;
 mod http_client;
+mod submit;
+mod table;
+mod wait;
+mod watch;
 
-pub use flags::{Command, Flags};
+pub use flags::{Command, Flags, Output};
 
-use crate::change::Change;
+use crate::check;
 use crate::error::{Category, Error, Result};
-use http::{Method, StatusCode};
-use http_client::HttpClient;
+use crate::resource::{Kind, ResourceKey};
+use http_client::{Call, HttpClient, Reply};
 use serde_json::Value;
+use std::io::Write as _;
 use std::process::ExitCode;
-use std::time::Duration;
 
 /// The exit codes of `baobabctl`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,87 +36,145 @@
     NotInForce = 5,
     /// No daemon can be reached.
     Unreachable = 6,
+    /// The resource or change does not exist.
+    Missing = 7,
 }
 
 /// Runs a command to its end.
 #[must_use]
-pub fn main(flags: &Flags) -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let exit = match runtime {
-        Ok(runtime) => match runtime.block_on(run(flags)) {
-            Ok(exit) => exit,
-            Err(err) => {
-                eprintln!("baobabctl: {err}");
-                exit_of(err.category())
-            }
-        },
-        Err(err) => {
-            eprintln!("baobabctl: runtime: {err}");
-            Exit::Failed
-        }
-    };
+pub fn main(flags: Result<Flags>) -> ExitCode {
+    let exit = flags.and_then(|flags| {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
+        let runtime =
+            runtime.map_err(|err| Error::new(Category::Internal, format!("runtime: {err}")))?;
+        runtime.block_on(run(&flags))
+    });
+    let exit = exit.unwrap_or_else(|err| {
+        eprintln!("baobabctl: {}", table::printable(&err.to_string()));
+        exit_of(err.category())
+    });
     ExitCode::from(exit as u8)
 }
 
 async fn run(flags: &Flags) -> Result<Exit> {
-    let client = HttpClient::new(&flags.daemons, flags.token.clone())?;
-    let answer = match &flags.command {
+    match &flags.command {
         Command::Check { file } => {
-            let body = read_change(file)?;
-            client
-                .call(Method::POST, "/v1/changes?check=true", &body)
-                .await
+            let change = change_file::read(file)?;
+            let body = change_file::to_json(&change)?;
+            let call = Call::post("/v1/changes?check=true", body);
+            show(flags, &client(flags)?.call(&call).await?)
         }
-        Command::Apply { file } => {
-            let body = read_change(file)?;
-            client.call(Method::POST, "/v1/changes", &body).await
+        Command::Apply { file, wait } => {
+            let change = change_file::read(file)?;
+            let call = Call::post("/v1/changes", change_file::to_json(&change)?);
+            submit::run(flags, &client(flags)?, &call, change.id(), *wait).await
         }
-        Command::Revert { change, id } => {
+        Command::Revert { change, id, wait } => {
+            check::name("change", "id", change)?;
             let id = id.clone().unwrap_or_else(|| format!("revert-{change}"));
-            let path = format!("/v1/changes/{change}/revert?id={id}");
-            client.call(Method::POST, &path, b"").await
+            check::name("change", "id", &id)?;
+            let call = Call::post(format!("/v1/changes/{change}/revert?id={id}"), "");
+            submit::run(flags, &client(flags)?, &call, &id, *wait).await
         }
-        Command::History => client.call(Method::GET, "/v1/changes", b"").await,
-        Command::Version => client.call(Method::GET, "/v1/version", b"").await,
-        Command::Wait { change, timeout } => return wait(&client, change, *timeout).await,
-    };
-    Ok(show(answer?))
+        Command::Watch { kind, name, lines } => {
+            let path = watch_path(kind.as_deref(), name.as_deref())?;
+            watch::run(flags, &client(flags)?, &path, *lines).await
+        }
+        Command::Wait { change, timeout } => {
+            check::name("change", "id", change)?;
+            wait::run(flags, &client(flags)?, change, *timeout).await
+        }
+        Command::State { address } => {
+            let client = HttpClient::new(address, None, flags.timeout)?;
+            show(flags, &client.call(&Call::get("/state")).await?)
+        }
+        _ => {
+            let path = read_path(&flags.command)?;
+            show(flags, &client(flags)?.call(&Call::get(path)).await?)
+        }
+    }
 }
 
-fn read_change(file: &str) -> Result<Vec<u8>> {
-    let input = |err: &dyn std::fmt::Display| Error::new(Category::Input, format!("{file}: {err}"));
-    let data = std::fs::read(file).map_err(|err| input(&err))?;
-    let text = String::from_utf8(data).map_err(|err| input(&err))?;
-    let change = Change::from_toml(&text).map_err(|err| input(&err))?;
-    serde_json::to_vec(&change.to_file()).map_err(|err| input(&err))
+fn client(flags: &Flags) -> Result<HttpClient> {
+    HttpClient::new(&flags.daemons, flags.token.clone(), flags.timeout)
 }
 
-async fn wait(client: &HttpClient, change: &str, timeout: Duration) -> Result<Exit> {
-    let path = format!("/v1/changes/{change}?wait_ms={}", timeout.as_millis());
-    let (status, body) = client.call(Method::GET, &path, b"").await?;
-    if !status.is_success() {
-        return Ok(show((status, body)));
-    }
-    let complete = body["in_force"] == body["daemons"] && body["daemons"] != 0;
-    println!("{body:#}");
-    Ok(if complete {
-        Exit::Done
-    } else {
-        Exit::NotInForce
+/// Returns the path of a command that only reads.
+fn read_path(command: &Command) -> Result<String> {
+    Ok(match command {
+        Command::Get { kind, name } => {
+            let key = ResourceKey::new(kind.parse::<Kind>()?, name.as_str());
+            check::name(&key.to_string(), "name", name)?;
+            format!("/v1/resources/{key}")
+        }
+        Command::List { kind: Some(kind) } => format!("/v1/resources/{}", kind.parse::<Kind>()?),
+        Command::List { kind: None } => "/v1/resources".into(),
+        Command::History { limit: Some(limit) } => format!("/v1/changes?limit={limit}"),
+        Command::History { limit: None } => "/v1/changes".into(),
+        Command::Status { change } => {
+            check::name("change", "id", change)?;
+            format!("/v1/changes/{change}")
+        }
+        _ => "/v1/version".into(),
     })
 }
 
-fn show((status, body): (StatusCode, Value)) -> Exit {
-    println!("{body:#}");
-    match body["outcome"].as_str() {
-        Some("unknown") => Exit::Unknown,
-        Some("not-accepted") => Exit::NotAccepted,
-        _ if status.is_success() => Exit::Done,
-        _ if status.is_client_error() => Exit::Input,
-        _ => Exit::Failed,
+fn watch_path(kind: Option<&str>, name: Option<&str>) -> Result<String> {
+    let Some(kind) = kind else {
+        return Ok("/v1/watch".into());
+    };
+    let kind = kind.parse::<Kind>()?;
+    let Some(name) = name else {
+        return Ok(format!("/v1/watch?kind={kind}"));
+    };
+    check::name("watch", "name", name)?;
+    Ok(format!("/v1/watch?kind={kind}&name={name}"))
+}
+
+/// Writes an answer and returns the exit code that it stands for.
+fn show(flags: &Flags, reply: &Reply) -> Result<Exit> {
+    if reply.status.is_success() {
+        write_body(flags, &reply.body)?;
+        return Ok(Exit::Done);
     }
+    if flags.output == Output::Json {
+        write_body(flags, &reply.body)?;
+    }
+    Err(error_of(reply))
+}
+
+fn write_body(flags: &Flags, body: &Value) -> Result<()> {
+    match flags.output {
+        Output::Json => write_text(&format!("{body:#}\n")),
+        Output::Table => write_text(&table::render(body)),
+    }
+}
+
+fn write_text(text: &str) -> Result<()> {
+    let mut out = std::io::stdout().lock();
+    let written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    written.map_err(|err| Error::new(Category::Internal, format!("standard output: {err}")))
+}
+
+/// Reads the error shape of the API.
+fn error_of(reply: &Reply) -> Error {
+    let told = &reply.body["error"];
+    let message = told["message"].as_str().unwrap_or("no reason is given");
+    let all = [
+        Category::Input,
+        Category::Conflict,
+        Category::Missing,
+        Category::Unavailable,
+        Category::Unknown,
+        Category::Internal,
+    ];
+    let category = all
+        .into_iter()
+        .find(|category| told["category"] == category.as_str());
+    let category = category.unwrap_or(Category::Internal);
+    Error::new(category, message)
 }
 
 fn exit_of(category: Category) -> Exit {
@@ -120,6 +183,7 @@
         Category::Unavailable => Exit::Unreachable,
         Category::Unknown => Exit::Unknown,
         Category::Conflict => Exit::NotAccepted,
-        Category::Missing | Category::Internal => Exit::Failed,
+        Category::Missing => Exit::Missing,
+        Category::Internal => Exit::Failed,
     }
 }
--- a/src/ctl/flags.rs
+++ b/src/ctl/flags.rs
@@ -1,24 +1,44 @@
 //! The commands and flags of `baobabctl`.
 
+use crate::error::{Category, Error, Result};
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::io::Write as _;
 use std::time::Duration;
 
 #[allow(missing_docs, reason = "the macro writes no comments")]
 mod parsed {
     xflags::xflags! {
         /// Changes and watches the configuration of a service mesh.
+        ///
+        /// Each flag before the command has an environment variable: --timeout-ms is
+        /// BAOBAB_TIMEOUT_MS. A flag goes before its variable. BAOBAB_OPERATOR_TOKEN holds the
+        /// operator token.
+        ///
+        /// Exit codes: 0 done; 1 the program failed; 2 wrong command line or input; 3 not
+        /// accepted; 4 unknown, ask by change id; 5 not in force everywhere in time; 6 no daemon
+        /// can be reached; 7 no such resource or change.
         cmd baobabctl {
-            /// Operator addresses of daemons, separated by commas; also BAOBAB_DAEMONS.
+            /// Operator addresses of daemons as IP:PORT, separated by commas, tried in turn.
             optional --daemons addresses: String
+            /// How answers are written: table or json; table by default.
+            optional --output format: String
+            /// Greatest time for one daemon to answer, in milliseconds; 10000 by default.
+            optional --timeout-ms ms: String
 
             /// Checks a change and shows what it would do.
             cmd check {
-                /// The change file, in TOML.
+                /// The change file, in TOML, or in JSON if its name ends in .json.
                 required file: String
             }
             /// Applies a change.
             cmd apply {
-                /// The change file, in TOML.
+                /// The change file, in TOML, or in JSON if its name ends in .json.
                 required file: String
+                /// Waits until the change is in force everywhere, as the wait command does.
+                optional --wait
+                /// Greatest time for --wait, in milliseconds; 10000 by default.
+                optional --wait-ms ms: u64
             }
             /// Applies the inverse of a change.
             cmd revert {
@@ -26,15 +46,53 @@
                 required change: String
                 /// The id of the new change; revert-CHANGE by default.
                 optional --id id: String
+                /// Waits until the change is in force everywhere, as the wait command does.
+                optional --wait
+                /// Greatest time for --wait, in milliseconds; 10000 by default.
+                optional --wait-ms ms: u64
+            }
+            /// Shows one resource.
+            cmd get {
+                /// The kind: policy, pool, service or route.
+                required kind: String
+                /// The name.
+                required name: String
+            }
+            /// Lists resources.
+            cmd list {
+                /// The kind; every kind by default.
+                optional kind: String
+            }
+            /// Shows resources, then each difference, until interrupted.
+            cmd watch {
+                /// The kind; every kind by default.
+                optional kind: String
+                /// The name; every name by default.
+                optional name: String
+                /// Ends after this many lines.
+                optional --lines count: u64
             }
             /// Lists accepted changes, newest first.
-            cmd history {}
+            cmd history {
+                /// Greatest number of changes; 100 by default.
+                optional --limit count: u64
+            }
+            /// Tells whether a change is accepted, and where it is in force.
+            cmd status {
+                /// The id of the change.
+                required change: String
+            }
             /// Waits until a change is in force everywhere.
             cmd wait {
                 /// The id of the change.
                 required change: String
                 /// Greatest time to wait, in milliseconds; 10000 by default.
-                optional --timeout-ms ms: u64
+                optional --wait-ms ms: u64
+            }
+            /// Shows the state dump of a daemon.
+            cmd state {
+                /// The admin address of the daemon, as IP:PORT.
+                required address: String
             }
             /// Shows the version in force at the daemon asked.
             cmd version {}
@@ -43,6 +101,7 @@
 }
 
 const DEFAULT_WAIT_MS: u64 = 10_000;
+const DEFAULT_TIMEOUT_MS: u32 = 10_000;
 
 /// A command with its arguments.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,6 +115,8 @@
     Apply {
         /// The change file.
         file: String,
+        /// Greatest time to wait until it is in force, if it shall wait.
+        wait: Option<Duration>,
     },
     /// Applies the inverse of a change.
     Revert {
@@ -63,9 +124,40 @@
         change: String,
         /// The id of the new change.
         id: Option<String>,
+        /// Greatest time to wait until it is in force, if it shall wait.
+        wait: Option<Duration>,
+    },
+    /// Shows one resource.
+    Get {
+        /// The kind.
+        kind: String,
+        /// The name.
+        name: String,
+    },
+    /// Lists resources.
+    List {
+        /// The kind, or every kind.
+        kind: Option<String>,
+    },
+    /// Shows resources and each difference.
+    Watch {
+        /// The kind, or every kind.
+        kind: Option<String>,
+        /// The name, or every name.
+        name: Option<String>,
+        /// The number of lines after which it ends.
+        lines: Option<u64>,
     },
     /// Lists accepted changes.
-    History,
+    History {
+        /// Greatest number of changes.
+        limit: Option<u64>,
+    },
+    /// Tells whether a change is accepted, and where it is in force.
+    Status {
+        /// The id of the change.
+        change: String,
+    },
     /// Waits until a change is in force everywhere.
     Wait {
         /// The id of the change.
@@ -73,15 +165,34 @@
         /// Greatest time to wait.
         timeout: Duration,
     },
+    /// Shows the state dump of a daemon.
+    State {
+        /// The admin address of the daemon.
+        address: String,
+    },
     /// Shows the version in force.
     Version,
 }
 
+/// How answers are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Output {
+    /// Aligned columns.
+    #[default]
+    Table,
+    /// JSON as the daemon answers it.
+    Json,
+}
+
 /// The command line of `baobabctl`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Flags {
     /// Operator addresses of daemons, separated by commas.
     pub daemons: String,
+    /// How answers are written.
+    pub output: Output,
+    /// Greatest time for one daemon to answer.
+    pub timeout: Duration,
     /// The operator token.
     pub token: Option<String>,
     /// The command.
@@ -90,16 +201,88 @@
 
 impl Flags {
     /// Reads the command line and the environment; prints help or a fault and exits where asked to.
-    #[must_use]
-    pub fn from_env_or_exit() -> Self {
-        let parsed = parsed::Baobabctl::from_env_or_exit();
-        let daemons = parsed
-            .daemons
-            .or_else(|| std::env::var("BAOBAB_DAEMONS").ok());
-        Flags {
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Flags::new`] does.
+    pub fn from_env_or_exit() -> Result<Self> {
+        let variables = std::env::vars_os()
+            .filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)))
+            .collect();
+        let args: Vec<OsString> = std::env::args_os().skip(1).collect();
+        match parsed::Baobabctl::from_vec(args.clone()) {
+            Ok(parsed) => Flags::from_parsed(parsed, &variables),
+            Err(err) if err.is_help() => {
+                let _ = std::io::stdout().write_all(help(&args, &err.to_string()).as_bytes());
+                std::process::exit(0)
+            }
+            Err(err) => Err(Error::new(Category::Input, err)),
+        }
+    }
+
+    /// Reads a command line, without the program's name, and environment variables.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Category::Input`] on an unknown flag, a missing value or one that is not valid.
+    pub fn new(args: Vec<OsString>, variables: &BTreeMap<String, String>) -> Result<Self> {
+        let parsed = parsed::Baobabctl::from_vec(args);
+        let parsed = parsed.map_err(|err| Error::new(Category::Input, err))?;
+        Flags::from_parsed(parsed, variables)
+    }
+
+    fn from_parsed(
+        parsed: parsed::Baobabctl,
+        variables: &BTreeMap<String, String>,
+    ) -> Result<Self> {
+        let variable = |flag: &str| variables.get(&crate::settings::variable(flag)).cloned();
+        let daemons = parsed.daemons.or_else(|| variable("daemons"));
+        let output = parsed.output.or_else(|| variable("output"));
+        let timeout = parsed.timeout_ms.or_else(|| variable("timeout-ms"));
+        let token = variables.get(crate::settings::TOKEN_VARIABLE).cloned();
+        Ok(Flags {
             daemons: daemons.unwrap_or_default(),
-            token: std::env::var(crate::settings::TOKEN_VARIABLE).ok(),
+            output: read_output(output.as_deref())?,
+            timeout: read_timeout(timeout.as_deref())?,
+            token: token.filter(|token| !token.is_empty()),
             command: command(parsed.subcommand),
+        })
+    }
+}
+
+/// Returns the part of the help about the command named in the arguments, or all of it.
+fn help<'a>(args: &[OsString], all: &'a str) -> &'a str {
+    let mut names = args.iter().filter_map(|arg| arg.to_str());
+    let section = names.find_map(|name| all.find(&format!("\nbaobabctl {name}\n")));
+    let Some(start) = section else {
+        return all;
+    };
+    let section = &all[start + 1..];
+    let end = section.find("\nbaobabctl ").unwrap_or(section.len());
+    &section[..end]
+}
+
+fn read_output(output: Option<&str>) -> Result<Output> {
+    match output {
+        None | Some("table") => Ok(Output::Table),
+        Some("json") => Ok(Output::Json),
+        Some(other) => {
+            let message = format!("--output (BAOBAB_OUTPUT): {other:?} is none of table, json");
+            Err(Error::new(Category::Input, message))
+        }
+    }
+}
+
+fn read_timeout(timeout: Option<&str>) -> Result<Duration> {
+    let Some(text) = timeout else {
+        return Ok(Duration::from_millis(DEFAULT_TIMEOUT_MS.into()));
+    };
+    match text.parse::<u32>() {
+        Ok(ms) if ms > 0 => Ok(Duration::from_millis(ms.into())),
+        _ => {
+            let message =
+                format!("--timeout-ms (BAOBAB_TIMEOUT_MS): {text:?} is not a number above zero");
+            Err(Error::new(Category::Input, message))
         }
     }
 }
@@ -108,16 +291,42 @@
     use parsed::BaobabctlCmd as Parsed;
     match parsed {
         Parsed::Check(check) => Command::Check { file: check.file },
-        Parsed::Apply(apply) => Command::Apply { file: apply.file },
+        Parsed::Apply(apply) => Command::Apply {
+            file: apply.file,
+            wait: apply.wait.then(|| wait_time(apply.wait_ms)),
+        },
         Parsed::Revert(revert) => Command::Revert {
             change: revert.change,
             id: revert.id,
+            wait: revert.wait.then(|| wait_time(revert.wait_ms)),
+        },
+        Parsed::Get(get) => Command::Get {
+            kind: get.kind,
+            name: get.name,
+        },
+        Parsed::List(list) => Command::List { kind: list.kind },
+        Parsed::Watch(watch) => Command::Watch {
+            kind: watch.kind,
+            name: watch.name,
+            lines: watch.lines,
+        },
+        Parsed::History(history) => Command::History {
+            limit: history.limit,
+        },
+        Parsed::Status(status) => Command::Status {
+            change: status.change,
         },
-        Parsed::History(_) => Command::History,
         Parsed::Wait(wait) => Command::Wait {
             change: wait.change,
-            timeout: Duration::from_millis(wait.timeout_ms.unwrap_or(DEFAULT_WAIT_MS)),
+            timeout: wait_time(wait.wait_ms),
+        },
+        Parsed::State(state) => Command::State {
+            address: state.address,
         },
         Parsed::Version(_) => Command::Version,
     }
 }
+
+fn wait_time(ms: Option<u64>) -> Duration {
+    Duration::from_millis(ms.unwrap_or(DEFAULT_WAIT_MS))
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -65,6 +65,7 @@
 async fn baobabctl(daemon: &Process, arguments: &[&str]) -> (Option<i32>, Value) {
     let output = tokio::process::Command::new(env!("CARGO_BIN_EXE_baobabctl"))
         .env("BAOBAB_DAEMONS", daemon.operator.to_string())
+        .env("BAOBAB_OUTPUT", "json")
         .args(arguments)
         .output()
         .await
