--- /dev/null
+++ b/src/role/operator/status.rs
@@ -0,0 +1,37 @@
+//! The status of a change: whether it is accepted, and where it is in force.
+
+use super::reply::{self, Fault};
+use super::request::Query;
+use crate::daemon::{Daemon, Phase};
+use crate::error::{Category, Error};
+use crate::serve::Body;
+use crate::tree::force::in_force;
+use http::Response;
+use serde_json::json;
+use std::time::Duration;
+
+/// Greatest time that one request waits for a change to be in force.
+const MAX_WAIT: Duration = Duration::from_mins(1);
+
+/// Tells whether a change is accepted, and on how many daemons it is in force.
+pub async fn answer(daemon: &Daemon, id: &str, query: &Query) -> Result<Response<Body>, Fault> {
+    let wait = Duration::from_millis(query.parsed("wait_ms")?.unwrap_or(0));
+    let head = daemon.store.head().await?;
+    let Some(version) = daemon.store.find(&head, id, None).await? else {
+        let message = format!("change {id} is not in the log");
+        return Err(Error::new(Category::Missing, message).into());
+    };
+    let waited = in_force(daemon, version, wait.min(MAX_WAIT));
+    let (total, missing) = tokio::select! {
+        found = waited => found,
+        () = daemon.drain.reached(Phase::Draining) => in_force(daemon, version, Duration::ZERO).await,
+    };
+    Ok(reply::json(&json!({
+        "change": id,
+        "outcome": "accepted",
+        "version": version,
+        "daemons": total,
+        "in_force": total - missing.len(),
+        "missing": missing,
+    })))
+}
