Heal lost relays, prove ambiguous swaps and prune old values

Cause: a swap of head without an answer was told apart from a lost one only by the log; old values stayed for ever; a relay that learned of the other one just before an outage never met it; a stand-in forgot a suspected daemon and stayed alone.

Change: the same swap is sent again until it is proved; the accepting daemon deletes values of old versions; the process has one budget towards the platform; the relay of greater name attaches too after a round; stand-ins also try suspected daemons.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,7 +12,7 @@
 use crate::event;
 use crate::generated::mesh as wire;
 use crate::member::Fleet;
-use crate::platform::{Client, ClientSettings, Platform};
+use crate::platform::{Budget, Client, ClientSettings, Platform};
 use crate::settings::{Addresses, Settings};
 use crate::store::Store;
 use crate::sync::lock;
@@ -93,7 +93,7 @@
         Ok(Arc::new(Daemon {
             identity,
             sockets,
-            store: Store::new(platform),
+            store: Store::new(Arc::new(Budget::new(platform, settings.platform_timeout))),
             config: ConfigCell::default(),
             fleet: FleetCell::default(),
             drain: Drain::default(),
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,7 +1,9 @@
 //! The edge to the platform's key-value service.
 
+mod budget;
 mod client;
 
+pub use budget::{Budget, CALLS_PER_SECOND, RETRIES_PER_SECOND};
 pub use client::{Client, ClientSettings};
 
 use bytes::Bytes;
--- /dev/null
+++ b/src/platform/budget.rs
@@ -0,0 +1,159 @@
+//! Bounds the calls that one process makes to the platform.
+
+use super::{Answer, Entry, Platform, PlatformError, Swap};
+use crate::event;
+use crate::sync::lock;
+use crate::tree::backoff::{Bucket, jitter};
+use bytes::Bytes;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// Calls that a process makes in a second, with one second's worth in hand.
+pub const CALLS_PER_SECOND: u32 = 50;
+
+/// Reads repeated in a second, with one second's worth in hand.
+pub const RETRIES_PER_SECOND: u32 = 5;
+
+/// Greatest delay before a read is repeated.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// A platform within a budget that all roles of the process share.
+///
+/// A call that finds the budget spent waits for its turn, for at most the time of a call; then it
+/// fails as unavailable, without effect. A failed read is repeated once if the budget for that
+/// lasts; a write is never repeated here.
+pub struct Budget {
+    inner: Arc<dyn Platform>,
+    patience: Duration,
+    buckets: Mutex<Buckets>,
+    lost: AtomicBool,
+}
+
+struct Buckets {
+    calls: Bucket,
+    retries: Bucket,
+}
+
+impl Budget {
+    /// Bounds the calls to a platform; a call waits for its turn for at most `patience`.
+    #[must_use]
+    pub fn new(inner: Arc<dyn Platform>, patience: Duration) -> Self {
+        let now = Instant::now();
+        Budget {
+            inner,
+            patience,
+            buckets: Mutex::new(Buckets {
+                calls: Bucket::new(CALLS_PER_SECOND, now),
+                retries: Bucket::new(RETRIES_PER_SECOND, now),
+            }),
+            lost: AtomicBool::new(false),
+        }
+    }
+
+    /// Waits for the turn of a call.
+    async fn turn(&self) -> Result<(), PlatformError> {
+        let deadline = Instant::now() + self.patience;
+        let taken = timeout_at(deadline, async {
+            while let Some(wait) = self.take() {
+                sleep(wait).await;
+            }
+        });
+        let spent = |_| PlatformError::Unavailable("too many calls of this process".into());
+        taken.await.map_err(spent)
+    }
+
+    /// Takes a call, or returns when to try again.
+    fn take(&self) -> Option<Duration> {
+        let mut buckets = lock(&self.buckets);
+        let taken = buckets.calls.take(Instant::now());
+        (!taken).then(|| buckets.calls.wait())
+    }
+
+    fn may_retry(&self) -> bool {
+        lock(&self.buckets).retries.take(Instant::now())
+    }
+
+    async fn write<T>(
+        &self,
+        call: impl Future<Output = Result<T, PlatformError>>,
+    ) -> Result<T, PlatformError> {
+        self.turn().await?;
+        let answer = call.await;
+        self.note(answer.as_ref().err());
+        answer
+    }
+
+    async fn read<'a, T>(&'a self, call: impl Fn() -> Answer<'a, T>) -> Result<T, PlatformError> {
+        self.turn().await?;
+        let mut answer = call().await;
+        if matches!(answer, Err(PlatformError::Unavailable(_))) && self.may_retry() {
+            sleep(jitter(RETRY_DELAY)).await;
+            self.turn().await?;
+            answer = call().await;
+        }
+        self.note(answer.as_ref().err());
+        answer
+    }
+
+    /// Logs when the platform stops answering, and when it answers again.
+    fn note(&self, error: Option<&PlatformError>) {
+        match error {
+            Some(err @ (PlatformError::Unavailable(_) | PlatformError::Unknown(_))) => {
+                if !self.lost.swap(true, Ordering::Relaxed) {
+                    event!(PlatformLost, "error={err}");
+                }
+            }
+            Some(PlatformError::Refused(_)) | None => {
+                if self.lost.swap(false, Ordering::Relaxed) {
+                    event!(PlatformBack);
+                }
+            }
+        }
+    }
+}
+
+impl Platform for Budget {
+    fn get<'a>(&'a self, key: &'a str) -> Answer<'a, Option<Entry>> {
+        Box::pin(self.read(move || self.inner.get(key)))
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str, keys_only: bool, limit: u32) -> Answer<'a, Vec<Entry>> {
+        Box::pin(self.read(move || self.inner.list(prefix, keys_only, limit)))
+    }
+
+    fn swap<'a>(
+        &'a self,
+        key: &'a str,
+        expected: u64,
+        value: Option<Bytes>,
+        lease: u64,
+    ) -> Answer<'a, Swap> {
+        Box::pin(self.write(self.inner.swap(key, expected, value, lease)))
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        seen: u64,
+        timeout: Duration,
+    ) -> Answer<'a, Option<Entry>> {
+        // A watch is repeated by its caller anyway.
+        Box::pin(self.write(self.inner.watch(key, seen, timeout)))
+    }
+
+    fn grant(&self, ttl: Duration) -> Answer<'_, u64> {
+        Box::pin(self.write(self.inner.grant(ttl)))
+    }
+
+    fn renew(&self, lease: u64) -> Answer<'_, bool> {
+        Box::pin(self.write(self.inner.renew(lease)))
+    }
+
+    fn revoke(&self, lease: u64) -> Answer<'_, ()> {
+        Box::pin(self.write(self.inner.revoke(lease)))
+    }
+}
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -75,22 +75,14 @@
 async fn watch_platform(daemon: &Daemon) -> anyhow::Result<()> {
     let mut seen = None;
     let mut delay = RETRY_MIN;
-    let mut lost = false;
     loop {
         match follow_head(daemon, seen).await {
             Ok(revision) => {
                 seen = Some(revision);
                 delay = RETRY_MIN;
-                if lost {
-                    event!(PlatformBack);
-                }
-                lost = false;
             }
             Err(err) => {
-                if !lost && err.category() == Category::Unavailable {
-                    event!(PlatformLost, "error={err}");
-                    lost = true;
-                } else if err.category() != Category::Unavailable {
+                if err.category() != Category::Unavailable {
                     event!(SnapshotUnreadable, "error={err}");
                 }
                 let share = rand::rng().random_range(0.5..1.0);
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -1,7 +1,6 @@
 //! The role that announces this daemon and learns of the others.
 
 use crate::daemon::{Daemon, Phase};
-use crate::event;
 use crate::generated::mesh as wire;
 use crate::generated::mesh::MemberState;
 use crate::kernel::{Plugin, Work};
@@ -77,10 +76,7 @@
             None => Ok(false),
         };
         if renewed != Ok(true) || draining {
-            match write_record(daemon, draining).await {
-                Ok(granted) => lease = Some(granted),
-                Err(err) => event!(PlatformLost, "error={err}"),
-            }
+            lease = write_record(daemon, draining).await.ok().or(lease);
         }
         tokio::select! {
             () = sleep(RENEW_EVERY) => {}
@@ -112,13 +108,10 @@
 /// Reads every daemon's key again and again.
 async fn list(daemon: &Daemon) -> anyhow::Result<()> {
     loop {
-        match daemon.store.platform().list(PREFIX, false, 0).await {
-            Ok(entries) => {
-                let records = entries.into_iter();
-                let records = records.filter_map(|entry| wire::Member::decode(entry.value).ok());
-                daemon.fleet.replace(Fleet::new(records));
-            }
-            Err(err) => event!(PlatformLost, "error={err}"),
+        if let Ok(entries) = daemon.store.platform().list(PREFIX, false, 0).await {
+            let records = entries.into_iter();
+            let records = records.filter_map(|entry| wire::Member::decode(entry.value).ok());
+            daemon.fleet.replace(Fleet::new(records));
         }
         sleep(LIST_EVERY).await;
     }
--- a/src/store.rs
+++ b/src/store.rs
@@ -4,30 +4,32 @@
 //! moves by one compare-and-swap, which makes all of them visible at once. Any daemon may do this
 //! at any time.
 
+mod accept;
+mod prune;
+
 use crate::change::{Applied, Change};
 use crate::error::{Category, Error, Result};
 use crate::generated::mesh as wire;
-use crate::platform::{Entry, MAX_VALUE_LEN, Platform, PlatformError, Swap};
+use crate::platform::{Entry, Platform, PlatformError};
 use crate::snapshot::{Snapshot, Stamp};
-use bytes::Bytes;
 use prost::Message;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
 
 /// The key whose value names the newest accepted version.
 pub const HEAD_KEY: &str = "head";
 
+const SNAPSHOTS: &str = "snapshot/";
+const LOGS: &str = "log/";
+const CHANGES: &str = "change/";
+
 /// The number of newest versions whose snapshots are kept.
 pub const KEPT_VERSIONS: u64 = 64;
 
 /// The number of newest changes kept in the log, for repeats and reverts.
 pub const KEPT_CHANGES: usize = 1_024;
 
-const RETRY_MIN: Duration = Duration::from_millis(20);
-const RETRY_MAX: Duration = Duration::from_millis(500);
-
 /// What became of a change.
 #[derive(Clone, Debug)]
 pub enum Outcome {
@@ -78,6 +80,8 @@
 pub struct Store {
     platform: Arc<dyn Platform>,
     newest: watch::Sender<Arc<Snapshot>>,
+    /// Held while old values are deleted.
+    pruning: Arc<tokio::sync::Mutex<()>>,
 }
 
 impl Store {
@@ -87,6 +91,7 @@
         Store {
             platform,
             newest: watch::Sender::default(),
+            pruning: Arc::default(),
         }
     }
 
@@ -201,50 +206,6 @@
         }
     }
 
-    /// Accepts a change, or finds that it already is.
-    ///
-    /// A change that loses a race is applied to the version that won, unless the two touch the
-    /// same resource at a named revision.
-    pub async fn accept(&self, change: &Change, deadline: Instant) -> Outcome {
-        let mut delay = RETRY_MIN;
-        let mut sent = false;
-        loop {
-            let error = match self.try_accept(change, &mut sent).await {
-                Ok(outcome) => return outcome,
-                Err(error) => error,
-            };
-            if Instant::now() + delay >= deadline {
-                return if sent {
-                    Outcome::Unknown(error)
-                } else {
-                    Outcome::Refused(error)
-                };
-            }
-            sleep(delay).await;
-            delay = (delay * 2).min(RETRY_MAX);
-        }
-    }
-
-    /// Accepts the change that undoes an earlier one.
-    pub async fn revert(&self, target: &str, id: &str, deadline: Instant) -> Outcome {
-        let change = async {
-            let record = self.change_record(target).await?;
-            let (head, now) = self.newest().await?;
-            if let Some(version) = self.find(&head, id, None).await? {
-                return Ok(Err(version));
-            }
-            Change::inverse(&record, id, &now).map(Ok)
-        };
-        match change.await {
-            Ok(Ok(change)) => self.accept(&change, deadline).await,
-            Ok(Err(version)) => Outcome::Accepted {
-                version,
-                repeated: true,
-            },
-            Err(err) => Outcome::Refused(err),
-        }
-    }
-
     /// Finds the version that a change made, if it is in the log.
     ///
     /// # Errors
@@ -255,107 +216,6 @@
         find_change(&log, id, digest)
     }
 
-    /// Makes one attempt. `sent` becomes true once a swap with an unknown outcome was sent, and
-    /// false again when that swap is proved to be without effect.
-    async fn try_accept(&self, change: &Change, sent: &mut bool) -> Result<Outcome> {
-        let head = self.head().await?;
-        let log = self.log(&head).await?;
-        match find_change(&log, change.id(), Some(change.digest())) {
-            Ok(Some(version)) => {
-                let repeated = !*sent;
-                return Ok(Outcome::Accepted { version, repeated });
-            }
-            Ok(None) => {}
-            Err(err) => return Ok(Outcome::Refused(err)),
-        }
-        let base = self.load(&head).await?;
-        let applied = match change.apply(&base) {
-            Ok(applied) => applied,
-            Err(err) => {
-                return Ok(Outcome::Refused(explain_conflict(&log, change, &base, err)));
-            }
-        };
-        let next = self.write_version(&head, log, change, &applied).await?;
-        let value = Bytes::from(next.encode_to_vec());
-        match self
-            .platform
-            .swap(HEAD_KEY, head.revision, Some(value), 0)
-            .await
-        {
-            Ok(Swap::Done(_)) => {
-                let version = applied.snapshot.version();
-                self.remember(&Arc::new(applied.snapshot));
-                Ok(Outcome::Accepted {
-                    version,
-                    repeated: false,
-                })
-            }
-            Ok(Swap::Stale(_)) => Err(Error::new(
-                Category::Unavailable,
-                "head has moved on; too many changes at once",
-            )),
-            Err(err @ PlatformError::Unknown(_)) => {
-                *sent = true;
-                Err(from_platform(err))
-            }
-            Err(err) => Err(from_platform(err)),
-        }
-    }
-
-    /// Writes the immutable values of a version and returns the head that names them.
-    async fn write_version(
-        &self,
-        head: &Head,
-        mut log: wire::LogPage,
-        change: &Change,
-        applied: &Applied,
-    ) -> Result<wire::Head> {
-        let stamp = applied.snapshot.stamp();
-        let data = Bytes::from(applied.snapshot.encode());
-        let mut chunks = 0;
-        let mut rest = data;
-        while !rest.is_empty() {
-            let part = rest.split_to(rest.len().min(MAX_VALUE_LEN));
-            self.write_once(&chunk_key(stamp, chunks), part).await?;
-            chunks += 1;
-        }
-        let record = format!("change/{:012}/{stamp}", stamp.version);
-        self.write_once(&record, applied.record.encode_to_vec().into())
-            .await?;
-        log.entries.push(wire::LogEntry {
-            stamp: Some(stamp.to_wire()),
-            change: change.id().into(),
-            title: change.title().into(),
-            accepted_ms: unix_ms(),
-            digest: Bytes::copy_from_slice(&change.digest().to_be_bytes()),
-            record,
-            touched: touched(change),
-        });
-        let surplus = log.entries.len().saturating_sub(KEPT_CHANGES);
-        log.entries.drain(..surplus);
-        let page = log.encode_to_vec();
-        let hash = xxhash_rust::xxh3::xxh3_128(&page);
-        let log = format!("log/{:012}/{hash:032x}", stamp.version);
-        self.write_once(&log, page.into()).await?;
-        debug_assert!(head.stamp().version < stamp.version);
-        Ok(wire::Head {
-            stamp: Some(stamp.to_wire()),
-            change: change.id().into(),
-            chunks,
-            log,
-        })
-    }
-
-    /// Writes an immutable value; one that is already there has the same content by its key.
-    async fn write_once(&self, key: &str, value: Bytes) -> Result<()> {
-        if value.len() > MAX_VALUE_LEN {
-            let message = format!("{key}: {} bytes; at most {MAX_VALUE_LEN}", value.len());
-            return Err(Error::new(Category::Input, message));
-        }
-        let swap = self.platform.swap(key, 0, Some(value), 0).await;
-        swap.map(|_| ()).map_err(from_platform)
-    }
-
     async fn record<T: Message + Default>(&self, key: &str) -> Result<T> {
         let entry = self.platform.get(key).await.map_err(from_platform)?;
         let entry = entry.ok_or_else(|| missing(key))?;
@@ -422,14 +282,10 @@
     Ok(entry.stamp.as_ref().map(|stamp| stamp.version))
 }
 
-fn touched(change: &Change) -> Vec<String> {
-    let operations = change.operations().iter();
-    operations.map(|op| op.key.to_string()).collect()
-}
-
+/// Returns the key of a value that holds a part of a snapshot.
 fn chunk_key(stamp: Stamp, chunk: u32) -> String {
     let Stamp { version, hash } = stamp;
-    format!("snapshot/{version:012}/{hash:032x}/{chunk}")
+    format!("{SNAPSHOTS}{version:012}/{hash:032x}/{chunk}")
 }
 
 fn decode<T: Message + Default>(key: &str, value: &[u8]) -> Result<T> {
@@ -448,8 +304,3 @@
     };
     Error::new(category, err)
 }
-
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
-}
--- a/src/tree/node/accept.rs
+++ b/src/tree/node/accept.rs
@@ -83,6 +83,7 @@
         link.name = welcome.name;
         link.domain = welcome.domain;
         link.relay = welcome.relay;
+        link.incarnation = welcome.incarnation;
         link.outbox.set_has(theirs);
         link.outbox.offer();
         if link.side == Side::Parent {
@@ -185,7 +186,15 @@
             return Err(self.elsewhere(RETRY));
         }
         if side == Side::Peer {
-            let fits = is_relay(self.role);
+            let mut links = self.links.values();
+            let doubled = links.any(|link| {
+                link.side == side
+                    && link.name == hello.name
+                    && link.incarnation >= hello.incarnation
+            });
+            // Of two streams between the same relays, the one from the lesser name stays.
+            let surplus = doubled && hello.name > self.me.name;
+            let fits = is_relay(self.role) && !surplus;
             return fits.then_some(()).ok_or_else(|| self.elsewhere(RETRY));
         }
         let known = self.links.values().any(|link| {
@@ -252,6 +261,7 @@
             relays: self.relays.values().take(MAX_NAMED).cloned().collect(),
             domain: self.me.domain.clone(),
             relay: matches!(self.role, Role::Relay(_)),
+            incarnation: self.me.incarnation,
         }
     }
 
--- a/src/tree/relay.rs
+++ b/src/tree/relay.rs
@@ -125,23 +125,17 @@
 async fn follow_head(daemon: &Daemon, actor: &TreeRef) -> anyhow::Result<()> {
     let mut seen = None;
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
-    let mut lost = false;
     loop {
         match read_head(daemon, actor, seen).await {
             Ok(revision) => {
                 seen = Some(revision);
                 backoff.reset();
-                if std::mem::take(&mut lost) {
-                    event!(PlatformBack);
-                }
             }
             Err(err) => {
                 if err.category() != Category::Unavailable {
                     event!(SnapshotUnreadable, "error={err}");
                     // What the head named is gone, so it must have moved on.
                     seen = None;
-                } else if !std::mem::replace(&mut lost, true) {
-                    event!(PlatformLost, "error={err}");
                 }
                 let delay = backoff.delay(&mut rand::rng());
                 sleep(delay).await;
@@ -170,6 +164,7 @@
         addresses: BTreeSet::new(),
     };
     let mut turn = 0;
+    let mut missing = BTreeSet::new();
     loop {
         let listed = lease::list(daemon.store.platform().as_ref(), "").await;
         if let Ok(records) = listed {
@@ -182,11 +177,17 @@
                 .await?;
         }
         let relations = actor.call(Message::Relations).await?;
-        for record in relations.relays {
-            let known = relations.peers.contains(&record.name);
-            if !known && dials_to(daemon, tree, &record) {
+        let relays = relations.relays.into_iter();
+        let relays: Vec<_> = relays
+            .filter(|record| record.name != daemon.identity.name)
+            .filter(|record| !relations.peers.contains(&record.name))
+            .collect();
+        let before = std::mem::take(&mut missing);
+        for record in relays {
+            if dials_first(daemon, tree, &record) || before.contains(&record.name) {
                 dials.start(tree, actor, record.address);
             }
+            missing.insert(record.name);
         }
         let pause = sleep(about(LIST_EVERY));
         dials.run_for(pause).await;
@@ -194,10 +195,9 @@
 }
 
 /// Tests whether this daemon is the one of the two that attaches: the one of lesser name, or a
-/// stand-in, which the relays do not know.
-fn dials_to(daemon: &Daemon, tree: &Tree, record: &wire::RelayRecord) -> bool {
-    let own = &daemon.identity.name;
-    *own != record.name && (tree.role() == Role::StandIn || *own < record.name)
+/// stand-in, which the relays do not know. The other one waits for a round.
+fn dials_first(daemon: &Daemon, tree: &Tree, record: &wire::RelayRecord) -> bool {
+    tree.role() == Role::StandIn || daemon.identity.name < record.name
 }
 
 fn vacant(daemon: &Daemon, tree: &Tree, records: &[wire::RelayRecord]) -> Option<u32> {
--- a/src/tree/seek.rs
+++ b/src/tree/seek.rs
@@ -16,7 +16,7 @@
 pub struct View {
     /// The relays known, of every failure domain.
     pub relays: Vec<wire::RelayRecord>,
-    /// The other daemons of the failure domain that are ready, as name and mesh address.
+    /// The other daemons of the failure domain that may live, as name and mesh address.
     pub mates: Vec<(String, String)>,
     /// The mesh addresses from the settings.
     pub peers: Vec<String>,
--- a/src/tree/uplink.rs
+++ b/src/tree/uplink.rs
@@ -192,7 +192,7 @@
         let mates = fleet.members().values().filter(|member| {
             member.domain == identity.domain
                 && member.name != identity.name
-                && member.state() == MemberState::Ready
+                && matches!(member.state(), MemberState::Ready | MemberState::Suspect)
         });
         Ok(View {
             relays: relations.relays,
--- /dev/null
+++ b/tests/store.rs
@@ -0,0 +1,154 @@
+//! Accepting changes over a platform whose answers get lost, and deleting old versions.
+
+#[path = "store/fake.rs"]
+mod fake;
+
+use baobabstage::platform::Platform;
+use baobabstage::store::{HEAD_KEY, KEPT_VERSIONS, Outcome, Store};
+use baobabstage::{Category, Change};
+use fake::{Fake, Fault};
+use std::sync::Arc;
+use std::time::Duration;
+use test_case::test_case;
+use tokio::time::Instant;
+
+fn change(id: &str, slots: u32) -> Change {
+    let text = format!(
+        "id = \"{id}\"\n[[put]]\nkind = \"pool\"\nname = \"certs\"\n\
+         spec = {{ slots = {slots}, connections = 120 }}\n"
+    );
+    Change::from_toml(&text).unwrap()
+}
+
+fn setup() -> (Arc<Fake>, Store) {
+    let fake = Arc::new(Fake::default());
+    let store = Store::new(Arc::clone(&fake) as Arc<dyn Platform>);
+    (fake, store)
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(5)
+}
+
+async fn accept(store: &Store, id: &str, slots: u32) -> Outcome {
+    store.accept(&change(id, slots), soon()).await
+}
+
+async fn log_ids(store: &Store) -> Vec<String> {
+    let head = store.head().await.unwrap();
+    let log = store.log(&head).await.unwrap();
+    log.entries.into_iter().map(|entry| entry.change).collect()
+}
+
+#[test_case(Fault::LostAfter; "lost_after_effect")]
+#[test_case(Fault::LostBefore; "lost_before_effect")]
+#[test_case(Fault::LandsLater; "lands_before_retry")]
+#[tokio::test(start_paused = true)]
+async fn accept_once(fault: Fault) {
+    let (fake, store) = setup();
+    fake.fault(HEAD_KEY, fault);
+    let outcome = accept(&store, "one", 12).await;
+    let fresh = matches!(
+        outcome,
+        Outcome::Accepted {
+            version: 1,
+            repeated: false
+        }
+    );
+    assert!(fresh, "{outcome:?}");
+    assert_eq!(log_ids(&store).await, ["one"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn accept_unknown_while_swap_may_land() {
+    let (fake, store) = setup();
+    fake.fault(HEAD_KEY, Fault::Silent);
+    let outcome = accept(&store, "one", 12).await;
+    assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+    fake.land();
+    let outcome = accept(&store, "one", 12).await;
+    let found = matches!(
+        outcome,
+        Outcome::Accepted {
+            version: 1,
+            repeated: true
+        }
+    );
+    assert!(found, "{outcome:?}");
+    assert_eq!(log_ids(&store).await, ["one"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn accept_lost_race_lands_never() {
+    let (fake, store) = setup();
+    fake.fault(HEAD_KEY, Fault::Silent);
+    let outcome = accept(&store, "one", 12).await;
+    assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+    fake.heal();
+    let other = Store::new(Arc::clone(&fake) as Arc<dyn Platform>);
+    accept(&other, "two", 9).await;
+    fake.land();
+    assert_eq!(log_ids(&store).await, ["two"]);
+    let outcome = accept(&store, "one", 12).await;
+    let fresh = matches!(
+        outcome,
+        Outcome::Accepted {
+            version: 2,
+            repeated: false
+        }
+    );
+    assert!(fresh, "{outcome:?}");
+    assert_eq!(log_ids(&store).await, ["two", "one"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn accept_refused_when_nothing_sent() {
+    let (fake, store) = setup();
+    fake.fault("snapshot/", Fault::Silent);
+    let outcome = accept(&store, "one", 12).await;
+    assert!(matches!(outcome, Outcome::Refused(_)), "{outcome:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn load_missing_chunk() {
+    let (fake, store) = setup();
+    accept(&store, "one", 12).await;
+    let other = Store::new(Arc::clone(&fake) as Arc<dyn Platform>);
+    let stale = other.head().await.unwrap();
+    accept(&store, "two", 9).await;
+    fake.lose("snapshot/000000000001");
+    let err = other.load(&stale).await.unwrap_err();
+    assert_eq!(err.category(), Category::Missing);
+    let (_, newest) = other.newest().await.unwrap();
+    assert_eq!(newest.version(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn prune_keeps_newest() {
+    let (fake, store) = setup();
+    let count = KEPT_VERSIONS + 3;
+    for number in 1..=count {
+        let slots = u32::try_from(number).unwrap();
+        let outcome = accept(&store, &format!("change-{number}"), slots).await;
+        assert!(matches!(outcome, Outcome::Accepted { .. }), "{outcome:?}");
+    }
+    store.prune(count).await.unwrap();
+    let newest = store.prune(count).await.unwrap();
+    assert_eq!(newest, 0);
+    for (prefix, kept) in [
+        ("snapshot/", KEPT_VERSIONS),
+        ("log/", KEPT_VERSIONS),
+        ("change/", count),
+    ] {
+        let keys = fake.keys(prefix);
+        assert_eq!(keys.len() as u64, kept, "{prefix}");
+        let first = format!("{prefix}{:012}/", count - kept + 1);
+        assert!(keys[0].starts_with(&first), "{}", keys[0]);
+    }
+    let fresh = Store::new(Arc::clone(&fake) as Arc<dyn Platform>);
+    assert_eq!(fresh.newest().await.unwrap().1.version(), count);
+    let undone = fresh
+        .revert(&format!("change-{count}"), "undo", soon())
+        .await;
+    assert!(matches!(undone, Outcome::Accepted { .. }), "{undone:?}");
+}
--- /dev/null
+++ b/tests/tree/support.rs
@@ -0,0 +1,243 @@
+//! A failure domain of real daemons with a platform.
+
+use baobabstage::generated::mesh::RelayRecord;
+use baobabstage::platform::{Client, ClientSettings, Platform as _};
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::Full;
+use prost::Message;
+use serde_json::{Value, json};
+use standin::caller;
+use standin::fleet::{Launcher, Process};
+use standin::platform::{Faults, Limits, Platform};
+use std::net::SocketAddr;
+use std::ops::Deref;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// A generous time for anything to come about.
+pub const TIMEOUT: Duration = Duration::from_mins(1);
+
+const POLL: Duration = Duration::from_millis(50);
+
+/// A running daemon with its name.
+pub struct Daemon {
+    name: String,
+    process: Process,
+}
+
+impl Deref for Daemon {
+    type Target = Process;
+
+    fn deref(&self) -> &Process {
+        &self.process
+    }
+}
+
+/// Daemons of one failure domain with a platform.
+pub struct Cell {
+    pub platform: Platform,
+    pub daemons: Vec<Daemon>,
+}
+
+/// The faults of a platform that does not answer.
+pub fn down() -> Faults {
+    Faults {
+        down: true,
+        ..Faults::default()
+    }
+}
+
+/// Returns the version in force.
+pub fn version(state: &Value) -> u64 {
+    state["config"]["version"].as_u64().unwrap_or(0)
+}
+
+/// Returns the role in the distribution tree.
+pub fn role(state: &Value) -> &str {
+    state["config"]["tree"]["role"].as_str().unwrap_or("")
+}
+
+impl Cell {
+    /// Starts daemons and waits until they know each other and two are relays.
+    pub async fn start(count: usize) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = Platform::start(any, Limits::default()).await.unwrap();
+        let daemons = Vec::new();
+        let mut cell = Cell { platform, daemons };
+        for index in 0..count {
+            cell.add(&format!("certs-{index}"), &[]).await;
+        }
+        cell.wait_members().await;
+        cell.wait_relays(count.min(2)).await;
+        cell
+    }
+
+    pub async fn add(&mut self, name: &str, flags: &[&str]) {
+        let platform = self.platform.address().to_string();
+        let fixed = [
+            ("--name", name),
+            ("--domain", "espoo"),
+            ("--region", "fi-south"),
+            ("--platform", &platform),
+            ("--platform-timeout-ms", "500"),
+            ("--heartbeat-ms", "500"),
+        ];
+        let fixed = fixed.iter().flat_map(|(flag, value)| [*flag, *value]);
+        let flags: Vec<String> = fixed.chain(flags.iter().copied()).map(Into::into).collect();
+        let launcher = Launcher::new(env!("CARGO_BIN_EXE_baobabd"));
+        let process = launcher.start(&flags).await.unwrap();
+        let name = name.to_owned();
+        self.daemons.push(Daemon { name, process });
+    }
+
+    pub async fn kill(&mut self, index: usize) {
+        let mut daemon = self.daemons.remove(index);
+        daemon.process.kill().await.unwrap();
+    }
+
+    pub fn name(&self, index: usize) -> String {
+        self.daemons[index].name.clone()
+    }
+
+    /// Has a change accepted that makes this version.
+    pub async fn accept(&self, number: u64) {
+        let spec = json!({ "slots": number, "connections": 120 });
+        let change = json!({
+            "id": format!("change-{number}"),
+            "put": [{ "kind": "pool", "name": "certs", "spec": spec }],
+        });
+        let deadline = Instant::now() + TIMEOUT;
+        loop {
+            let request = Request::builder()
+                .method(Method::POST)
+                .uri("/v1/changes")
+                .body(Full::from(change.to_string()))
+                .unwrap();
+            let answer = caller::call(self.daemons[0].operator, request)
+                .await
+                .unwrap();
+            if answer.status() == 200 {
+                return;
+            }
+            let told = String::from_utf8_lossy(answer.body()).into_owned();
+            assert!(Instant::now() < deadline, "not accepted: {told}");
+        }
+    }
+
+    /// Waits until a version is in force on every daemon.
+    pub async fn wait_version(&self, number: u64) {
+        for daemon in &self.daemons {
+            let what = format!("version {number} on {}", daemon.name);
+            let reached = |state: &Value| version(state) == number;
+            daemon.wait_state(&what, TIMEOUT, reached).await.unwrap();
+        }
+    }
+
+    /// Waits until each daemon knows exactly the daemons that run, all of them ready.
+    pub async fn wait_members(&self) {
+        let mut names: Vec<&str> = self.daemons.iter().map(|d| d.name.as_str()).collect();
+        names.sort_unstable();
+        for daemon in &self.daemons {
+            let what = format!("members on {}", daemon.name);
+            let knows = |state: &Value| ready(state) == names;
+            daemon.wait_state(&what, TIMEOUT, knows).await.unwrap();
+        }
+    }
+
+    /// Waits until so many daemons are relays, and all others are children.
+    pub async fn wait_relays(&self, count: usize) {
+        self.wait_roles(|roles| {
+            let relays = roles.iter().filter(|role| role.starts_with("relay-"));
+            let children = roles.iter().filter(|role| *role == "child");
+            relays.count() == count && children.count() == roles.len() - count
+        })
+        .await;
+    }
+
+    pub async fn wait_roles(&self, condition: impl Fn(&[String]) -> bool) {
+        let deadline = Instant::now() + TIMEOUT;
+        loop {
+            let roles = self.roles().await;
+            if condition(&roles) {
+                return;
+            }
+            assert!(Instant::now() < deadline, "roles are {roles:?}");
+            sleep(POLL).await;
+        }
+    }
+
+    /// Returns the places of the relays, the last one first.
+    pub async fn relays(&self) -> Vec<usize> {
+        let roles = self.roles().await;
+        let relays = (0..roles.len()).rev();
+        relays
+            .filter(|index| roles[*index].starts_with("relay-"))
+            .collect()
+    }
+
+    /// Returns the place of a daemon that is no relay.
+    pub async fn child(&self) -> usize {
+        let roles = self.roles().await;
+        roles.iter().position(|role| role == "child").unwrap()
+    }
+
+    /// Waits until a daemon holds no relay slot in the platform, and two others do.
+    pub async fn wait_holder_not(&self, name: &str) {
+        let deadline = Instant::now() + TIMEOUT;
+        loop {
+            let keys = self.platform.keys("relay/espoo/");
+            let values = keys.iter().filter_map(|key| self.platform.peek(key));
+            let holders: Vec<String> = values
+                .map(|value| RelayRecord::decode(value).unwrap().name)
+                .collect();
+            if holders.len() == 2 && !holders.iter().any(|holder| holder == name) {
+                return;
+            }
+            assert!(Instant::now() < deadline, "relay slots held by {holders:?}");
+            sleep(POLL).await;
+        }
+    }
+
+    /// Loses values of the platform and returns them.
+    pub fn lose(&self, prefix: &str) -> Vec<(String, Bytes)> {
+        let keys = self.platform.keys(prefix).into_iter();
+        let lost: Vec<_> = keys
+            .filter_map(|key| Some((key.clone(), self.platform.peek(&key)?)))
+            .collect();
+        for (key, _) in &lost {
+            self.platform.lose(key);
+        }
+        lost
+    }
+
+    /// Writes values to the platform that had been lost.
+    pub async fn restore(&self, lost: Vec<(String, Bytes)>) {
+        let settings = ClientSettings {
+            address: self.platform.address().to_string(),
+            timeout: Duration::from_secs(5),
+        };
+        let client = Client::new(&settings).unwrap();
+        for (key, value) in lost {
+            client.swap(&key, 0, Some(value), 0).await.unwrap();
+        }
+    }
+
+    async fn roles(&self) -> Vec<String> {
+        let mut roles = Vec::new();
+        for daemon in &self.daemons {
+            let state = daemon.state().await.unwrap_or_default();
+            roles.push(role(&state).to_owned());
+        }
+        roles
+    }
+}
+
+fn ready(state: &Value) -> Vec<&str> {
+    let members = state["members"]["members"].as_array();
+    let members = members.map_or(&[][..], Vec::as_slice).iter();
+    members
+        .filter(|member| member["state"] == "READY")
+        .filter_map(|member| member["name"].as_str())
+        .collect()
+}
