Send small messages at once on the listeners of tonic servers

Cause: convergence took 51 ms at 16 daemons with no load. The server's no-delay setting does not reach a listener that is handed to it, so that each small answer waited for the peer's delayed acknowledgement of 40 ms. Ruled out: the batch window (50 ms), which does not delay versions; direct mode has no batch window and showed the same step.

--- a/src/role/mesh.rs
+++ b/src/role/mesh.rs
@@ -13,7 +13,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status, Streaming};
 
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
@@ -25,14 +26,15 @@
 fn run(daemon: Arc<Daemon>) -> Work {
     Box::pin(async move {
         let listener = daemon.sockets.mesh.listener()?;
+        // The server's own setting does not reach a listener that is handed to it.
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
         let drain = daemon.drain.clone();
         let tree = Tree::of(&daemon);
         let service = MeshServer::new(Service { daemon, tree });
         let service = service.max_decoding_message_size(session::MAX_FRAME_LEN);
         tonic::transport::Server::builder()
-            .tcp_nodelay(true)
             .add_service(service)
-            .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+            .serve_with_incoming_shutdown(incoming, async move {
                 drain.reached(Phase::Stopped).await;
             })
             .await?;
