--- a/src/store/accept.rs
+++ b/src/store/accept.rs
@@ -57,7 +57,7 @@
             let delay = backoff.delay(&mut rand::rng());
             if Instant::now() + delay >= deadline {
                 return match sent {
-                    Sent::None => Outcome::Refused(error),
+                    Sent::None => given_up(error),
                     Sent::Open(_) | Sent::Settled => Outcome::Unknown(error),
                 };
             }
@@ -81,7 +81,7 @@
                 version,
                 repeated: true,
             },
-            Err(err) => Outcome::Refused(err),
+            Err(err) => given_up(err),
         }
     }
 
@@ -219,6 +219,16 @@
     }
 }
 
+/// Tells what is known when the platform could not be read to the end.
+///
+/// An earlier submission under the same id may have been accepted, or still be on its way.
+fn given_up(error: Error) -> Outcome {
+    match error.category() {
+        Category::Unavailable | Category::Unknown | Category::Internal => Outcome::Unknown(error),
+        Category::Input | Category::Conflict | Category::Missing => Outcome::Refused(error),
+    }
+}
+
 fn touched(change: &Change) -> Vec<String> {
     let operations = change.operations().iter();
     operations.map(|op| op.key.to_string()).collect()
