Refuse unknown variables, mend the kernel's failure path, add core metrics

Cause: a role's panic while its work was made ended the supervisor, the give-up path was told by a race on the actor's status, and a misspelt BAOBAB variable was passed over.

--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -3,12 +3,13 @@
 use crate::daemon::{Daemon, Phase};
 use crate::error::{Category, Error, Result};
 use crate::event;
+use crate::sync::lock;
 use prometheus_client::registry::Registry;
 use ractor::{Actor, ActorProcessingErr, ActorRef, SupervisionEvent};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -42,24 +43,54 @@
     plugins
 }
 
+/// How often each role was started again, and which one was given up.
+#[derive(Default)]
+pub struct Restarts {
+    counts: Mutex<BTreeMap<&'static str, u64>>,
+    given_up: OnceLock<&'static str>,
+}
+
+impl Restarts {
+    /// Returns how often each role was started again, by the role's name.
+    #[must_use]
+    pub fn counts(&self) -> BTreeMap<&'static str, u64> {
+        lock(&self.counts).clone()
+    }
+
+    fn count(&self, role: &'static str) {
+        *lock(&self.counts).entry(role).or_default() += 1;
+    }
+}
+
 /// Runs every role until the process is stopped.
 ///
 /// # Errors
 ///
-/// Fails with [`Category::Internal`] when a role fails again and again.
+/// Fails with [`Category::Internal`] when a role fails again and again, or the supervisor itself
+/// ends early.
 pub async fn run(daemon: Arc<Daemon>) -> Result<()> {
-    let supervisor = Actor::spawn(None, Supervisor, Arc::clone(&daemon)).await;
-    let (supervisor, handle) =
+    let restarts = daemon.part(Restarts::default);
+    let arguments = (Arc::clone(&daemon), Arc::clone(&restarts));
+    let supervisor = Actor::spawn(None, Supervisor, arguments).await;
+    let (supervisor, mut handle) =
         supervisor.map_err(|err| Error::new(Category::Internal, format!("kernel: {err}")))?;
-    daemon.drain.reached(Phase::Stopped).await;
-    let failed = supervisor.get_status() == ractor::ActorStatus::Stopped;
+    let ended_early = tokio::select! {
+        _ = &mut handle => daemon.drain.phase() != Phase::Stopped,
+        () = daemon.drain.reached(Phase::Stopped) => false,
+    };
+    daemon.drain.advance(Phase::Stopped);
     supervisor.stop(None);
-    // The handle only ends with an error when the task was cancelled.
-    let _ = handle.await;
-    if failed {
-        let message = "a role fails again and again";
+    if !handle.is_finished() {
+        // The handle only ends with an error when the task was cancelled.
+        let _ = handle.await;
+    }
+    if let Some(role) = restarts.given_up.get() {
+        let message = format!("role {role} fails again and again");
         return Err(Error::new(Category::Internal, message));
     }
+    if ended_early {
+        return Err(Error::new(Category::Internal, "the supervisor has ended"));
+    }
     Ok(())
 }
 
@@ -68,6 +99,7 @@
 
 struct Roles {
     daemon: Arc<Daemon>,
+    restarts: Arc<Restarts>,
     running: BTreeMap<ractor::ActorId, &'static Plugin>,
     failures: BTreeMap<&'static str, Vec<Instant>>,
 }
@@ -79,18 +111,19 @@
 impl Actor for Supervisor {
     type Msg = SupervisorMessage;
     type State = Roles;
-    type Arguments = Arc<Daemon>;
+    type Arguments = (Arc<Daemon>, Arc<Restarts>);
 
     async fn pre_start(
         &self,
         myself: ActorRef<SupervisorMessage>,
-        daemon: Arc<Daemon>,
+        (daemon, restarts): Self::Arguments,
     ) -> std::result::Result<Roles, ActorProcessingErr> {
         for plugin in plugins() {
             myself.send_message(SupervisorMessage::Restart(plugin))?;
         }
         Ok(Roles {
             daemon,
+            restarts,
             running: BTreeMap::new(),
             failures: BTreeMap::new(),
         })
@@ -104,8 +137,12 @@
     ) -> std::result::Result<(), ActorProcessingErr> {
         let SupervisorMessage::Restart(plugin) = message;
         let arguments = (plugin, Arc::clone(&roles.daemon));
-        let (role, _) = Actor::spawn_linked(None, Role, arguments, myself.get_cell()).await?;
-        roles.running.insert(role.get_id(), plugin);
+        match Actor::spawn_linked(None, Role, arguments, myself.get_cell()).await {
+            Ok((role, _)) => {
+                roles.running.insert(role.get_id(), plugin);
+            }
+            Err(err) => roles.role_failed(&myself, plugin, &err.to_string()),
+        }
         Ok(())
     }
 
@@ -125,22 +162,34 @@
         let Some(plugin) = roles.running.remove(&id) else {
             return Ok(());
         };
-        if roles.daemon.drain.phase() == Phase::Stopped {
-            return Ok(());
-        }
-        event!(RoleFailed, "role={} error={reason:?}", plugin.name);
-        if roles.count_failure(plugin.name) > MAX_FAILURES {
-            event!(RoleGivenUp, "role={}", plugin.name);
-            myself.stop(None);
-            roles.daemon.drain.advance(Phase::Stopped);
-            return Ok(());
-        }
-        myself.send_after(RESTART_DELAY, move || SupervisorMessage::Restart(plugin));
+        roles.role_failed(&myself, plugin, &reason);
         Ok(())
     }
 }
 
 impl Roles {
+    /// Starts a failed role again after a while, or ends the process when it failed too often.
+    fn role_failed(
+        &mut self,
+        supervisor: &ActorRef<SupervisorMessage>,
+        plugin: &'static Plugin,
+        reason: &str,
+    ) {
+        if self.daemon.drain.phase() == Phase::Stopped {
+            return;
+        }
+        event!(RoleFailed, role = plugin.name, error = reason);
+        if self.count_failure(plugin.name) > MAX_FAILURES {
+            event!(RoleGivenUp, role = plugin.name);
+            // Only the first role given up is told.
+            let _ = self.restarts.given_up.set(plugin.name);
+            self.daemon.drain.advance(Phase::Stopped);
+            return;
+        }
+        self.restarts.count(plugin.name);
+        supervisor.send_after(RESTART_DELAY, move || SupervisorMessage::Restart(plugin));
+    }
+
     fn count_failure(&mut self, name: &'static str) -> usize {
         let failures = self.failures.entry(name).or_default();
         failures.retain(|at| at.elapsed() < FAILURE_WINDOW);
@@ -166,7 +215,8 @@
         myself: ActorRef<RoleMessage>,
         (plugin, daemon): Self::Arguments,
     ) -> std::result::Result<Self::State, ActorProcessingErr> {
-        let task = tokio::spawn((plugin.run)(daemon));
+        // The work is made within the task, so that a panic there ends the task alone.
+        let task = tokio::spawn(async move { (plugin.run)(daemon).await });
         let abort = task.abort_handle();
         tokio::spawn(async move {
             let ended = task.await.unwrap_or_else(|err| Err(err.into()));
--- a/src/role/admin.rs
+++ b/src/role/admin.rs
@@ -1,10 +1,13 @@
 //! The role that answers `/metrics`, `/state`, `/healthz` and `/readyz`.
 
+mod metrics;
+
 use crate::daemon::{Daemon, Phase};
 use crate::kernel::{Plugin, Work, plugins};
 use crate::serve::{Body, full, serve};
-use http::{Request, Response, StatusCode, header};
+use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use metrics::CoreMetrics;
 use prometheus_client::registry::Registry;
 use serde_json::{Value, json};
 use std::sync::Arc;
@@ -18,7 +21,7 @@
         let registry = Arc::new(registry(&daemon));
         let shared = Arc::clone(&daemon);
         let handler = move |request: Request<Incoming>| {
-            let answer = answer(&shared, &registry, request.uri().path());
+            let answer = answer(&shared, &registry, &request);
             async move { answer }
         };
         serve(
@@ -50,30 +53,44 @@
 
 fn metrics(_: &Daemon, _: &mut Registry) {}
 
-fn registry(daemon: &Daemon) -> Registry {
+fn registry(daemon: &Arc<Daemon>) -> Registry {
     let mut registry = Registry::with_prefix("baobab");
+    let core = CoreMetrics::new(Arc::clone(daemon));
+    registry.register_collector(Box::new(core));
     for plugin in plugins() {
         (plugin.metrics)(daemon, &mut registry);
     }
     registry
 }
 
-fn answer(daemon: &Daemon, registry: &Registry, path: &str) -> Response<Body> {
-    match path {
+fn answer(daemon: &Daemon, registry: &Registry, request: &Request<Incoming>) -> Response<Body> {
+    if request.method() != Method::GET {
+        let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED, "only GET is allowed\n");
+        let allow = header::HeaderValue::from_static("GET");
+        answer.headers_mut().insert(header::ALLOW, allow);
+        return answer;
+    }
+    match request.uri().path() {
         "/healthz" => plain(StatusCode::OK, "ok\n"),
         "/readyz" if is_ready(daemon) => plain(StatusCode::OK, "ready\n"),
         "/readyz" => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         "/state" => json_answer(&dump(daemon)),
-        "/metrics" => {
-            let mut text = String::new();
-            // Writing to a string does not fail.
-            let _ = prometheus_client::encoding::text::encode(&mut text, registry);
-            plain(StatusCode::OK, text)
-        }
+        "/metrics" => metrics_answer(registry),
         _ => plain(StatusCode::NOT_FOUND, "no such page\n"),
     }
 }
 
+fn metrics_answer(registry: &Registry) -> Response<Body> {
+    let mut text = String::new();
+    // Writing to a string does not fail.
+    let _ = prometheus_client::encoding::text::encode(&mut text, registry);
+    let mut answer = plain(StatusCode::OK, text);
+    let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    let kind = header::HeaderValue::from_static(kind);
+    answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+    answer
+}
+
 /// Tests whether the daemon enforces a configuration and takes calls.
 #[must_use]
 pub fn is_ready(daemon: &Daemon) -> bool {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,17 +2,26 @@
 
 mod flags;
 
-pub use flags::Flags;
+pub use flags::{FLAGS, Flags};
 
 use crate::error::{Category, Error, Result};
 use log::LevelFilter;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The environment variable that holds the operator token.
 pub const TOKEN_VARIABLE: &str = "BAOBAB_OPERATOR_TOKEN";
 
+/// The environment variable that asks for a check of the settings.
+pub const CHECK_VARIABLE: &str = "BAOBAB_CHECK_SETTINGS";
+
+/// The start of the names of this product's environment variables.
+const PREFIX: &str = "BAOBAB_";
+
+/// The variables of `baobabctl`, which may be set in the daemon's environment too.
+const CTL_VARIABLES: [&str; 3] = ["BAOBAB_DAEMONS", "BAOBAB_OUTPUT", "BAOBAB_TIMEOUT_MS"];
+
 /// How the configuration reaches this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Distribution {
@@ -91,6 +100,8 @@
     pub advertise: Option<std::net::IpAddr>,
     /// The operator token; operators need none when it is absent.
     pub token: Option<String>,
+    /// Whether the settings shall only be checked.
+    pub check_only: bool,
     /// Time for calls in flight to end at a graceful shutdown.
     pub drain_timeout: Duration,
     /// What to do when cut off from every source for long.
@@ -126,6 +137,7 @@
             faults: Vec::new(),
         };
         let settings = source.read();
+        source.refuse_unknown();
         if source.faults.is_empty() {
             Ok(settings)
         } else {
@@ -137,7 +149,7 @@
 /// Returns the environment variable of a flag.
 #[must_use]
 pub fn variable(flag: &str) -> String {
-    format!("BAOBAB_{}", flag.replace('-', "_").to_uppercase())
+    format!("{PREFIX}{}", flag.replace('-', "_").to_uppercase())
 }
 
 struct Source<'a> {
@@ -155,8 +167,7 @@
             operator: self.address("operator", "127.0.0.1:0"),
             admin: self.address("admin", "127.0.0.1:0"),
         };
-        let token = self.variables.get(TOKEN_VARIABLE).cloned();
-        let token = token.filter(|token| !token.is_empty());
+        let token = self.token();
         if token.is_none() && !listen.operator.ip().is_loopback() {
             self.fault(
                 "operator",
@@ -185,6 +196,7 @@
             listen,
             advertise: self.parsed("advertise"),
             token,
+            check_only: self.check_only(),
             drain_timeout: self.millis("drain-timeout-ms", 30_000, 0, 3_600_000),
             cut_off: self.choice(
                 "cut-off",
@@ -205,6 +217,40 @@
         }
     }
 
+    fn token(&mut self) -> Option<String> {
+        let token = self.variables.get(TOKEN_VARIABLE)?;
+        if token.bytes().any(|byte| !byte.is_ascii_graphic()) {
+            let problem = "has characters other than visible ASCII";
+            self.faults.push(format!("{TOKEN_VARIABLE}: {problem}"));
+        }
+        Some(token.clone()).filter(|token| !token.is_empty())
+    }
+
+    fn check_only(&mut self) -> bool {
+        let value = self.variables.get(CHECK_VARIABLE).map(String::as_str);
+        match value {
+            Some("true") => true,
+            None | Some("false") => self.flags.check_settings(),
+            Some(other) => {
+                let problem = format!("{CHECK_VARIABLE}: {other:?} is none of true, false");
+                self.faults.push(problem);
+                true
+            }
+        }
+    }
+
+    /// Refuses variables with this product's prefix that stand for no flag.
+    fn refuse_unknown(&mut self) {
+        let mut known: BTreeSet<String> = FLAGS.iter().map(|flag| variable(flag)).collect();
+        known.extend([TOKEN_VARIABLE, CHECK_VARIABLE].map(String::from));
+        known.extend(CTL_VARIABLES.map(String::from));
+        for name in self.variables.keys() {
+            if name.starts_with(PREFIX) && !known.contains(name) {
+                self.faults.push(format!("{name}: no such variable"));
+            }
+        }
+    }
+
     fn get(&self, flag: &'static str) -> Option<String> {
         let value = self.flags.values().get(flag).cloned();
         value.or_else(|| self.variables.get(&variable(flag)).cloned())
@@ -224,7 +270,7 @@
         match value.parse() {
             Ok(value) => Some(value),
             Err(err) => {
-                self.fault(flag, &format!("\"{value}\": {err}"));
+                self.fault(flag, &format!("{value:?}: {err}"));
                 None
             }
         }
@@ -248,7 +294,7 @@
         for item in list.split(',').filter(|item| !item.is_empty()) {
             match item.trim().parse() {
                 Ok(address) => addresses.push(address),
-                Err(err) => self.fault(flag, &format!("\"{item}\": {err}")),
+                Err(err) => self.fault(flag, &format!("{item:?}: {err}")),
             }
         }
         addresses
@@ -314,10 +360,7 @@
             return *choice;
         }
         let names: Vec<&str> = all.iter().map(|(name, _)| *name).collect();
-        self.fault(
-            flag,
-            &format!("\"{value}\" is none of {}", names.join(", ")),
-        );
+        self.fault(flag, &format!("{value:?} is none of {}", names.join(", ")));
         default
     }
 }
--- a/src/settings/flags.rs
+++ b/src/settings/flags.rs
@@ -68,6 +68,35 @@
     }
 }
 
+/// The flags that take a value, each with an environment variable.
+pub const FLAGS: [&str; 25] = [
+    "name",
+    "domain",
+    "region",
+    "service",
+    "backend",
+    "backend-health",
+    "platform",
+    "platform-timeout-ms",
+    "distribution",
+    "peers",
+    "outbound",
+    "inbound",
+    "mesh",
+    "operator",
+    "admin",
+    "advertise",
+    "drain-timeout-ms",
+    "cut-off",
+    "cut-after-ms",
+    "max-children",
+    "admissions",
+    "batch-ms",
+    "heartbeat-ms",
+    "log-format",
+    "log-level",
+];
+
 /// The flags given to the daemon, as written.
 #[derive(Clone, Debug, Default)]
 pub struct Flags {
@@ -107,34 +136,35 @@
 
     fn from_parsed(flags: parsed::Baobabd) -> Self {
         let given = [
-            ("name", flags.name),
-            ("domain", flags.domain),
-            ("region", flags.region),
-            ("service", flags.service),
-            ("backend", flags.backend),
-            ("backend-health", flags.backend_health),
-            ("platform", flags.platform),
-            ("platform-timeout-ms", flags.platform_timeout_ms),
-            ("distribution", flags.distribution),
-            ("peers", flags.peers),
-            ("outbound", flags.outbound),
-            ("inbound", flags.inbound),
-            ("mesh", flags.mesh),
-            ("operator", flags.operator),
-            ("admin", flags.admin),
-            ("advertise", flags.advertise),
-            ("drain-timeout-ms", flags.drain_timeout_ms),
-            ("cut-off", flags.cut_off),
-            ("cut-after-ms", flags.cut_after_ms),
-            ("max-children", flags.max_children),
-            ("admissions", flags.admissions),
-            ("batch-ms", flags.batch_ms),
-            ("heartbeat-ms", flags.heartbeat_ms),
-            ("log-format", flags.log_format),
-            ("log-level", flags.log_level),
+            flags.name,
+            flags.domain,
+            flags.region,
+            flags.service,
+            flags.backend,
+            flags.backend_health,
+            flags.platform,
+            flags.platform_timeout_ms,
+            flags.distribution,
+            flags.peers,
+            flags.outbound,
+            flags.inbound,
+            flags.mesh,
+            flags.operator,
+            flags.admin,
+            flags.advertise,
+            flags.drain_timeout_ms,
+            flags.cut_off,
+            flags.cut_after_ms,
+            flags.max_children,
+            flags.admissions,
+            flags.batch_ms,
+            flags.heartbeat_ms,
+            flags.log_format,
+            flags.log_level,
         ];
-        let values = given
+        let values = FLAGS
             .into_iter()
+            .zip(given)
             .filter_map(|(name, value)| Some((name, value?)))
             .collect();
         Flags {
--- a/src/start.rs
+++ b/src/start.rs
@@ -1,8 +1,11 @@
 //! The start of the daemon's process.
 
-use crate::settings::{Flags, Settings};
+use crate::settings::{Flags, LogFormat, Settings};
 use crate::{daemon, event, kernel, logging};
 use anyhow::Context as _;
+use log::LevelFilter;
+use std::collections::BTreeMap;
+use std::ffi::OsString;
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::signal::unix::{SignalKind, signal};
@@ -13,17 +16,14 @@
 /// Runs the daemon with these flags and the process's environment variables, to its end.
 #[must_use]
 pub fn main(flags: &Flags) -> ExitCode {
-    let variables = std::env::vars_os()
-        .filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)))
-        .collect();
-    let settings = match Settings::new(flags, &variables) {
+    let settings = match Settings::new(flags, &variables()) {
         Ok(settings) => settings,
         Err(err) => {
-            eprintln!("baobabd: settings are not valid:\n{err}");
+            refuse(&err.to_string());
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    if flags.check_settings() {
+    if settings.check_only {
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
@@ -36,12 +36,36 @@
     }
 }
 
+/// Returns the environment variables; characters that are not UTF-8 are replaced, which no check
+/// lets pass.
+fn variables() -> BTreeMap<String, String> {
+    let text = |text: OsString| text.to_string_lossy().into_owned();
+    std::env::vars_os()
+        .map(|(name, value)| (text(name), text(value)))
+        .collect()
+}
+
+/// Logs each fault in the settings in the default format, since no other can be known.
+fn refuse(faults: &str) {
+    if logging::init(LevelFilter::Info, LogFormat::Text, "baobabd").is_err() {
+        eprintln!("baobabd: settings are not valid:\n{faults}");
+    }
+    for fault in faults.lines() {
+        event!(SettingsRefused, fault = fault);
+    }
+}
+
 #[tokio::main]
 async fn run(settings: Settings) -> anyhow::Result<()> {
     let name = settings.name.clone().unwrap_or_else(|| "baobabd".into());
     logging::init(settings.log_level, settings.log_format, &name)?;
     let daemon = daemon::Daemon::new(settings)?;
-    event!(Started, "name={}", daemon.identity.name);
+    event!(
+        Started,
+        domain = daemon.identity.domain,
+        region = daemon.identity.region,
+        incarnation = daemon.identity.incarnation,
+    );
     tokio::spawn(stop_on_signal(Arc::clone(&daemon)));
     kernel::run(daemon).await?;
     event!(Stopped);
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod caller;
 pub mod fleet;
 pub mod platform;
+pub mod scene;
--- /dev/null
+++ b/standin/src/scene.rs
@@ -0,0 +1,152 @@
+//! A small fleet of daemons with their stand-ins, for the demo and the tests.
+
+use crate::backend::{Backend, Behaviour, Ledger};
+use crate::caller;
+use crate::fleet::{Launcher, Process};
+use crate::platform::{Limits, Platform};
+use anyhow::{Context as _, ensure};
+use http::{Method, Request};
+use http_body_util::Full;
+use serde_json::Value;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// A loopback address with a port that the system chooses.
+pub const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Time for what a scene waits for.
+pub const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A VM of the scene: a daemon and the backend server beside it.
+pub struct Vm {
+    /// The name of both.
+    pub name: String,
+    /// The daemon's process.
+    pub daemon: Process,
+    /// The backend server.
+    pub backend: Backend,
+}
+
+/// A platform and the VMs of one service.
+pub struct Scene {
+    /// The platform.
+    pub platform: Platform,
+    /// The runs of each request id.
+    pub ledger: Ledger,
+    /// The VMs, in the order of their start.
+    pub vms: Vec<Vm>,
+    launcher: Launcher,
+    service: String,
+}
+
+impl Scene {
+    /// Starts a platform, without a VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform's address cannot be bound.
+    pub async fn new(launcher: Launcher, service: &str) -> anyhow::Result<Self> {
+        Ok(Scene {
+            platform: Platform::start(ANY, Limits::default()).await?,
+            ledger: Ledger::default(),
+            vms: Vec::new(),
+            launcher,
+            service: service.into(),
+        })
+    }
+
+    /// Starts a VM in a failure domain, with flags besides the usual ones.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon or its backend server cannot be started.
+    pub async fn add(&mut self, name: &str, domain: &str, more: &[&str]) -> anyhow::Result<()> {
+        let ledger = self.ledger.clone();
+        let backend = Backend::start(name, ANY, Behaviour::default(), ledger).await?;
+        let flags = [
+            ("--name", name.to_owned()),
+            ("--domain", domain.into()),
+            ("--region", "fi-south".into()),
+            ("--service", self.service.clone()),
+            ("--backend", backend.address().to_string()),
+            ("--platform", self.platform.address().to_string()),
+        ];
+        let flags = flags.into_iter();
+        let mut flags: Vec<String> = flags
+            .flat_map(|(flag, value)| [flag.to_owned(), value])
+            .collect();
+        flags.extend(more.iter().map(|flag| String::from(*flag)));
+        let daemon = self.launcher.start(&flags).await.context("daemon")?;
+        self.vms.push(Vm {
+            name: name.into(),
+            daemon,
+            backend,
+        });
+        Ok(())
+    }
+
+    /// Waits until every daemon knows this number of daemons that take calls.
+    ///
+    /// # Errors
+    ///
+    /// Fails when they do not in time.
+    pub async fn settle(&self, count: usize) -> anyhow::Result<()> {
+        for vm in &self.vms {
+            let knows_all = |state: &Value| ready_members(state) == count;
+            let what = format!("{count} members known to {}", vm.name);
+            vm.daemon.wait_state(&what, TIMEOUT, knows_all).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the operator addresses of every daemon, separated by commas.
+    #[must_use]
+    pub fn operators(&self) -> String {
+        let addresses = self.vms.iter().map(|vm| vm.daemon.operator.to_string());
+        addresses.collect::<Vec<_>>().join(",")
+    }
+
+    /// Applies a change, written as JSON, at a VM's daemon and waits until it is in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is not accepted, or not in force everywhere in time.
+    pub async fn apply(&self, vm: usize, change: &str) -> anyhow::Result<Value> {
+        let operator = self.vms[vm].daemon.operator;
+        let told = self.post(vm, "/v1/changes", change).await?;
+        let id = told["change"].as_str().context("the answer has no id")?;
+        let path = format!("/v1/changes/{id}?wait_ms=10000");
+        let answer = caller::get(operator, &path).await?;
+        let status: Value = serde_json::from_slice(answer.body())?;
+        ensure!(
+            status["in_force"] == status["daemons"] && status["daemons"] != 0,
+            "not in force everywhere: {status}"
+        );
+        Ok(status)
+    }
+
+    /// Sends a request to the operator API of a VM's daemon and reads a successful answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the answer tells of a fault.
+    pub async fn post(&self, vm: usize, path: &str, body: &str) -> anyhow::Result<Value> {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .body(Full::from(body.to_owned()))?;
+        let answer = caller::call(self.vms[vm].daemon.operator, request).await?;
+        let text = String::from_utf8_lossy(answer.body());
+        ensure!(answer.status().is_success(), "{path}: {text}");
+        Ok(serde_json::from_slice(answer.body())?)
+    }
+}
+
+/// Returns the number of daemons in a state dump that take calls.
+#[must_use]
+pub fn ready_members(state: &Value) -> usize {
+    let members = state["members"]["members"].as_array();
+    let members = members.map_or(&[][..], Vec::as_slice);
+    let ready = members.iter().filter(|member| member["state"] == "READY");
+    ready.count()
+}
