--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -55,7 +55,9 @@
         let phase = *phases.borrow_and_update();
         let record = match phase {
             Phase::Running => daemon.member(1, MemberState::Ready),
-            Phase::Draining | Phase::Stopped => daemon.member(2, MemberState::Draining),
+            Phase::Draining | Phase::Closing | Phase::Stopped => {
+                daemon.member(2, MemberState::Draining)
+            }
         };
         actor.send(Message::Announce(Box::new(record)));
         // A control state that is started again knows nothing of this daemon.
