--- a/src/change.rs
+++ b/src/change.rs
@@ -48,6 +48,7 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub based_on: Option<u64>,
     /// What the resource shall say.
+    #[serde(deserialize_with = "crate::strict::value")]
     pub spec: serde_json::Value,
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod snapshot;
 pub mod start;
 pub mod store;
+mod strict;
 pub mod sync;
 pub mod table;
 pub mod tree;
--- a/src/resource.rs
+++ b/src/resource.rs
@@ -1,6 +1,7 @@
 //! The resources that operators declare: services, pools, routes and policies.
 
 use crate::error::{Category, Error, Result};
+use crate::strict::Strict;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -228,16 +229,13 @@
     /// assert_eq!(err.field(), Some("slots"));
     /// ```
     pub fn from_json(kind: Kind, body: &[u8]) -> Result<Self> {
-        let spec = match kind {
-            Kind::Policy => serde_json::from_slice(body).map(Spec::Policy),
-            Kind::Pool => serde_json::from_slice(body).map(Spec::Pool),
-            Kind::Route => serde_json::from_slice(body).map(Spec::Route),
-            Kind::Service => serde_json::from_slice(body).map(Spec::Service),
-        };
-        spec.map_err(|err| {
-            let fields = serde_json::from_slice(body).unwrap_or_default();
-            spec_error(kind, &fields, &err)
-        })
+        match serde_json::from_slice::<Strict>(body) {
+            Ok(Strict(value)) => Spec::from_value(kind, &value),
+            Err(err) => {
+                let message = format!("{kind} specification: {err}");
+                Err(Error::new(Category::Input, message))
+            }
+        }
     }
 
     /// Reads a specification of a kind from a JSON value.
