--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod fault;
 pub mod fleet;
 pub mod platform;
+pub mod scene;
