Measure calls at an open-loop rate

Cause: no figure for the time that two hops add, nor for goodput under load and faults. Change: bench calls with the users' four sizes and the scenarios even, slow, liar, cold, domain-lost and flash; calls are counted from their scheduled start and held against the backend servers' record of runs; the backend stand-in no longer sleeps a timer tick for a call without work.

--- a/standin/src/backend/answer.rs
+++ b/standin/src/backend/answer.rs
@@ -86,7 +86,8 @@
     ) -> anyhow::Result<Response<Body>> {
         let fault = self.fault();
         let work = self.work_time();
-        if timeout_at(deadline, sleep(work)).await.is_err() {
+        // The shortest sleep takes a tick of the runtime's timer.
+        if !work.is_zero() && timeout_at(deadline, sleep(work)).await.is_err() {
             run.end(Ending::Expired);
             return Ok(plain(StatusCode::GATEWAY_TIMEOUT, "deadline passed\n"));
         }
--- a/standin/src/bench/calls.rs
+++ b/standin/src/bench/calls.rs
@@ -1,4 +1,35 @@
 //! Measures calls at an open-loop rate.
+//!
+//! Each run first measures the time that the mesh adds: calls that cost the backend servers nothing
+//! are made by the mesh and directly, in random order. Then comes the load of the scenario.
+
+mod load;
+pub mod mesh;
+pub mod profile;
+mod report;
+mod scenario;
+
+use crate::backend::Behaviour;
+use crate::fleet::Launcher;
+use load::{Callers, Made, Stretch, Told, Way, histogram};
+use mesh::Mesh;
+use profile::Profile;
+use report::{Report, millis, per_second, print_kinds};
+use scenario::Scenario;
+use std::io::Write;
+use std::time::Duration;
+
+/// Calls a second while the added time is measured, half of them direct.
+const LATENCY_RATE: f64 = 1_000.0;
+
+/// The length of that measurement.
+const LATENCY_TIME: Duration = Duration::from_secs(6);
+
+/// Calls before a measurement, which open connections.
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// The share of the capacity that is offered by default.
+const DEFAULT_LOAD: f64 = 0.6;
 
 /// Options of a run.
 #[derive(Clone, Debug)]
@@ -23,5 +54,104 @@
 ///
 /// Fails when a daemon cannot be started or a promise is broken.
 pub fn main(options: &Options) -> anyhow::Result<()> {
-    anyhow::bail!("not measured yet: {options:?}")
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let report = runtime.block_on(run(options))?;
+    if let Some(path) = &options.json {
+        let mut file = std::fs::File::create(path)?;
+        writeln!(file, "{}", report.to_json())?;
+    }
+    let broken = report.broken();
+    anyhow::ensure!(broken.is_empty(), "promises broken: {}", broken.join(", "));
+    Ok(())
+}
+
+async fn run(options: &Options) -> anyhow::Result<Report> {
+    let profile = Profile::named(&options.profile)?;
+    let scenario = Scenario::named(options.scenario.as_deref().unwrap_or("even"))?;
+    let mut mesh = Mesh::start(Launcher::itself()?, &profile, Behaviour::default()).await?;
+    let entries: Vec<_> = mesh.entries.iter().map(|entry| entry.outbound).collect();
+    let direct: Vec<_> = mesh
+        .backends
+        .iter()
+        .map(crate::backend::Backend::address)
+        .collect();
+    let callers = Callers::new(&entries, &direct);
+    let mut report = Report {
+        profile: profile.service.into(),
+        scenario: scenario.name().into(),
+        ..Report::default()
+    };
+    measure_added(&mesh, &callers, &profile, options.seed, &mut report).await;
+    let rate = options
+        .rate
+        .map_or(profile.capacity() * DEFAULT_LOAD, f64::from);
+    let time = Duration::from_secs(options.seconds.into());
+    let stretch = Stretch {
+        rate,
+        time,
+        direct: 0,
+        seed: options.seed + 2,
+    };
+    let stretches = scenario.run(&mut mesh, &callers, &profile, stretch).await?;
+    for (name, stretch, calls) in &stretches {
+        let seconds = stretch.time.as_secs_f64();
+        report.count(&profile, calls, &mesh.ledger);
+        report.offered_per_s = stretch.rate;
+        let whole = calls.iter().filter(|call| call.told == Told::Answered);
+        report.goodput_per_s = per_second(whole.count(), seconds);
+        println!(
+            "{} {} {name}: offered {:.0}/s, goodput {:.0}/s",
+            report.profile, report.scenario, stretch.rate, report.goodput_per_s
+        );
+        print_kinds(&profile, calls, seconds);
+    }
+    println!("{}", report.to_json());
+    Ok(report)
+}
+
+/// Measures the time that the mesh adds to calls that cost the backend servers nothing.
+async fn measure_added(
+    mesh: &Mesh,
+    callers: &Callers,
+    profile: &Profile,
+    seed: u64,
+    report: &mut Report,
+) {
+    let mut stretch = Stretch {
+        rate: LATENCY_RATE,
+        time: WARM_UP,
+        direct: 50,
+        seed,
+    };
+    callers.run(profile, stretch).await;
+    stretch.time = LATENCY_TIME;
+    stretch.seed = seed + 1;
+    let calls = callers.run(profile, stretch).await;
+    report.count(profile, &calls, &mesh.ledger);
+    let of = |way: Way| {
+        let whole = |call: &&Made| call.way == way && call.told == Told::Answered;
+        histogram(calls.iter().filter(whole))
+    };
+    let (by_mesh, direct) = (of(Way::Mesh), of(Way::Direct));
+    let added = |quantile: f64| {
+        let mesh = millis(by_mesh.value_at_quantile(quantile));
+        mesh - millis(direct.value_at_quantile(quantile))
+    };
+    report.added_p50_ms = added(0.5);
+    report.added_p99_ms = added(0.99);
+    println!(
+        "{} calls at {LATENCY_RATE}/s without work, time in ms",
+        calls.len()
+    );
+    for quantile in [0.5, 0.9, 0.99, 0.999] {
+        println!(
+            "  p{:<5} mesh {:>7.3} direct {:>7.3} added {:>7.3}",
+            quantile * 100.0,
+            millis(by_mesh.value_at_quantile(quantile)),
+            millis(direct.value_at_quantile(quantile)),
+            added(quantile)
+        );
+    }
 }
--- /dev/null
+++ b/standin/src/bench/calls/mesh.rs
@@ -0,0 +1,145 @@
+//! Daemons with backend servers beside them, and daemons that callers enter by.
+
+use super::profile::Profile;
+use crate::backend::{Backend, Behaviour, Ledger};
+use crate::caller;
+use crate::fleet::{Launcher, Process};
+use crate::platform::{Limits, Platform};
+use anyhow::ensure;
+use http::{Method, Request};
+use http_body_util::Full;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+/// A running service.
+pub struct Mesh {
+    /// The record of each run.
+    pub ledger: Ledger,
+    /// The backend servers.
+    pub backends: Vec<Backend>,
+    /// The daemons beside them, in the same order.
+    pub daemons: Vec<Process>,
+    /// Daemons without a backend server, one in each failure domain.
+    pub entries: Vec<Process>,
+    platform: Platform,
+    launcher: Launcher,
+    profile: Profile,
+}
+
+impl Mesh {
+    /// Starts a service and waits until its configuration is in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot be started.
+    pub async fn start(
+        launcher: Launcher,
+        profile: &Profile,
+        behaviour: Behaviour,
+    ) -> anyhow::Result<Self> {
+        let platform = Platform::start(ANY, Limits::default()).await?;
+        let mut mesh = Mesh {
+            ledger: Ledger::default(),
+            backends: Vec::new(),
+            daemons: Vec::new(),
+            entries: Vec::new(),
+            platform,
+            launcher,
+            profile: profile.clone(),
+        };
+        for index in 0..profile.upstreams {
+            mesh.add(behaviour_of(behaviour, index)).await?;
+        }
+        for domain in profile.domains {
+            let flags = mesh.flags(&format!("entry-{domain}"), domain);
+            let entry = mesh.launcher.start(&flags).await?;
+            mesh.entries.push(entry);
+        }
+        mesh.configure(&profile.change()).await?;
+        mesh.wait_members(mesh.daemons.len() + mesh.entries.len())
+            .await?;
+        Ok(mesh)
+    }
+
+    /// Starts one more backend server with its daemon.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot be started.
+    pub async fn add(&mut self, behaviour: Behaviour) -> anyhow::Result<()> {
+        let index = self.backends.len();
+        let name = format!("{}-{index}", self.profile.service);
+        let backend = Backend::start(&name, ANY, behaviour, self.ledger.clone()).await?;
+        let mut flags = self.flags(&name, self.profile.domain(index));
+        flags.extend([
+            "--service".into(),
+            self.profile.service.into(),
+            "--backend".into(),
+            backend.address().to_string(),
+            "--backend-health".into(),
+            "/health".into(),
+        ]);
+        self.daemons.push(self.launcher.start(&flags).await?);
+        self.backends.push(backend);
+        Ok(())
+    }
+
+    /// Waits until every daemon knows so many daemons.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one does not in time.
+    pub async fn wait_members(&self, count: usize) -> anyhow::Result<()> {
+        for daemon in self.daemons.iter().chain(&self.entries) {
+            let knows_all = |state: &Value| state["members"]["count"] == count;
+            daemon.wait_state("members", TIMEOUT, knows_all).await?;
+        }
+        Ok(())
+    }
+
+    /// Has a change accepted and waits until it is in force on every daemon.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the change is refused.
+    pub async fn configure(&self, change: &Value) -> anyhow::Result<()> {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri("/v1/changes")
+            .body(Full::from(change.to_string()))?;
+        let answer = caller::call(self.daemons[0].operator, request).await?;
+        ensure!(answer.status().is_success(), "apply: {:?}", answer.body());
+        let body: Value = serde_json::from_slice(answer.body())?;
+        let version = body["version"].as_u64().unwrap_or(1);
+        for daemon in self.daemons.iter().chain(&self.entries) {
+            let applied = |state: &Value| state["config"]["version"].as_u64() >= Some(version);
+            daemon.wait_state("configuration", TIMEOUT, applied).await?;
+        }
+        Ok(())
+    }
+
+    fn flags(&self, name: &str, domain: &str) -> Vec<String> {
+        let flags = [
+            ("--name", name.to_owned()),
+            ("--domain", domain.into()),
+            ("--region", self.profile.region.into()),
+            ("--platform", self.platform.address().to_string()),
+        ];
+        let flags = flags.into_iter();
+        flags
+            .flat_map(|(flag, value)| [flag.to_owned(), value])
+            .collect()
+    }
+}
+
+fn behaviour_of(behaviour: Behaviour, index: usize) -> Behaviour {
+    Behaviour {
+        seed: behaviour.seed + index as u64,
+        ..behaviour
+    }
+}
