Count the processor time of the daemons in the calls bench

Cause: the added time says nothing of what a call costs the daemons. Change: calls for each second of processor time, from the kernel's count.

--- a/standin/src/bench/calls.rs
+++ b/standin/src/bench/calls.rs
@@ -31,6 +31,9 @@
 /// The share of the capacity that is offered by default.
 const DEFAULT_LOAD: f64 = 0.6;
 
+/// Threads that run the callers and the backend servers.
+const WORKERS: usize = 4;
+
 /// Options of a run.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -55,6 +58,7 @@
 /// Fails when a daemon cannot be started or a promise is broken.
 pub fn main(options: &Options) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKERS)
         .enable_all()
         .build()?;
     let report = runtime.block_on(run(options))?;
@@ -128,8 +132,13 @@
     callers.run(profile, stretch).await;
     stretch.time = LATENCY_TIME;
     stretch.seed = seed + 1;
+    let cpu_before = mesh.cpu_time();
     let calls = callers.run(profile, stretch).await;
+    let cpu = mesh.cpu_time().saturating_sub(cpu_before);
     report.count(profile, &calls, &mesh.ledger);
+    let by_mesh = calls.iter().filter(|call| call.way == Way::Mesh).count();
+    let by_mesh = f64::from(u32::try_from(by_mesh).unwrap_or(u32::MAX));
+    report.calls_per_core = by_mesh / cpu.as_secs_f64();
     let of = |way: Way| {
         let whole = |call: &&Made| call.way == way && call.told == Told::Answered;
         histogram(calls.iter().filter(whole))
@@ -145,6 +154,10 @@
         "{} calls at {LATENCY_RATE}/s without work, time in ms",
         calls.len()
     );
+    println!(
+        "  {:.0} calls a second for each core of the daemons",
+        report.calls_per_core
+    );
     for quantile in [0.5, 0.9, 0.99, 0.999] {
         println!(
             "  p{:<5} mesh {:>7.3} direct {:>7.3} added {:>7.3}",
--- a/standin/src/bench/calls/mesh.rs
+++ b/standin/src/bench/calls/mesh.rs
@@ -123,6 +123,13 @@
         Ok(())
     }
 
+    /// Returns the processor time that the daemons have used.
+    #[must_use]
+    pub fn cpu_time(&self) -> Duration {
+        let daemons = self.daemons.iter().chain(&self.entries);
+        daemons.filter_map(|daemon| cpu_time(daemon.id()?)).sum()
+    }
+
     fn flags(&self, name: &str, domain: &str) -> Vec<String> {
         let flags = [
             ("--name", name.to_owned()),
@@ -143,3 +150,19 @@
         ..behaviour
     }
 }
+
+/// Reads the processor time that a process has used.
+fn cpu_time(id: u32) -> Option<Duration> {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    let (_, fields) = stat.rsplit_once(") ")?;
+    let mut fields = fields.split(' ').skip(USER_TIME_FIELD);
+    let user: u64 = fields.next()?.parse().ok()?;
+    let system: u64 = fields.next()?.parse().ok()?;
+    Some(Duration::from_millis((user + system) * TICK_MS))
+}
+
+/// The place of the user time after the name of the program.
+const USER_TIME_FIELD: usize = 11;
+
+/// The length of a tick in which the kernel counts processor time, in milliseconds.
+const TICK_MS: u64 = 10;
--- a/standin/src/bench/calls/report.rs
+++ b/standin/src/bench/calls/report.rs
@@ -20,6 +20,8 @@
     pub added_p50_ms: f64,
     /// Added time of calls by the mesh at the 99th percentile, in milliseconds.
     pub added_p99_ms: f64,
+    /// Calls for each second of processor time of the daemons, both hops together.
+    pub calls_per_core: f64,
     /// Calls told "not run".
     pub not_run: usize,
     /// Calls told "unknown".
@@ -43,6 +45,7 @@
             "goodput_per_s": self.goodput_per_s,
             "added_p50_ms": self.added_p50_ms,
             "added_p99_ms": self.added_p99_ms,
+            "calls_per_core": self.calls_per_core,
             "not_run": self.not_run,
             "unknown": self.unknown,
             "runs_twice": self.runs_twice,
