Drain a backend server that says so, and pass over upstreams that drain

A health endpoint that stated a drain was not asked. Change: an inbound side says in its refusals that it drains; the outbound side then passes over that incarnation, and such a refusal costs no budget. The health endpoint is asked every second, and only its statement of a drain is acted on; the stand-in's misleading endpoint says that it is sick. An attempt whose time is up is answered 504. Tests of crossed, late, truncated and lost answers, of a killed daemon, of cancellation, of body limits, of reserved headers and of request smuggling. With both a length and chunks the HTTP library drops the length and does not refuse the request; it is framed anew.

--- a/src/call/budget.rs
+++ b/src/call/budget.rs
@@ -50,6 +50,13 @@
         taken.is_ok()
     }
 
+    /// Takes what a retry after a failure costs; false when that is not left.
+    ///
+    /// An upstream that drains refuses each sender a few times at most, so that is free.
+    pub fn pay(&self, failure: Failure) -> bool {
+        failure == Failure::Leaving || self.spend()
+    }
+
     /// Returns the number of retries at hand.
     #[must_use]
     pub fn left(&self) -> u32 {
@@ -60,6 +67,8 @@
 /// What is known of an attempt that failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
+    /// The upstream drains and has not run the attempt.
+    Leaving,
     /// It is proved that the attempt did not run.
     NotRun,
     /// The attempt may have run.
@@ -86,7 +95,7 @@
     #[must_use]
     pub fn allow(&self, now: Instant, made: u32, failure: Failure) -> bool {
         let safe = match failure {
-            Failure::NotRun => true,
+            Failure::Leaving | Failure::NotRun => true,
             Failure::MayHaveRun => self.idempotent && !self.owned_above,
         };
         safe && self.replayable && made < self.attempts && now < self.deadline
@@ -108,7 +117,7 @@
 /// Another upstream is asked at once after the first refusal.
 #[must_use]
 pub fn backoff(made: u32, failure: Failure, jitter: f64) -> Duration {
-    if made <= 1 && failure == Failure::NotRun {
+    if failure == Failure::Leaving || made <= 1 && failure == Failure::NotRun {
         return Duration::ZERO;
     }
     let doubled = BACKOFF_MIN.saturating_mul(1 << made.min(16));
--- a/src/call/choose.rs
+++ b/src/call/choose.rs
@@ -3,7 +3,7 @@
 use super::attempt::Load;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -85,6 +85,7 @@
     failures: AtomicU32,
     ejected_ms: AtomicU64,
     shedding_ms: AtomicU64,
+    leaving: AtomicBool,
 }
 
 impl Health {
@@ -100,6 +101,7 @@
             failures: AtomicU32::new(0),
             ejected_ms: AtomicU64::new(0),
             shedding_ms: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
         }
     }
 
@@ -159,6 +161,17 @@
         self.shedding_ms.store(until, Ordering::Relaxed);
     }
 
+    /// Notes that the upstream drains; it gets no further call.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Tests whether the upstream drains.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     /// Tests whether the upstream is ejected.
     #[must_use]
     pub fn is_ejected(&self, now: Instant) -> bool {
@@ -346,7 +359,8 @@
         let from = from as usize % len;
         let places = (0..len).map(|step| Index(range.start + (from + step) % len));
         let mut last = None;
-        let untried = places.filter(|index| !tried.contains(index));
+        let untried = places
+            .filter(|index| !tried.contains(index) && !self.upstreams[index.0].health.is_leaving());
         for index in untried {
             let ejected = self.upstreams[index.0].health.is_ejected(now);
             if !ejected || self.keeps_ejected(now) {
@@ -370,6 +384,8 @@
 
     fn none_usable(&self, now: Instant, tried: &[Index]) -> bool {
         let mut all = self.upstreams.iter().enumerate();
-        all.all(|(place, u)| u.health.is_ejected(now) || tried.contains(&Index(place)))
+        all.all(|(place, u)| {
+            u.health.is_ejected(now) || u.health.is_leaving() || tried.contains(&Index(place))
+        })
     }
 }
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -1,5 +1,7 @@
 //! The inbound side: the only way to this daemon's own backend server.
 
+mod health;
+
 use crate::call::admission::{Limits, Reason};
 use crate::call::attempt::{Attempt, AttemptId};
 use crate::call::body::Guarded;
@@ -34,6 +36,7 @@
     Box::pin(async move {
         let side = of(&daemon);
         tokio::spawn(refuse_waiting(Arc::clone(&daemon), Arc::clone(&side)));
+        tokio::spawn(watch_health(Arc::clone(&daemon)));
         let shared = Arc::clone(&daemon);
         let handler = move |request: Request<hyper::body::Incoming>| {
             let (daemon, side) = (Arc::clone(&shared), Arc::clone(&side));
@@ -59,6 +62,12 @@
     side.gate.drain();
 }
 
+async fn watch_health(daemon: Arc<Daemon>) {
+    if let Some(backend) = &daemon.settings.backend {
+        health::watch(&daemon, backend).await;
+    }
+}
+
 fn state(daemon: &Daemon) -> Value {
     let side = of(daemon);
     let load = side.gate.load();
@@ -118,6 +127,10 @@
             event!(CallRefused, "request={id} reason={:?}", refusal.reason);
             refusal.into_answer(id)
         });
+        if daemon.drain.phase() != Phase::Running {
+            let drain = HeaderValue::from_static("1");
+            answer.headers_mut().insert(call::DRAIN, drain);
+        }
         if let Ok(load) = HeaderValue::from_str(&self.gate.load().to_string()) {
             answer.headers_mut().insert(call::LOAD, load);
         }
--- /dev/null
+++ b/src/role/inbound/health.rs
@@ -0,0 +1,88 @@
+//! The health endpoint of this daemon's own backend server.
+//!
+//! Calls decide whether a backend server works, since a health endpoint may lag or mislead. Only
+//! its statement that it drains is acted on.
+
+use crate::call;
+use crate::call::upstream::{BackendPool, UpstreamError};
+use crate::daemon::{Daemon, Phase};
+use crate::event;
+use crate::serve::full;
+use crate::settings::Backend;
+use http::{HeaderValue, Request, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Bytes;
+use std::time::Duration;
+use tokio::time::sleep;
+
+const ASK_EVERY: Duration = Duration::from_secs(1);
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Greatest length of the endpoint's answer, in bytes.
+const MAX_ANSWER_LEN: usize = 64 * 1024;
+
+/// The word in a refusing answer that states a drain.
+const DRAINING: &[u8] = b"draining";
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Health {
+    Healthy,
+    Unhealthy,
+    Draining,
+}
+
+/// Asks the health endpoint until the daemon drains.
+pub async fn watch(daemon: &Daemon, backend: &Backend) {
+    let Some(path) = &backend.health else {
+        return;
+    };
+    // Apart from the connections for calls.
+    let pool = BackendPool::new(backend.address);
+    pool.set_limit(1);
+    let mut before = Health::Healthy;
+    while daemon.drain.phase() == Phase::Running {
+        let health = tokio::time::timeout(ASK_TIMEOUT, ask(&pool, path)).await;
+        let health = health.map_or(Health::Unhealthy, |asked| {
+            asked.unwrap_or(Health::Unhealthy)
+        });
+        if health != before {
+            tell(daemon, health);
+        }
+        before = health;
+        sleep(ASK_EVERY).await;
+    }
+}
+
+fn tell(daemon: &Daemon, health: Health) {
+    match health {
+        Health::Healthy => event!(BackendHealthy),
+        Health::Unhealthy => event!(BackendUnhealthy),
+        Health::Draining => {
+            event!(Draining, "cause=backend");
+            daemon.drain.advance(Phase::Draining);
+        }
+    }
+}
+
+async fn ask(pool: &BackendPool, path: &str) -> Result<Health, UpstreamError> {
+    let mut request = Request::new(full(Bytes::new()));
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    let host = HeaderValue::from_static("backend");
+    request.headers_mut().insert(header::HOST, host);
+    let answer = pool.connection().await?.send(request).await?;
+    let (head, body) = answer.into_parts();
+    if head.headers.contains_key(call::DRAIN) {
+        return Ok(Health::Draining);
+    }
+    if head.status.is_success() {
+        return Ok(Health::Healthy);
+    }
+    let body = Limited::new(body, MAX_ANSWER_LEN).collect().await;
+    let body = body.map(http_body_util::Collected::to_bytes);
+    let body = body.unwrap_or_default();
+    let states_drain = body.windows(DRAINING.len()).any(|part| part == DRAINING);
+    if head.status == StatusCode::SERVICE_UNAVAILABLE && states_drain {
+        return Ok(Health::Draining);
+    }
+    Ok(Health::Unhealthy)
+}
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -153,7 +153,7 @@
             let now = Instant::now();
             let mut terms = call.terms;
             terms.replayable = call.body.is_replayable();
-            if !terms.allow(now, made, failed.failure) || !call.service.budget.spend() {
+            if !terms.allow(now, made, failed.failure) || !call.service.budget.pay(failed.failure) {
                 return Ok(*failed.answer);
             }
             last = Some(failed.answer);
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -127,19 +127,22 @@
         attempt: &Attempt,
         reason: &str,
     ) -> Failed {
+        let late = Instant::now() >= self.terms.deadline;
         if self.body.has_failed() {
             let reason = "request body was broken off or is too long";
             return self.unknown(StatusCode::PAYLOAD_TOO_LARGE, reason);
         }
         note_failure(upstream);
-        if !self.terms.idempotent
-            && Instant::now() < self.terms.deadline
-            && link.fence(attempt).await == Some(Fate::NeverRuns)
-        {
+        if !self.terms.idempotent && !late && link.fence(attempt).await == Some(Fate::NeverRuns) {
             let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
             return self.refused(refusal.retry_after(1));
         }
-        self.unknown(StatusCode::BAD_GATEWAY, reason)
+        let status = if late {
+            StatusCode::GATEWAY_TIMEOUT
+        } else {
+            StatusCode::BAD_GATEWAY
+        };
+        self.unknown(status, reason)
     }
 }
 
@@ -161,6 +164,10 @@
     if sheds && let Some(after) = headers.get(header::RETRY_AFTER) {
         upstream.health.shed(now, read_retry_after(after));
     }
+    let leaving = headers.contains_key(call::DRAIN);
+    if leaving {
+        upstream.health.leave();
+    }
     let asked = call.head.headers.get(call::REQUEST_ID);
     let answered = headers.get(call::REQUEST_ID);
     if answered.is_some() && answered != asked {
@@ -170,6 +177,7 @@
     }
     call::drop_reserved_headers(answer.headers_mut(), &[call::OUTCOME]);
     let failure = match (outcome, answer.status()) {
+        (Some(Outcome::NotRun), _) if leaving => Failure::Leaving,
         (Some(Outcome::NotRun), _) => Failure::NotRun,
         (Some(Outcome::Unknown), _)
         | (
--- a/standin/src/backend/answer.rs
+++ b/standin/src/backend/answer.rs
@@ -167,6 +167,8 @@
     fn health(&self) -> Response<Body> {
         if self.reported().healthy {
             plain(StatusCode::OK, "ok\n")
+        } else if self.behaviour.borrow().report == Report::Sick {
+            plain(StatusCode::SERVICE_UNAVAILABLE, "sick\n")
         } else {
             plain(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
         }
--- a/standin/src/bench/calls.rs
+++ b/standin/src/bench/calls.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 
 /// Calls a second while the added time is measured, half of them direct.
-const LATENCY_RATE: f64 = 1_000.0;
+const LATENCY_RATE: f64 = 2_000.0;
 
 /// The length of that measurement.
 const LATENCY_TIME: Duration = Duration::from_secs(6);
--- a/standin/src/bench/calls/mesh.rs
+++ b/standin/src/bench/calls/mesh.rs
@@ -9,6 +9,7 @@
 use http::{Method, Request};
 use http_body_util::Full;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -55,7 +56,7 @@
         for index in 0..profile.upstreams {
             mesh.add(behaviour_of(behaviour, index)).await?;
         }
-        for domain in profile.domains {
+        for domain in BTreeSet::from(profile.domains) {
             let flags = mesh.flags(&format!("entry-{domain}"), domain);
             let entry = mesh.launcher.start(&flags).await?;
             mesh.entries.push(entry);
--- /dev/null
+++ b/tests/call_answers.rs
@@ -0,0 +1,259 @@
+//! What callers are told when answers are crossed, late, truncated or lost.
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use standin::backend::{Behaviour, Ending, Fault, Ledger};
+use standin::bench::calls::mesh::Mesh;
+use standin::bench::calls::profile::Profile;
+use standin::caller;
+use standin::fleet::Launcher;
+use std::time::Duration;
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+async fn start(upstreams: usize) -> Mesh {
+    let mut profile = Profile::named("certs").unwrap();
+    profile.upstreams = upstreams;
+    profile.domains = ["espoo"; 3];
+    let launcher = Launcher::new(env!("CARGO_BIN_EXE_baobabd"));
+    let mesh = Mesh::start(launcher, &profile, Behaviour::default());
+    mesh.await.unwrap()
+}
+
+fn set(mesh: &Mesh, behaviour: Behaviour) {
+    for backend in &mesh.backends {
+        backend.set(behaviour);
+    }
+}
+
+fn fault(fault: Fault) -> Behaviour {
+    Behaviour {
+        fault,
+        ..Behaviour::default()
+    }
+}
+
+fn request(path: &str, id: &str, body: &'static str) -> http::request::Builder {
+    let method = if body.is_empty() { "GET" } else { "POST" };
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "certs")
+        .header("x-request-id", id)
+}
+
+async fn issue(mesh: &Mesh, id: &str) -> anyhow::Result<Response<Bytes>> {
+    let request = request("/certs/issue", id, "serial").body(Full::from("serial"));
+    caller::call(mesh.entries[0].outbound, request.unwrap()).await
+}
+
+async fn lookup(mesh: &Mesh, id: &str) -> anyhow::Result<Response<Bytes>> {
+    let request = request("/certs/lookup", id, "").body(Full::default());
+    caller::call(mesh.entries[0].outbound, request.unwrap()).await
+}
+
+fn outcome(answer: &Response<Bytes>) -> &str {
+    let outcome = answer.headers().get("x-baobab-outcome");
+    outcome.map_or("", |outcome| outcome.to_str().unwrap())
+}
+
+async fn until(what: &str, condition: impl Fn() -> bool) {
+    let deadline = tokio::time::Instant::now() + TIMEOUT;
+    while !condition() {
+        assert!(
+            tokio::time::Instant::now() < deadline,
+            "{what}: not in time"
+        );
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn ended(ledger: &Ledger, id: &str, ending: Ending) -> bool {
+    let runs = ledger.history(id);
+    let fits = |run: &standin::backend::Run| run.ended.is_some_and(|(_, how)| how == ending);
+    !runs.is_empty() && runs.iter().all(fits)
+}
+
+#[test_case(Fault::Lost; "lost")]
+#[test_case(Fault::Crossed; "crossed")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_unknown(case: Fault) {
+    let mesh = start(2).await;
+    set(&mesh, fault(case));
+    let answer = issue(&mesh, "call-1").await.unwrap();
+    assert_eq!(outcome(&answer), "unknown", "{answer:?}");
+    let body: serde_json::Value = serde_json::from_slice(answer.body()).unwrap();
+    assert_eq!(body["request_id"], "call-1");
+    assert_eq!(body["outcome"], "unknown");
+    assert_eq!(mesh.ledger.runs("call-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_truncated_is_never_whole() {
+    let mesh = start(1).await;
+    set(&mesh, fault(Fault::Truncated));
+    for number in 0..5 {
+        let id = format!("call-{number}");
+        let path = format!("/certs/lookup/bytes/{}", 10_000 * number);
+        let request = request(&path, &id, "").body(Full::default()).unwrap();
+        if let Ok(answer) = caller::call(mesh.entries[0].outbound, request).await {
+            assert_eq!(outcome(&answer), "unknown", "{answer:?}");
+        }
+    }
+    set(&mesh, Behaviour::default());
+    let answer = lookup(&mesh, "call-9").await.unwrap();
+    assert!(answer.body().ends_with(b" call-9 0\n"), "{answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_late_reaches_nobody_else() {
+    let mesh = start(1).await;
+    set(&mesh, fault(Fault::Late(Duration::from_millis(300))));
+    let late = request("/certs/issue", "late", "serial").header("x-baobab-deadline-ms", "50");
+    let late = late.body(Full::from("serial")).unwrap();
+    let answer = caller::call(mesh.entries[0].outbound, late).await.unwrap();
+    assert_eq!(
+        (answer.status().as_u16(), outcome(&answer)),
+        (504, "unknown")
+    );
+    let ledger = mesh.ledger.clone();
+    until("late run cancelled", || {
+        ended(&ledger, "late", Ending::Cancelled)
+    })
+    .await;
+    set(&mesh, Behaviour::default());
+    for number in 0..20 {
+        let id = format!("call-{number}");
+        let answer = issue(&mesh, &id).await.unwrap();
+        let end = format!(" {id} 6\n");
+        assert!(answer.body().ends_with(end.as_bytes()), "{answer:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn retry_after_a_lost_answer_of_an_idempotent_call() {
+    let mesh = start(2).await;
+    mesh.backends[0].set(fault(Fault::Lost));
+    for number in 0..10 {
+        let id = format!("call-{number}");
+        let answer = lookup(&mesh, &id).await.unwrap();
+        let end = format!(" {id} 0\n");
+        assert!(answer.body().ends_with(end.as_bytes()), "{answer:?}");
+    }
+}
+
+/// The daemon beside the backend server is killed while a call runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_unknown_when_the_vm_is_lost() {
+    let mut mesh = start(2).await;
+    set(&mesh, fault(Fault::Late(Duration::from_secs(1))));
+    let entry = mesh.entries[0].outbound;
+    let call = tokio::spawn(async move {
+        let request = request("/certs/issue", "call-1", "serial").body(Full::from("serial"));
+        caller::call(entry, request.unwrap()).await
+    });
+    let ledger = mesh.ledger.clone();
+    until("call runs", || ledger.runs("call-1") == 1).await;
+    let name = ledger.history("call-1")[0].backend.clone();
+    let place = mesh.backends.iter().position(|b| b.name == name).unwrap();
+    mesh.daemons[place].kill().await.unwrap();
+    let answer = call.await.unwrap().unwrap();
+    assert_eq!(outcome(&answer), "unknown", "{answer:?}");
+    assert_eq!(ledger.runs("call-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_goes_away_cancels_the_run() {
+    let mesh = start(1).await;
+    set(&mesh, fault(Fault::Stuck));
+    let call = tokio::time::timeout(Duration::from_millis(500), issue(&mesh, "call-1"));
+    assert!(call.await.is_err());
+    let ledger = mesh.ledger.clone();
+    until("run cancelled", || {
+        ended(&ledger, "call-1", Ending::Cancelled)
+    })
+    .await;
+    let idle = |state: &serde_json::Value| state["inbound"]["running"] == 0;
+    let state = mesh.daemons[0].wait_state("slot is free", TIMEOUT, idle);
+    state.await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn body_too_long_is_not_run() {
+    let mesh = start(1).await;
+    let change = serde_json::json!({"id": "limit", "title": "Limit bodies", "put": [
+        {"kind": "policy", "name": "policy", "spec": {
+            "kinds": {"lookup": 10, "issue": 100}, "body_bytes": 5}}]});
+    mesh.configure(&change).await.unwrap();
+    let answer = issue(&mesh, "call-1").await.unwrap();
+    assert_eq!(
+        (answer.status().as_u16(), outcome(&answer)),
+        (413, "not-run")
+    );
+    assert_eq!(mesh.ledger.runs("call-1"), 0);
+}
+
+/// Headers between daemons have no meaning when callers send them.
+#[test_case("x-baobab-fence", "1.1.0.1.1"; "fence")]
+#[test_case("x-baobab-hello", "1"; "hello")]
+#[test_case("x-baobab-attempt", "1.1.0.1.1"; "attempt")]
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_cannot_use(name: &str, value: &str) {
+    let mesh = start(1).await;
+    let request = request("/certs/issue", "call-1", "serial").header(name, value);
+    let request = request.body(Full::from("serial")).unwrap();
+    let answer = caller::call(mesh.daemons[0].outbound, request).await;
+    let answer = answer.unwrap();
+    assert!(answer.body().ends_with(b" call-1 6\n"), "{answer:?}");
+    let kept = answer.headers().keys();
+    let kept: Vec<_> = kept
+        .filter(|n| n.as_str().starts_with("x-baobab"))
+        .collect();
+    assert!(kept.is_empty(), "{kept:?}");
+}
+
+#[test_case("content-length: 3\r\ncontent-length: 4\r\n\r\nabcd"; "two lengths")]
+#[test_case("content-length: +3\r\n\r\nabc"; "signed length")]
+#[test_case("transfer-encoding: chunked, identity\r\n\r\n0\r\n\r\n"; "chunks not last")]
+#[test_case("transfer-encoding: chunked\r\n\r\nxyz\r\nabc\r\n0\r\n\r\n"; "bad chunk")]
+#[test_case("content length: 3\r\n\r\nabc"; "space in a name")]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_refused(rest: &str) {
+    let mesh = start(1).await;
+    let mut stream = TcpStream::connect(mesh.entries[0].outbound).await.unwrap();
+    let head = "POST /certs/issue HTTP/1.1\r\nhost: certs\r\nx-request-id: call-1\r\n";
+    let text = format!("{head}connection: close\r\n{rest}");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(TIMEOUT, stream.read_to_end(&mut answer));
+    let _ = read.await.unwrap();
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(!answer.starts_with("HTTP/1.1 2"), "{answer}");
+    for run in mesh.ledger.history("call-1") {
+        let (_, how) = run.ended.unwrap();
+        assert_eq!(how, Ending::Cancelled, "{answer}");
+    }
+}
+
+/// The HTTP library drops the length then, as RFC 9112 asks, and the request is framed anew.
+#[test_case("content-length: 3\r\ntransfer-encoding: chunked\r\n"; "length first")]
+#[test_case("transfer-encoding: chunked\r\ncontent-length: 3\r\n"; "chunks first")]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_with_length_and_chunks_is_framed_by_chunks(lines: &str) {
+    let mesh = start(1).await;
+    let mut stream = TcpStream::connect(mesh.entries[0].outbound).await.unwrap();
+    let head = "POST /certs/issue HTTP/1.1\r\nhost: certs\r\nx-request-id: call-1\r\n";
+    let body = "1\r\na\r\n0\r\n\r\n";
+    let text = format!("{head}connection: close\r\n{lines}\r\n{body}");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(TIMEOUT, stream.read_to_end(&mut answer));
+    read.await.unwrap().unwrap();
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.contains(" call-1 1\n"), "{answer}");
+    assert_eq!(mesh.ledger.runs("call-1"), 1);
+}
