Run a call with an idempotency key once

Cause: a caller that repeats a call with the same Idempotency-Key had it run again. Change: the inbound side that a key belongs to by rendezvous hashing records it; a repeat joins the first run or gets its answer again, and is refused as unknown where that answer is not kept. The first run goes on when its caller goes away. The platform as the place of the record is refused by the check until it is built. Tests of 100 MB bodies both ways by HTTP/1 and HTTP/2. Without asking the other upstreams repeats_run_once_while_daemons_join fails: a repeat ran again at a daemon that had joined (left 1, right 0).

--- a/src/call.rs
+++ b/src/call.rs
@@ -7,6 +7,7 @@
 pub mod choose;
 pub mod fence;
 pub mod gate;
+pub mod idempotency;
 pub mod request;
 pub mod upstream;
 pub mod view;
@@ -39,6 +40,12 @@
 /// Asks an inbound side for its incarnation and clock, and answers that question.
 pub const HELLO: HeaderName = HeaderName::from_static("x-baobab-hello");
 
+/// Asks an inbound side whether an idempotency key is in its record, and answers that question.
+pub const KEY_KNOWN: HeaderName = HeaderName::from_static("x-baobab-key-known");
+
+/// Says that the inbound side keeps the record of the call's idempotency key.
+pub const KEY_RECORD: HeaderName = HeaderName::from_static("x-baobab-key-record");
+
 /// Said by a backend server that takes no new calls.
 pub const DRAIN: HeaderName = HeaderName::from_static("x-baobab-drain");
 
--- a/src/call/body.rs
+++ b/src/call/body.rs
@@ -266,3 +266,36 @@
         hint
     }
 }
+
+/// A body of which the start has been read already.
+pub struct Prefixed {
+    frames: VecDeque<Frame<Bytes>>,
+    rest: Body,
+}
+
+impl Prefixed {
+    /// Makes a body of the frames read and the rest.
+    #[must_use]
+    pub fn new(frames: VecDeque<Frame<Bytes>>, rest: Body) -> Self {
+        Prefixed { frames, rest }
+    }
+}
+
+impl HttpBody for Prefixed {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(frame) = self.frames.pop_front() {
+            return Poll::Ready(Some(Ok(frame)));
+        }
+        Pin::new(&mut self.rest).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.frames.is_empty() && self.rest.is_end_stream()
+    }
+}
--- a/src/call/choose.rs
+++ b/src/call/choose.rs
@@ -1,6 +1,7 @@
 //! Which of a service's upstreams takes a call.
 
 use super::attempt::Load;
+use super::idempotency::KeyId;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -301,6 +302,19 @@
         }
     }
 
+    /// Returns the upstreams that take calls, the one that a key belongs to first.
+    #[must_use]
+    pub fn by_key(&self, key: KeyId) -> Vec<Index> {
+        let places = (0..self.upstreams.len()).map(Index);
+        let staying = |index: &Index| !self.upstreams[index.0].health.is_leaving();
+        let mut places: Vec<Index> = places.filter(staying).collect();
+        places.sort_by_cached_key(|index| {
+            let name = &self.upstreams[index.0].facts.name;
+            std::cmp::Reverse(key.rating(name))
+        });
+        places
+    }
+
     fn near_first(&self, now: Instant, dice: Dice, tried: &[Index]) -> Option<Index> {
         let cost = |upstream: &Upstream| upstream.cost(now, &self.sizes);
         let near = self.better(now, 0..self.near, dice, tried, cost);
--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -1,10 +1,10 @@
 //! Connections to backend servers and to other daemons.
 
-use super::{FENCE, HELLO, attempt::Attempt, fence::Fate};
+use super::{FENCE, HELLO, KEY_KNOWN, attempt::Attempt, fence::Fate, idempotency::KeyId};
 use crate::serve::{Body, BodyError, full};
 use crate::sync::lock;
 use arc_swap::ArcSwapOption;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderName, HeaderValue, Request, Response};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::{http1, http2};
@@ -23,8 +23,8 @@
 /// Time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time for an inbound side to tell what became of an attempt.
-const FENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for an inbound side to answer a question.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Data of one stream that may be under way between daemons, in bytes.
 const STREAM_WINDOW: u32 = 256 * 1024;
@@ -302,15 +302,27 @@
 
     /// Asks the inbound side what became of an attempt, and bars it from running if it has not.
     pub async fn fence(&self, attempt: &Attempt) -> Option<Fate> {
+        let fate = self.ask(FENCE, &attempt.to_string()).await?;
+        Fate::read(&fate)
+    }
+
+    /// Asks the inbound side whether a key is in its record.
+    pub async fn knows(&self, key: KeyId) -> Option<bool> {
+        let known = self.ask(KEY_KNOWN, &key.text()).await?;
+        Some(known == "1")
+    }
+
+    /// Asks a question in a header and returns the same header of the answer.
+    async fn ask(&self, name: HeaderName, value: &str) -> Option<String> {
+        let value = HeaderValue::from_str(value).ok()?;
         let ask = async {
-            let value = HeaderValue::from_str(&attempt.to_string()).ok()?;
             let mut request = Request::new(full(Bytes::new()));
             *request.uri_mut() = http::Uri::from_static("http://inbound/");
-            request.headers_mut().insert(FENCE, value);
+            request.headers_mut().insert(&name, value);
             let answer = self.ready().await.ok()?.send(request).await.ok()?;
-            Fate::read(super::text(answer.headers(), &FENCE)?)
+            super::text(answer.headers(), &name).map(ToOwned::to_owned)
         };
-        tokio::time::timeout(FENCE_TIMEOUT, ask).await.ok()?
+        tokio::time::timeout(ASK_TIMEOUT, ask).await.ok()?
     }
 
     async fn open(&self) -> Result<Arc<Open>, UpstreamError> {
--- a/src/call/view.rs
+++ b/src/call/view.rs
@@ -21,6 +21,8 @@
     pub group: Group,
     /// The retries at hand.
     pub budget: Arc<Budget>,
+    /// When the upstreams changed last, as far as is known.
+    pub changed: Instant,
     /// The links, in the order of the group; `None` for this daemon itself.
     links: Vec<Option<Arc<Link>>>,
 }
@@ -76,6 +78,13 @@
 struct Known {
     nodes: BTreeMap<(String, u64), Node>,
     budgets: BTreeMap<String, Arc<Budget>>,
+    changes: BTreeMap<String, Change>,
+}
+
+/// The names of a service's upstreams and when they changed.
+struct Change {
+    names: Vec<String>,
+    at: Instant,
 }
 
 #[derive(Clone)]
@@ -145,9 +154,12 @@
             let group = Group::new(upstreams, sizes(entry));
             let links = links(viewer, &group, &nodes);
             let budget = self.budgets.entry(entry.name.clone()).or_default();
+            let budget = Arc::clone(budget);
+            let changed = self.changed(&entry.name, &group, now);
             let view = ServiceView {
                 group,
-                budget: Arc::clone(budget),
+                budget,
+                changed,
                 links,
             };
             services.insert(id, view);
@@ -160,6 +172,19 @@
         }
     }
 
+    fn changed(&mut self, service: &str, group: &Group, now: Instant) -> Instant {
+        let upstreams = group.upstreams().iter();
+        let names: Vec<String> = upstreams.map(|u| u.facts.name.clone()).collect();
+        match self.changes.get(service) {
+            Some(change) if change.names == names => change.at,
+            _ => {
+                let change = Change { names, at: now };
+                self.changes.insert(service.to_owned(), change);
+                now
+            }
+        }
+    }
+
     fn knows(&self, member: &wire::Member) -> bool {
         self.nodes.contains_key(&node_key(member))
     }
--- a/src/check.rs
+++ b/src/check.rs
@@ -1,7 +1,9 @@
 //! Checks of a whole version before it is accepted and before it is applied.
 
 use crate::error::{Category, Error, Result};
-use crate::resource::{Kind, MAX_NAME_LEN, Policy, Pool, ResourceKey, Route, Service, Spec};
+use crate::resource::{
+    KeyRecord, Kind, MAX_NAME_LEN, Policy, Pool, ResourceKey, Route, Service, Spec,
+};
 use crate::snapshot::{MAX_SNAPSHOT_LEN, Snapshot};
 use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
@@ -121,6 +123,9 @@
     );
     faults.range(key, "queue", u64::from(policy.queue), &QUEUE);
     faults.range(key, "body_bytes", policy.body_bytes, &BODY_BYTES);
+    if policy.key_record == KeyRecord::Platform {
+        faults.add(key, "key_record", "\"platform\" is not supported yet");
+    }
 }
 
 fn check_pool(faults: &mut Faults, key: &ResourceKey, pool: &Pool) {
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -1,12 +1,14 @@
 //! The inbound side: the only way to this daemon's own backend server.
 
 mod health;
+mod keyed;
 
 use crate::call::admission::{Limits, Reason};
 use crate::call::attempt::{Attempt, AttemptId};
 use crate::call::body::Guarded;
 use crate::call::fence::{self, ArrivalError, Record};
 use crate::call::gate::{Gate, Permit, Rejected};
+use crate::call::idempotency::{KeyId, Keys};
 use crate::call::upstream::{BackendPool, Returning, UpstreamError, hello};
 use crate::call::{self, Refusal, request};
 use crate::daemon::{Daemon, Flight, Phase};
@@ -89,6 +91,7 @@
     pool: BackendPool,
     gate: Gate,
     record: Arc<Mutex<Record>>,
+    keys: Mutex<Keys>,
 }
 
 impl Inbound {
@@ -100,6 +103,7 @@
             pool: BackendPool::new(backend.map_or(nowhere, |backend| backend.address)),
             gate: Gate::default(),
             record: Arc::new(Mutex::new(Record::new(Instant::now(), fence::CAPACITY))),
+            keys: Mutex::default(),
         }
     }
 
@@ -110,7 +114,11 @@
     }
 
     /// Answers a request of an outbound side.
-    pub async fn answer(&self, daemon: &Daemon, request: Request<Body>) -> Response<Body> {
+    pub async fn answer(
+        self: &Arc<Self>,
+        daemon: &Arc<Daemon>,
+        mut request: Request<Body>,
+    ) -> Response<Body> {
         if request.headers().contains_key(call::HELLO) {
             let value = hello(daemon.identity.incarnation, self.clock_ms());
             return told(call::HELLO, &value);
@@ -118,9 +126,17 @@
         if let Some(asked) = call::text(request.headers(), &call::FENCE) {
             return self.fence(daemon, asked);
         }
+        if let Some(asked) = call::text(request.headers(), &call::KEY_KNOWN) {
+            let known = KeyId::read(asked).is_some_and(|key| self.knows(key));
+            return told(call::KEY_KNOWN, if known { "1" } else { "0" });
+        }
         let flight = daemon.drain.flight();
         let id = request.headers().get(call::REQUEST_ID).cloned();
-        let answer = self.forward(daemon, request, flight).await;
+        let recorded = request.headers_mut().remove(call::KEY_RECORD).is_some();
+        let answer = match self.key(&request).filter(|_| recorded) {
+            Some(key) => self.run_keyed(daemon, key, request, flight).await,
+            None => self.forward(daemon, request, flight).await,
+        };
         let mut answer = answer.unwrap_or_else(|refusal| {
             let id = id.as_ref().and_then(|id| id.to_str().ok());
             let id = id.unwrap_or_default();
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -6,6 +6,7 @@
 use crate::call::body::Guarded;
 use crate::call::budget::backoff;
 use crate::call::choose::{Choice, Health, Index, Upstream};
+use crate::call::idempotency::{KEY_TIME, KeyId};
 use crate::call::upstream::{Link, UpstreamError};
 use crate::call::view::{ServiceView, ViewCell, Viewer};
 use crate::call::{Refusal, request};
@@ -100,7 +101,7 @@
         }
     }
 
-    async fn answer(&self, daemon: &Daemon, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, daemon: &Arc<Daemon>, request: Request<Incoming>) -> Response<Body> {
         let flight = daemon.drain.flight();
         let version = request.version();
         let id = request::request_id(&request);
@@ -120,7 +121,7 @@
 
     async fn forward(
         &self,
-        daemon: &Daemon,
+        daemon: &Arc<Daemon>,
         request: Request<Incoming>,
         id: &str,
         flight: Flight,
@@ -138,8 +139,10 @@
         let mut tried = Vec::new();
         let mut last: Option<Box<Response<Body>>> = None;
         loop {
-            let dice = rand::random();
-            let index = group.choose(Instant::now(), self.choice, dice, &tried);
+            let index = match call.key {
+                Some(key) => key_holder(call, key).await,
+                None => group.choose(Instant::now(), self.choice, rand::random(), &tried),
+            };
             let Some(index) = index else {
                 return last.map(|answer| *answer).ok_or_else(no_upstream);
             };
@@ -247,6 +250,26 @@
     }
 }
 
+/// Returns the upstream that holds the record of a key.
+///
+/// While the upstreams have changed lately it may be another than the key belongs to now.
+async fn key_holder(call: &Call<'_>, key: KeyId) -> Option<Index> {
+    let places = call.service.group.by_key(key);
+    let owner = places.first().copied();
+    if call.service.changed.elapsed() > KEY_TIME {
+        return owner;
+    }
+    let asked = places.iter().map(|index| async {
+        match call.service.link(*index) {
+            Some(link) => link.knows(key).await == Some(true),
+            None => inbound::of(call.daemon).knows(key),
+        }
+    });
+    let known = futures_util::future::join_all(asked).await;
+    let holder = places.iter().zip(known).find(|(_, known)| *known);
+    holder.map(|(index, _)| *index).or(owner)
+}
+
 /// Counts a call at an upstream while it lives.
 struct Busy {
     health: Arc<Health>,
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -5,15 +5,18 @@
 use crate::call::budget::{Failure, Terms};
 use crate::call::choose::Upstream;
 use crate::call::fence::Fate;
+use crate::call::idempotency::{KEY, KeyId};
 use crate::call::upstream::{Link, UpstreamError};
 use crate::call::view::{ServiceView, View};
 use crate::call::{self, Outcome, Refusal, request};
 use crate::daemon::Daemon;
 use crate::event;
+use crate::resource::KeyRecord;
 use crate::serve::{Body, incoming};
 use crate::table::RouteEntry;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -22,13 +25,15 @@
 
 /// A call on its way.
 pub(super) struct Call<'a> {
-    pub(super) daemon: &'a Daemon,
+    pub(super) daemon: &'a Arc<Daemon>,
     pub(super) service: &'a ServiceView,
     pub(super) head: http::request::Parts,
     pub(super) body: Replay,
     pub(super) id: &'a str,
     pub(super) terms: Terms,
     pub(super) weight: u32,
+    /// The idempotency key whose record an inbound side keeps.
+    pub(super) key: Option<KeyId>,
 }
 
 /// An attempt that is not the whole answer to its call.
@@ -40,7 +45,7 @@
 
 impl<'a> Call<'a> {
     pub(super) fn new(
-        daemon: &'a Daemon,
+        daemon: &'a Arc<Daemon>,
         view: &'a View,
         entry: &RouteEntry,
         request: Request<Incoming>,
@@ -61,6 +66,11 @@
             attempts: entry.route.attempts,
             deadline: Instant::now() + left,
         };
+        let key = request.headers().get(KEY);
+        let recorded = !terms.idempotent && policy.key_record == KeyRecord::Inbound;
+        let name = &view.table.service(entry.service).name;
+        let key = key.filter(|_| recorded);
+        let key = key.map(|key| KeyId::new(name, key.as_bytes()));
         let (head, body) = request.into_parts();
         Ok(Call {
             daemon,
@@ -70,6 +80,7 @@
             id,
             terms,
             weight: entry.weight,
+            key,
         })
     }
 
@@ -78,6 +89,10 @@
         let value = HeaderValue::from_str(&attempt.to_string());
         let value = value.map_err(|err| Refusal::not_run(StatusCode::BAD_REQUEST, err))?;
         head.headers.insert(call::ATTEMPT, value);
+        if self.key.is_some() {
+            let record = HeaderValue::from_static("1");
+            head.headers.insert(call::KEY_RECORD, record);
+        }
         let left = request::left_ms(self.terms.deadline);
         head.headers.insert(call::DEADLINE_MS, left);
         Ok(Request::from_parts(head, self.body.attempt()))
--- /dev/null
+++ b/tests/call_bodies.rs
@@ -0,0 +1,113 @@
+//! Bodies pass through whole, in bounded memory.
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::Request;
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::client::conn::{http1, http2};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use standin::backend::Behaviour;
+use standin::bench::calls::mesh::Mesh;
+use standin::bench::calls::profile::Profile;
+use standin::fleet::Launcher;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use test_case::test_case;
+use tokio::net::TcpStream;
+
+const MB: usize = 1_000_000;
+const CHUNK_LEN: usize = 64 * 1024;
+
+/// Memory that a daemon may have used at most, in KiB, well below a photo.
+const MAX_MEMORY_KIB: u64 = 64 * 1024;
+
+type Body = http_body_util::combinators::BoxBody<Bytes, Infallible>;
+
+async fn start() -> Mesh {
+    let mut profile = Profile::named("lathegallery").unwrap();
+    profile.upstreams = 1;
+    profile.domains = ["howrah"; 3];
+    let launcher = Launcher::new(env!("CARGO_BIN_EXE_baobabd"));
+    let mesh = Mesh::start(launcher, &profile, Behaviour::default());
+    let mesh = mesh.await.unwrap();
+    let change = serde_json::json!({"id": "slow", "title": "Time for photos", "put": [
+        {"kind": "route", "name": "photo", "spec": {
+            "prefix": "/lathegallery/photo", "service": "lathegallery",
+            "request_kind": "photo", "idempotent": false, "timeout_ms": 120_000}}]});
+    mesh.configure(&change).await.unwrap();
+    mesh
+}
+
+fn upload(len: usize) -> Body {
+    let chunk = Bytes::from(vec![7; CHUNK_LEN]);
+    let count = len.div_ceil(CHUNK_LEN);
+    let chunks = futures_util::stream::iter(0..count).map(move |index| {
+        let end = (len - index * CHUNK_LEN).min(CHUNK_LEN);
+        Ok(Frame::data(chunk.slice(..end)))
+    });
+    BodyExt::boxed(StreamBody::new(chunks))
+}
+
+async fn send(address: SocketAddr, h2: bool, request: Request<Body>) -> (u16, usize, Bytes) {
+    let io = TokioIo::new(TcpStream::connect(address).await.unwrap());
+    let answer = if h2 {
+        let (mut sender, connection) = http2::handshake(TokioExecutor::new(), io).await.unwrap();
+        tokio::spawn(connection);
+        sender.send_request(request).await.unwrap()
+    } else {
+        let (mut sender, connection) = http1::handshake(io).await.unwrap();
+        tokio::spawn(connection);
+        sender.send_request(request).await.unwrap()
+    };
+    let status = answer.status().as_u16();
+    let mut body = answer.into_body();
+    let (mut len, mut start) = (0, Bytes::new());
+    while let Some(frame) = body.frame().await {
+        let data = frame.unwrap().into_data().unwrap_or_default();
+        if len == 0 {
+            start = data.clone();
+        }
+        len += data.len();
+    }
+    (status, len, start)
+}
+
+fn request(path: &str, body: Body) -> Request<Body> {
+    Request::post(format!("http://gallery{path}"))
+        .header("host", "gallery")
+        .header("x-request-id", "photo-1")
+        .body(body)
+        .unwrap()
+}
+
+fn peak_kib(id: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmHWM"))
+        .unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+#[test_case(false; "http1")]
+#[test_case(true; "http2")]
+#[tokio::test(flavor = "multi_thread")]
+async fn large_photo_both_ways(h2: bool) {
+    let mesh = start().await;
+    let entry = &mesh.entries[0];
+    let len = 100 * MB;
+    let sent = request("/lathegallery/photo/1", upload(len));
+    let (status, _, start) = send(entry.outbound, h2, sent).await;
+    assert_eq!(status, 200);
+    let end = format!(" photo-1 {len}\n");
+    assert!(start.ends_with(end.as_bytes()), "{start:?}");
+    let path = format!("/lathegallery/photo/bytes/{len}");
+    let sent = request(&path, upload(1));
+    let (status, got, _) = send(entry.outbound, h2, sent).await;
+    assert_eq!((status, got), (200, len));
+    for daemon in [&mesh.entries[0], &mesh.daemons[0]] {
+        let peak = peak_kib(daemon.id().unwrap());
+        assert!(peak < MAX_MEMORY_KIB, "{peak} KiB");
+    }
+}
--- /dev/null
+++ b/tests/call_keys.rs
@@ -0,0 +1,180 @@
+//! A call with an `Idempotency-Key` runs once, however often it is repeated.
+
+use baobabstage::call::idempotency::{
+    Begin, Ending, KEY_TIME, Kept, KeyError, KeyId, Keys, MAX_ANSWER_LEN, MAX_KEPT_LEN,
+};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::Full;
+use standin::backend::{Behaviour, Fault};
+use standin::bench::calls::mesh::Mesh;
+use standin::bench::calls::profile::Profile;
+use standin::caller;
+use standin::fleet::Launcher;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use test_case::test_case;
+use tokio::time::Instant;
+
+fn kept(len: usize) -> Arc<Kept> {
+    Arc::new(Kept {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: vec![0; len].into(),
+    })
+}
+
+fn key(number: usize) -> KeyId {
+    KeyId::new("certs", number.to_string().as_bytes())
+}
+
+#[test]
+fn begin_answers_a_repeat() {
+    let (mut keys, now) = (Keys::default(), Instant::now());
+    assert!(matches!(keys.begin(now, key(1), 7), Begin::Run));
+    let Begin::Join(receiver) = keys.begin(now, key(1), 7) else {
+        panic!("not joined");
+    };
+    keys.end(key(1), &Ending::Answered(kept(3)));
+    assert!(matches!(&*receiver.borrow(), Some(Ending::Answered(kept)) if kept.body.len() == 3));
+    assert!(matches!(keys.begin(now, key(1), 7), Begin::Answer(_)));
+    let other = keys.begin(now, key(1), 8);
+    assert!(matches!(other, Begin::Refuse(KeyError::OtherRequest)));
+}
+
+#[test_case(&Ending::NotRun, true; "not run")]
+#[test_case(&Ending::Shed(kept(1)), true; "shed")]
+#[test_case(&Ending::Unknown, false; "unknown")]
+fn end_frees_the_key(ending: &Ending, free: bool) {
+    let (mut keys, now) = (Keys::default(), Instant::now());
+    assert!(matches!(keys.begin(now, key(1), 7), Begin::Run));
+    keys.end(key(1), ending);
+    assert_eq!(matches!(keys.begin(now, key(1), 7), Begin::Run), free);
+}
+
+#[test]
+fn end_drops_answers_but_keeps_keys() {
+    let (mut keys, now) = (Keys::default(), Instant::now());
+    let most = MAX_KEPT_LEN / MAX_ANSWER_LEN;
+    for number in 0..=most {
+        assert!(matches!(keys.begin(now, key(number), 7), Begin::Run));
+        keys.end(key(number), &Ending::Answered(kept(MAX_ANSWER_LEN)));
+    }
+    let oldest = keys.begin(now, key(0), 7);
+    assert!(matches!(oldest, Begin::Refuse(KeyError::Unknown)));
+    assert!(matches!(keys.begin(now, key(1), 7), Begin::Answer(_)));
+    let later = now + KEY_TIME + Duration::from_secs(1);
+    assert!(matches!(keys.begin(later, key(0), 7), Begin::Run));
+    assert!(!keys.knows(key(1)));
+}
+
+async fn start(behaviour: Behaviour) -> Mesh {
+    let mut profile = Profile::named("certs").unwrap();
+    profile.upstreams = 3;
+    profile.domains = ["espoo", "vantaa", "espoo"];
+    let launcher = Launcher::new(env!("CARGO_BIN_EXE_baobabd"));
+    Mesh::start(launcher, &profile, behaviour).await.unwrap()
+}
+
+async fn issue(address: SocketAddr, id: &str, key: &str) -> anyhow::Result<Response<Bytes>> {
+    let request = Request::post("/certs/issue")
+        .header("host", "certs")
+        .header("x-request-id", id)
+        .header("idempotency-key", key)
+        .body(Full::from("serial"))?;
+    caller::call(address, request).await
+}
+
+fn runs(mesh: &Mesh, ids: &[String]) -> u32 {
+    ids.iter().map(|id| mesh.ledger.runs(id)).sum()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_run_once_from_any_daemon() {
+    let behaviour = Behaviour {
+        work: Duration::from_millis(50),
+        ..Behaviour::default()
+    };
+    let mesh = start(behaviour).await;
+    let mut calls = Vec::new();
+    let ids: Vec<String> = (0..12).map(|number| format!("call-{number}")).collect();
+    for (number, id) in ids.iter().enumerate() {
+        let daemons = [&mesh.daemons, &mesh.entries];
+        let daemons: Vec<_> = daemons.into_iter().flatten().collect();
+        let address = daemons[number % daemons.len()].outbound;
+        let id = id.clone();
+        calls.push(tokio::spawn(async move {
+            issue(address, &id, "serial-7").await
+        }));
+    }
+    let mut bodies = Vec::new();
+    for (call, id) in calls.into_iter().zip(&ids) {
+        let answer = call.await.unwrap().unwrap();
+        assert_eq!(answer.status(), 200, "{answer:?}");
+        assert_eq!(answer.headers()["x-request-id"], id.as_str());
+        bodies.push(answer.into_body());
+    }
+    bodies.dedup();
+    assert_eq!(bodies.len(), 1);
+    assert_eq!(runs(&mesh, &ids), 1);
+}
+
+/// A key keeps its record while other daemons join.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_run_once_while_daemons_join() {
+    let mut mesh = start(Behaviour::default()).await;
+    let entry = mesh.entries[0].outbound;
+    let ids: Vec<String> = (0..40).map(|number| format!("call-{number}")).collect();
+    for id in &ids {
+        let answer = issue(entry, id, id).await.unwrap();
+        assert_eq!(answer.status(), 200, "{answer:?}");
+    }
+    for _ in 0..2 {
+        mesh.add(Behaviour::default()).await.unwrap();
+    }
+    mesh.wait_members(7).await.unwrap();
+    for id in &ids {
+        let answer = issue(entry, &format!("{id}-again"), id).await.unwrap();
+        assert_eq!(answer.status(), 200, "{answer:?}");
+        assert_eq!(mesh.ledger.runs(id), 1);
+        assert_eq!(mesh.ledger.runs(&format!("{id}-again")), 0);
+    }
+}
+
+/// The first caller goes away; its run goes on and answers the repeat.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeat_after_the_caller_went_away() {
+    let mesh = start(Behaviour {
+        fault: Fault::Late(Duration::from_millis(400)),
+        ..Behaviour::default()
+    });
+    let mesh = mesh.await;
+    let entry = mesh.entries[0].outbound;
+    let first = issue(entry, "call-1", "serial-7");
+    let first = tokio::time::timeout(Duration::from_millis(200), first);
+    assert!(first.await.is_err());
+    let answer = issue(entry, "call-2", "serial-7").await.unwrap();
+    assert!(answer.body().ends_with(b" call-1 6\n"), "{answer:?}");
+    assert_eq!(runs(&mesh, &["call-1".into(), "call-2".into()]), 1);
+}
+
+/// The first answer was lost for good, so a repeat is refused and not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeat_after_a_lost_answer_is_unknown() {
+    let mesh = start(Behaviour {
+        fault: Fault::Lost,
+        ..Behaviour::default()
+    });
+    let mesh = mesh.await;
+    let entry = mesh.entries[0].outbound;
+    for id in ["call-1", "call-2"] {
+        let answer = issue(entry, id, "serial-7").await.unwrap();
+        assert_eq!(
+            answer.headers()["x-baobab-outcome"],
+            "unknown",
+            "{answer:?}"
+        );
+    }
+    assert_eq!(runs(&mesh, &["call-1".into(), "call-2".into()]), 1);
+}
