Run daemons of both profiles under random faults and check the promises

Cause: the nine promises need a check with real processes, faults on each link, and several faults at once. Change: bench soak starts daemons of both profiles, each link behind a fault proxy, with callers, operators who race, a monitor of the configuration in force and the ledger of runs as evidence. Each round brings one or two faults by seed about (herds killed, pauses, platform outages, slowness, lost and late writes, links with faults, cuts, backend servers killed, draining or with faulty answers, shutdowns; also the same twice), ends them and waits for the newest version everywhere. It ends with a table and fails on a broken promise. The platform stand-in gets writes that take effect late, and a watch wakes when a lease lapses. Conclusion: one command checks all nine.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -85,7 +85,7 @@
     /// Fails as [`Daemon::new`] does.
     pub fn with_platform(settings: Settings, platform: Arc<dyn Platform>) -> Result<Arc<Self>> {
         let sockets = Sockets::bind(&settings.listen)?;
-        let mesh = advertised(&settings, sockets.addresses().mesh);
+        let mesh = advertised(&settings, &sockets, sockets.addresses().mesh);
         let name = settings.name.clone().unwrap_or_else(|| default_name(mesh));
         let identity = Identity {
             name,
@@ -114,7 +114,7 @@
     /// Returns the address that others reach a listener of this daemon by.
     #[must_use]
     pub fn advertised(&self, bound: SocketAddr) -> SocketAddr {
-        advertised(&self.settings, bound)
+        advertised(&self.settings, &self.sockets, bound)
     }
 
     /// Returns a role's own state, which is made on the first call.
@@ -191,7 +191,18 @@
     }
 }
 
-fn advertised(settings: &Settings, bound: SocketAddr) -> SocketAddr {
+fn advertised(settings: &Settings, sockets: &Sockets, bound: SocketAddr) -> SocketAddr {
+    let addresses = sockets.addresses();
+    let special = if bound == addresses.inbound {
+        settings.advertise_inbound
+    } else if bound == addresses.mesh {
+        settings.advertise_mesh
+    } else {
+        None
+    };
+    if let Some(address) = special {
+        return address;
+    }
     SocketAddr::new(settings.advertise.unwrap_or(bound.ip()), bound.port())
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -98,6 +98,10 @@
     pub listen: Addresses,
     /// The IP number that other daemons reach this one by, if not the one listened on.
     pub advertise: Option<std::net::IpAddr>,
+    /// Where other daemons send calls to this one, if not where it listens.
+    pub advertise_inbound: Option<SocketAddr>,
+    /// Where other daemons attach to this one, if not where it listens.
+    pub advertise_mesh: Option<SocketAddr>,
     /// The operator token; operators need none when it is absent.
     pub token: Option<String>,
     /// Whether the settings shall only be checked.
@@ -195,6 +199,8 @@
             peers: self.addresses("peers"),
             listen,
             advertise: self.parsed("advertise"),
+            advertise_inbound: self.parsed("advertise-inbound"),
+            advertise_mesh: self.parsed("advertise-mesh"),
             token,
             check_only: self.check_only(),
             drain_timeout: self.millis("drain-timeout-ms", 30_000, 0, 3_600_000),
--- a/src/settings/flags.rs
+++ b/src/settings/flags.rs
@@ -44,6 +44,10 @@
             optional --admin address: String
             /// The IP number that other daemons reach this one by.
             optional --advertise ip: String
+            /// Where other daemons send calls to this one, as IP:PORT, if not where it listens.
+            optional --advertise-inbound address: String
+            /// Where other daemons attach to this one, as IP:PORT, if not where it listens.
+            optional --advertise-mesh address: String
             /// Time for calls in flight at a graceful shutdown, in milliseconds.
             optional --drain-timeout-ms ms: String
             /// What to do when cut off for long: serve or refuse.
@@ -69,7 +73,7 @@
 }
 
 /// The flags that take a value, each with an environment variable.
-pub const FLAGS: [&str; 25] = [
+pub const FLAGS: [&str; 27] = [
     "name",
     "domain",
     "region",
@@ -86,6 +90,8 @@
     "operator",
     "admin",
     "advertise",
+    "advertise-inbound",
+    "advertise-mesh",
     "drain-timeout-ms",
     "cut-off",
     "cut-after-ms",
@@ -152,6 +158,8 @@
             flags.operator,
             flags.admin,
             flags.advertise,
+            flags.advertise_inbound,
+            flags.advertise_mesh,
             flags.drain_timeout_ms,
             flags.cut_off,
             flags.cut_after_ms,
--- a/standin/src/backend/ledger.rs
+++ b/standin/src/backend/ledger.rs
@@ -58,6 +58,34 @@
         runs.values().flatten().filter(late).count()
     }
 
+    /// Returns the number of runs that a backend server started within a time.
+    #[must_use]
+    pub fn started_within(&self, backend: &str, since: Instant, until: Instant) -> usize {
+        let runs = lock(&self.runs);
+        let fits =
+            |run: &&Run| run.backend == backend && run.started > since && run.started < until;
+        runs.values().flatten().filter(fits).count()
+    }
+
+    /// Returns the runs that a backend server had in hand at a point in time, by request id.
+    #[must_use]
+    pub fn running_at(&self, backend: &str, at: Instant) -> Vec<(String, Run)> {
+        let runs = lock(&self.runs);
+        let mut found = Vec::new();
+        for (id, list) in runs.iter() {
+            let fits = |run: &&Run| {
+                let open = run.ended.is_none_or(|(ended, _)| ended > at);
+                run.backend == backend && run.started < at && open
+            };
+            found.extend(
+                list.iter()
+                    .filter(fits)
+                    .map(|run| (id.clone(), run.clone())),
+            );
+        }
+        found
+    }
+
     /// Returns the number of runs that ended in this way.
     #[must_use]
     pub fn ended(&self, ending: Ending) -> usize {
--- a/standin/src/bench/soak.rs
+++ b/standin/src/bench/soak.rs
@@ -1,5 +1,27 @@
 //! Runs daemons under random faults and checks the promises.
 
+pub mod monitor;
+pub mod operators;
+pub mod oracle;
+pub mod traffic;
+pub mod trouble;
+pub mod world;
+
+use crate::backend::Behaviour;
+use crate::fleet::Launcher;
+use anyhow::ensure;
+use monitor::Monitor;
+use operators::{Operators, declaration};
+use oracle::Tally;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::Value;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+use traffic::Traffic;
+use trouble::Trouble;
+use world::World;
+
 /// Options of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -11,11 +33,212 @@
     pub seed: u64,
 }
 
+/// Time in which an accepted version is in force everywhere once the faults have ended.
+pub const IN_FORCE_TIME: Duration = Duration::from_secs(15);
+
+const START_TIME: Duration = Duration::from_mins(1);
+const CALLERS: u64 = 12;
+const CALLER_PAUSE: Duration = Duration::from_millis(30);
+const OPERATORS: u64 = 3;
+const OPERATOR_PAUSE: Duration = Duration::from_millis(600);
+
+/// Service, slots, connections, region, failure domains.
+type Site = (&'static str, u32, u32, &'static str, [&'static str; 3]);
+
+const FINLAND: [&str; 3] = ["espoo", "vantaa", "lahti"];
+const BENGAL: [&str; 3] = ["howrah", "salt-lake", "barasat"];
+
+const SITES: [Site; 4] = [
+    ("certs", 12, 120, "fi-south", FINLAND),
+    ("benchlab", 12, 120, "fi-south", FINLAND),
+    ("stallhall", 9, 130, "bengal", BENGAL),
+    ("lathegallery", 9, 130, "bengal", BENGAL),
+];
+
 /// Runs the soak.
 ///
 /// # Errors
 ///
 /// Fails when a promise is broken.
 pub fn main(options: &Options) -> anyhow::Result<()> {
-    anyhow::bail!("not run yet: {options:?}")
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(run(options))
+}
+
+async fn run(options: &Options) -> anyhow::Result<()> {
+    let mut soak = Soak::start(Launcher::itself()?, options.daemons as usize).await?;
+    let mut rng = StdRng::seed_from_u64(options.seed);
+    let tasks = soak.start_load(options.seed);
+    let started = Instant::now();
+    let length = Duration::from_mins(u64::from(options.minutes));
+    let mut last: Option<Trouble> = None;
+    let mut rounds = 0;
+    while started.elapsed() < length {
+        let mut troubles = Vec::new();
+        for _ in 0..rng.random_range(1..=2) {
+            let again = rng.random_range(0..4) == 0;
+            let next = last.take().filter(|_| again);
+            let next = next.unwrap_or_else(|| Trouble::random(&mut rng, soak.world.vms.len()));
+            last = Some(next.clone());
+            troubles.push(next);
+        }
+        println!("{:4} s {troubles:?}", started.elapsed().as_secs());
+        let time = Duration::from_millis(rng.random_range(4_000..9_000));
+        soak.round(&troubles, time).await?;
+        rounds += 1;
+    }
+    for task in tasks {
+        task.abort();
+    }
+    soak.finish();
+    let Options {
+        minutes,
+        daemons,
+        seed,
+    } = options;
+    let calls = soak.traffic.calls().len();
+    let changes = soak.operators.accepted().len();
+    println!(
+        "\nminutes {minutes}, daemons {daemons}, seed {seed}: {rounds} rounds of faults, {calls} calls, {changes} changes accepted\n"
+    );
+    print!("{}", soak.tally);
+    let broken = soak.tally.broken();
+    ensure!(broken.is_empty(), "{} checks failed", broken.len());
+    Ok(())
+}
+
+/// Daemons under faults, with callers, operators and checks.
+pub struct Soak {
+    /// The daemons and their stand-ins.
+    pub world: World,
+    /// The callers.
+    pub traffic: Traffic,
+    /// The operators.
+    pub operators: Operators,
+    /// The watcher of the configuration.
+    pub monitor: Monitor,
+    /// The checks.
+    pub tally: Tally,
+}
+
+impl Soak {
+    /// Starts daemons of both profiles and declares their services.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a daemon cannot be started, or the declaration is not in force in time.
+    pub async fn start(launcher: Launcher, daemons: usize) -> anyhow::Result<Self> {
+        let mut world = World::start(launcher).await?;
+        for index in 0..daemons {
+            let (service, slots, connections, region, domains) = SITES[index % SITES.len()];
+            let behaviour = Behaviour {
+                work: Duration::from_millis(3),
+                spread: Duration::from_millis(10),
+                seed: index as u64,
+                slots,
+                queue: 64,
+                connections,
+                connect_cost: Duration::from_millis(1),
+                ..Behaviour::default()
+            };
+            let domain = domains[index / SITES.len() % domains.len()];
+            let name = format!("{service}-{index}");
+            world
+                .add(&name, service, (region, domain), behaviour)
+                .await?;
+        }
+        let services: Vec<String> = SITES.iter().map(|site| site.0.into()).collect();
+        let tally = Tally::default();
+        let soak = Soak {
+            traffic: Traffic::new(services.clone(), tally.clone()),
+            operators: Operators::new(services),
+            monitor: Monitor::new(world.platform.clone(), tally.clone()),
+            world,
+            tally,
+        };
+        soak.declare().await?;
+        soak.show_running();
+        Ok(soak)
+    }
+
+    async fn declare(&self) -> anyhow::Result<()> {
+        let sites = SITES.map(|(name, slots, connections, ..)| (name, slots, connections));
+        let change = declaration(&sites);
+        let deadline = Instant::now() + START_TIME;
+        for (_, daemon) in self.world.running() {
+            let told = world::submit(daemon.operator, &change).await?;
+            ensure!(told["outcome"] == "accepted", "declaration: {told}");
+            let known = self.world.vms.len();
+            let ready = |state: &Value| {
+                state["config"]["version"] == 1 && state["members"]["count"] == known
+            };
+            let left = deadline.saturating_duration_since(Instant::now());
+            daemon.wait_state("start", left, ready).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts callers, operators and the monitor.
+    #[must_use]
+    pub fn start_load(&self, seed: u64) -> Vec<tokio::task::JoinHandle<()>> {
+        let callers = (0..CALLERS).map(|number| {
+            let seed = seed * 1_000 + number;
+            self.traffic.caller(seed, CALLER_PAUSE)
+        });
+        let mut tasks: Vec<_> = callers.collect();
+        for number in 0..OPERATORS {
+            let seed = seed * 1_000 + number;
+            tasks.push(self.operators.operator(seed, OPERATOR_PAUSE));
+        }
+        tasks.push(self.monitor.start());
+        tasks
+    }
+
+    /// Brings faults about for a time, ends them and waits for the newest version in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a daemon cannot be started again.
+    pub async fn round(&mut self, troubles: &[Trouble], time: Duration) -> anyhow::Result<()> {
+        let since = Instant::now();
+        for trouble in troubles {
+            trouble.begin(&mut self.world).await?;
+        }
+        self.show_running();
+        sleep(time).await;
+        for trouble in troubles {
+            let alone = troubles.len() == 1;
+            trouble.check(&self.world, &self.traffic, &self.tally, since, alone);
+        }
+        self.world.heal();
+        // A paused process cannot end.
+        let (paused, others): (Vec<_>, Vec<_>) = troubles
+            .iter()
+            .partition(|trouble| matches!(trouble, Trouble::Pause(_)));
+        for trouble in paused.into_iter().chain(others) {
+            trouble.end(&mut self.world).await?;
+        }
+        self.show_running();
+        self.monitor.in_force(&self.world, IN_FORCE_TIME).await;
+        Ok(())
+    }
+
+    /// Tells callers, operators and the monitor which daemons run.
+    fn show_running(&self) {
+        let running: Vec<_> = self.world.running().collect();
+        let outbound = running.iter().map(|(_, daemon)| daemon.outbound);
+        self.traffic.entries.send_replace(outbound.collect());
+        let operator = running.iter().map(|(_, daemon)| daemon.operator);
+        self.operators.entries.send_replace(operator.collect());
+        let named = running
+            .iter()
+            .map(|(index, daemon)| (self.world.vms[*index].name.clone(), daemon.operator));
+        self.monitor.daemons.send_replace(named.collect());
+    }
+
+    /// Makes the checks that need all calls and changes.
+    pub fn finish(&self) {
+        self.traffic.check(&self.world.ledger);
+        self.monitor.check_accepted(&self.operators.accepted());
+    }
 }
--- /dev/null
+++ b/standin/src/bench/soak/monitor.rs
@@ -0,0 +1,182 @@
+//! Watches the configuration in force on every daemon and holds it against the accepted versions.
+
+use super::oracle::{Promise, Tally};
+use super::world::{World, ask};
+use crate::platform::Platform;
+use anyhow::Context as _;
+use baobabstage::generated::mesh as wire;
+use baobabstage::snapshot::{Snapshot, Stamp};
+use baobabstage::store::HEAD_KEY;
+use baobabstage::sync::lock;
+use prost::Message;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+const POLL: Duration = Duration::from_millis(250);
+const ANSWER_TIME: Duration = Duration::from_secs(2);
+
+/// Watches the configuration in force.
+#[derive(Clone)]
+pub struct Monitor {
+    /// The daemons to ask, by name.
+    pub daemons: watch::Sender<BTreeMap<String, SocketAddr>>,
+    platform: Platform,
+    highest: Arc<Mutex<BTreeMap<String, u64>>>,
+    tally: Tally,
+}
+
+impl Monitor {
+    /// Makes a monitor that has seen nothing yet.
+    #[must_use]
+    pub fn new(platform: Platform, tally: Tally) -> Self {
+        Monitor {
+            daemons: watch::Sender::default(),
+            platform,
+            highest: Arc::default(),
+            tally,
+        }
+    }
+
+    /// Asks every daemon again and again until the task is aborted.
+    #[must_use]
+    pub fn start(&self) -> tokio::task::JoinHandle<()> {
+        let monitor = self.clone();
+        tokio::spawn(async move {
+            loop {
+                let daemons = monitor.daemons.borrow().clone();
+                let asked = daemons.into_iter().map(|(name, operator)| {
+                    let monitor = monitor.clone();
+                    tokio::spawn(async move { monitor.look(&name, operator).await })
+                });
+                for look in asked.collect::<Vec<_>>() {
+                    // A daemon that does not answer shows nothing.
+                    let _ = look.await;
+                }
+                sleep(POLL).await;
+            }
+        })
+    }
+
+    async fn look(&self, name: &str, operator: SocketAddr) -> anyhow::Result<()> {
+        let page = timeout(ANSWER_TIME, ask(operator, "/v1/resources")).await??;
+        let version = page["version"].as_u64().context("no version")?;
+        let resources = page["resources"].as_array().context("no resources")?;
+        self.check_version(name, version);
+        if version == 0 {
+            return Ok(());
+        }
+        let missing = dangling(resources);
+        self.tally
+            .check(Promise::NoDangling, missing.is_empty(), || {
+                format!("{name} at {version}: {missing:?}")
+            });
+        if let Some(accepted) = self.accepted(version) {
+            self.tally
+                .check(Promise::Whole, accepted == *resources, || {
+                    format!("{name} at {version}: {resources:?}, not {accepted:?}")
+                });
+        }
+        Ok(())
+    }
+
+    fn check_version(&self, name: &str, version: u64) {
+        let mut highest = lock(&self.highest);
+        let highest = highest.entry(name.into()).or_default();
+        // A restarted daemon that knows no version yet enforces none.
+        let holds = version == 0 || version >= *highest;
+        self.tally.check(Promise::VersionUp, holds, || {
+            format!("{name}: {version} after {highest}")
+        });
+        *highest = version.max(*highest);
+    }
+
+    /// Returns the resources of an accepted version; `None` when they are pruned.
+    fn accepted(&self, version: u64) -> Option<Vec<Value>> {
+        let (_, log) = log(&self.platform)?;
+        let mut stamps = log.entries.iter().map(|entry| entry.stamp.as_ref());
+        let stamp = stamps.find(|stamp| stamp.is_some_and(|stamp| stamp.version == version))?;
+        let Stamp { version, hash } = Stamp::from_wire(stamp);
+        let mut data = Vec::new();
+        for key in self
+            .platform
+            .keys(&format!("snapshot/{version:012}/{hash:032x}/"))
+        {
+            data.extend_from_slice(&self.platform.peek(&key)?);
+        }
+        let snapshot = Snapshot::decode(&data).ok()?;
+        let resources = snapshot.resources().iter().map(|(key, res)| {
+            json!({
+                "kind": key.kind,
+                "name": key.name,
+                "revision": res.revision,
+                "spec": serde_json::from_slice::<Value>(&res.body).unwrap_or_default(),
+            })
+        });
+        Some(resources.collect())
+    }
+
+    /// Waits until the newest accepted version is in force on every daemon.
+    pub async fn in_force(&self, world: &World, limit: Duration) {
+        let newest = log(&self.platform).map_or(0, |(version, _)| version);
+        let deadline = Instant::now() + limit;
+        for (index, daemon) in world.running() {
+            let name = &world.vms[index].name;
+            let applied = |state: &Value| state["config"]["version"].as_u64() >= Some(newest);
+            let left = deadline.saturating_duration_since(Instant::now());
+            let state = daemon.wait_state("in force", left, applied).await;
+            self.tally.check(Promise::InForce, state.is_ok(), || {
+                let short: String = format!("{state:?}").chars().take(600).collect();
+                format!("{name}: version {newest} not within {limit:?}: {short}")
+            });
+        }
+    }
+
+    /// Checks that changes told accepted are in the log under their version.
+    pub fn check_accepted(&self, told: &[(String, u64)]) {
+        let Some((_, log)) = log(&self.platform) else {
+            return;
+        };
+        for (id, version) in told {
+            let entry = log.entries.iter().find(|entry| entry.change == *id);
+            let stamp = entry.and_then(|entry| entry.stamp.as_ref());
+            let found = stamp.map(|stamp| stamp.version);
+            self.tally
+                .check(Promise::InForce, found == Some(*version), || {
+                    format!("change {id}: told version {version}, the log has {found:?}")
+                });
+        }
+    }
+}
+
+/// Returns the newest version and the log as the platform has them.
+fn log(platform: &Platform) -> Option<(u64, wire::LogPage)> {
+    let head = wire::Head::decode(platform.peek(HEAD_KEY)?).ok()?;
+    let log = wire::LogPage::decode(platform.peek(&head.log)?).ok()?;
+    Some((head.stamp?.version, log))
+}
+
+/// Returns the references to resources that are not there.
+fn dangling(resources: &[Value]) -> Vec<String> {
+    let name = |kind: &Value, name: &Value| {
+        let (kind, name) = (kind.as_str(), name.as_str());
+        format!("{}/{}", kind.unwrap_or(""), name.unwrap_or(""))
+    };
+    let known = resources.iter().map(|res| name(&res["kind"], &res["name"]));
+    let known: BTreeSet<String> = known.collect();
+    let mut missing = Vec::new();
+    for res in resources {
+        for field in ["service", "pool", "policy"] {
+            let wanted = &res["spec"][field];
+            let wanted = name(&json!(field), wanted);
+            if res["spec"][field].is_string() && !known.contains(&wanted) {
+                missing.push(wanted);
+            }
+        }
+    }
+    missing
+}
--- /dev/null
+++ b/standin/src/bench/soak/world.rs
@@ -0,0 +1,214 @@
+//! Daemons with a fault proxy on each of their links.
+
+use crate::backend::{Backend, Behaviour, Ledger};
+use crate::caller;
+use crate::fault::{Control, FaultProxy};
+use crate::fleet::{Launcher, Process};
+use crate::platform::{Limits, Platform};
+use crate::scene::ANY;
+use anyhow::Context as _;
+use http::{Method, Request};
+use http_body_util::Full;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Time for an operator's question.
+pub const OPERATOR_TIME: Duration = Duration::from_secs(12);
+
+/// The proxies on the links of a daemon.
+#[derive(Clone)]
+pub struct Links {
+    /// Calls from other daemons.
+    pub inbound: Control,
+    /// Attachments of other daemons.
+    pub mesh: Control,
+    /// To the platform.
+    pub platform: Control,
+    /// To the backend server.
+    pub backend: Control,
+}
+
+/// A VM: a daemon and the backend server beside it.
+pub struct Vm {
+    /// The name of both.
+    pub name: String,
+    /// The daemon's process, unless it has been killed.
+    pub daemon: Option<Process>,
+    /// The backend server.
+    pub backend: Backend,
+    /// The proxies on the daemon's links.
+    pub links: Links,
+    flags: Vec<String>,
+}
+
+/// A platform and VMs.
+pub struct World {
+    /// The platform.
+    pub platform: Platform,
+    /// The runs of each request id.
+    pub ledger: Ledger,
+    /// The VMs.
+    pub vms: Vec<Vm>,
+    launcher: Launcher,
+}
+
+impl World {
+    /// Starts a platform, without a VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound.
+    pub async fn start(launcher: Launcher) -> anyhow::Result<Self> {
+        Ok(World {
+            platform: Platform::start(ANY, Limits::default()).await?,
+            ledger: Ledger::default(),
+            vms: Vec::new(),
+            launcher,
+        })
+    }
+
+    /// Starts a VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon or the backend server cannot be started.
+    pub async fn add(
+        &mut self,
+        name: &str,
+        service: &str,
+        (region, domain): (&str, &str),
+        behaviour: Behaviour,
+    ) -> anyhow::Result<()> {
+        let backend = Backend::start(name, ANY, behaviour, self.ledger.clone()).await?;
+        let (inbound, inbound_control) = FaultProxy::start(ANY).await?;
+        let (mesh, mesh_control) = FaultProxy::start(ANY).await?;
+        let (platform, platform_control) = FaultProxy::start(self.platform.address()).await?;
+        let (backend_address, backend_control) = FaultProxy::start(backend.address()).await?;
+        let flags = [
+            ("--name", name.to_owned()),
+            ("--domain", domain.into()),
+            ("--region", region.into()),
+            ("--service", service.into()),
+            ("--backend", backend_address.to_string()),
+            ("--backend-health", "/health".into()),
+            ("--platform", platform.to_string()),
+            ("--advertise-inbound", inbound.to_string()),
+            ("--advertise-mesh", mesh.to_string()),
+            ("--heartbeat-ms", "1000".into()),
+        ];
+        let flags = flags.into_iter();
+        self.vms.push(Vm {
+            name: name.into(),
+            daemon: None,
+            backend,
+            links: Links {
+                inbound: inbound_control,
+                mesh: mesh_control,
+                platform: platform_control,
+                backend: backend_control,
+            },
+            flags: flags
+                .flat_map(|(flag, value)| [flag.to_owned(), value])
+                .collect(),
+        });
+        self.restart(self.vms.len() - 1).await
+    }
+
+    /// Starts a VM's daemon, killing the one that runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon cannot be started.
+    pub async fn restart(&mut self, index: usize) -> anyhow::Result<()> {
+        let vm = &mut self.vms[index];
+        vm.kill().await?;
+        let daemon = self.launcher.start(&vm.flags).await;
+        let daemon = daemon.with_context(|| format!("daemon {}", vm.name))?;
+        vm.links.inbound.aim(daemon.inbound);
+        vm.links.mesh.aim(daemon.mesh);
+        vm.daemon = Some(daemon);
+        Ok(())
+    }
+
+    /// Stops a VM's backend server and starts another one in its place.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no address can be bound.
+    pub async fn replace_backend(&mut self, index: usize) -> anyhow::Result<()> {
+        let vm = &mut self.vms[index];
+        let behaviour = Behaviour {
+            draining: false,
+            ..vm.backend.behaviour()
+        };
+        vm.backend.stop();
+        vm.backend = Backend::start(&vm.name, ANY, behaviour, self.ledger.clone()).await?;
+        vm.links.backend.aim(vm.backend.address());
+        Ok(())
+    }
+
+    /// Returns the running daemons with their VM's numbers.
+    pub fn running(&self) -> impl Iterator<Item = (usize, &Process)> {
+        let vms = self.vms.iter().enumerate();
+        vms.filter_map(|(index, vm)| Some((index, vm.daemon.as_ref()?)))
+    }
+
+    /// Ends the faults of every link and of the platform.
+    pub fn heal(&self) {
+        self.platform.set_faults(crate::platform::Faults::default());
+        for vm in &self.vms {
+            for control in vm.links.all() {
+                control.heal();
+            }
+        }
+    }
+}
+
+impl Vm {
+    /// Kills the daemon.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it cannot be killed.
+    pub async fn kill(&mut self) -> anyhow::Result<()> {
+        if let Some(mut daemon) = self.daemon.take() {
+            daemon.kill().await?;
+        }
+        Ok(())
+    }
+}
+
+impl Links {
+    /// Returns the proxies of every link.
+    #[must_use]
+    pub fn all(&self) -> [&Control; 4] {
+        [&self.inbound, &self.mesh, &self.platform, &self.backend]
+    }
+}
+
+/// Submits a change, written as JSON, and returns what the operator is told.
+///
+/// # Errors
+///
+/// Fails when there is no answer.
+pub async fn submit(operator: SocketAddr, change: &Value) -> anyhow::Result<Value> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri("/v1/changes")
+        .header("content-type", "application/json")
+        .body(Full::from(change.to_string()))?;
+    let answer = timeout(OPERATOR_TIME, caller::call(operator, request)).await??;
+    Ok(serde_json::from_slice(answer.body())?)
+}
+
+/// Asks an operator API.
+///
+/// # Errors
+///
+/// Fails when there is no answer.
+pub async fn ask(operator: SocketAddr, path: &str) -> anyhow::Result<Value> {
+    let answer = timeout(OPERATOR_TIME, caller::get(operator, path)).await??;
+    Ok(serde_json::from_slice(answer.body())?)
+}
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -14,6 +14,9 @@
 use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 
+/// Longer than any lease lasts.
+const MAX_LEASE: Duration = Duration::from_hours(24);
+
 /// The limits of the service.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -41,6 +44,9 @@
     pub delay: Duration,
     /// One in so many writes takes effect but its answer is lost; zero for none.
     pub lose_every: u32,
+    /// One in so many compare-and-swaps takes effect this much later, and its caller is told of a
+    /// broken connection at once.
+    pub late: Option<(u32, Duration)>,
 }
 
 /// Calls counted by kind.
@@ -234,6 +240,14 @@
         let _ = faults.wait_for(|faults| !faults.down).await;
     }
 
+    /// Returns how much later the write at hand takes effect, if it is its turn.
+    fn lateness(&self) -> Option<Duration> {
+        let (every, after) = self.faults.borrow().late?;
+        let mut state = self.lock();
+        state.written += 1;
+        (every > 0 && state.written.is_multiple_of(every)).then_some(after)
+    }
+
     /// Loses the answer to a write that took effect, if it is the turn of this one.
     fn lose_answer(&self) -> Result<(), Status> {
         let every = self.faults.borrow().lose_every;
@@ -268,6 +282,16 @@
         })
     }
 
+    /// Returns a key's entry and when its lease lapses.
+    fn watched(&self, key: &str) -> (Option<wire::Entry>, Instant) {
+        let lease = self.keys.get(key).and_then(|value| {
+            let lease = self.leases.get(&value.lease)?;
+            Some(lease.ends)
+        });
+        let lapses = lease.unwrap_or_else(|| Instant::now() + MAX_LEASE);
+        (self.entry(key, true), lapses)
+    }
+
     fn swap(&mut self, request: wire::SwapRequest) -> Result<wire::SwapResponse, Status> {
         let revision = self
             .keys
@@ -349,6 +373,16 @@
         if len > MAX_VALUE_LEN {
             return Err(Status::invalid_argument(format!("value of {len} bytes")));
         }
+        if let Some(after) = self.shared.lateness() {
+            let shared = Arc::clone(&self.shared);
+            tokio::spawn(async move {
+                sleep(after).await;
+                // Its caller has gone.
+                let _ = shared.lock().swap(request);
+                shared.changed.send_modify(|count| *count += 1);
+            });
+            return Err(Status::unavailable("connection lost"));
+        }
         let answer = self.shared.lock().swap(request)?;
         self.shared.changed.send_modify(|count| *count += 1);
         self.shared.lose_answer()?;
@@ -366,7 +400,7 @@
         let ends = Instant::now() + timeout;
         loop {
             changed.mark_unchanged();
-            let entry = self.shared.lock().entry(&request.key, true);
+            let (entry, lapses) = self.shared.lock().watched(&request.key);
             let revision = entry.as_ref().map_or(0, |entry| entry.revision);
             if revision != request.seen || Instant::now() >= ends {
                 self.shared.hold().await;
@@ -374,7 +408,7 @@
             }
             tokio::select! {
                 _ = changed.changed() => {}
-                () = tokio::time::sleep_until(ends) => {}
+                () = tokio::time::sleep_until(ends.min(lapses)) => {}
             }
         }
     }
