--- a/standin/src/bench/soak/traffic.rs
+++ b/standin/src/bench/soak/traffic.rs
@@ -48,6 +48,8 @@
     pub ended: Instant,
     /// What the caller was told.
     pub told: Told,
+    /// The reason given for a refusal.
+    pub reason: String,
 }
 
 /// Callers of some services.
@@ -107,9 +109,10 @@
             CALLER_TIME,
             caller::call(entry, request(service, kind, &id)),
         );
-        let told = match sent.await {
-            Ok(Ok(answer)) => self.judge(&answer, kind, &id),
-            Ok(Err(_)) | Err(_) => Told::Nothing,
+        let (told, reason) = match sent.await {
+            Ok(Ok(answer)) => (self.judge(&answer, kind, &id), reason(&answer)),
+            Ok(Err(err)) => (Told::Nothing, err.to_string()),
+            Err(err) => (Told::Nothing, err.to_string()),
         };
         lock(&self.calls).push(Call {
             id,
@@ -118,6 +121,7 @@
             started,
             ended: Instant::now(),
             told,
+            reason,
         });
     }
 
@@ -149,7 +153,10 @@
             let runs = ledger.runs(&call.id);
             if call.told == Told::NotRun {
                 self.tally.check(Promise::NotRun, runs == 0, || {
-                    format!("{}: told not run, ran {runs} times", call.id)
+                    format!(
+                        "{}: told not run ({}), ran {runs} times, idempotent: {}",
+                        call.id, call.reason, call.idempotent
+                    )
                 });
             }
             if !call.idempotent {
@@ -180,6 +187,13 @@
     }
 }
 
+fn reason(answer: &Response<Bytes>) -> String {
+    if answer.status().is_success() {
+        return String::new();
+    }
+    String::from_utf8_lossy(answer.body()).into_owned()
+}
+
 fn request(service: &str, kind: Kind, id: &str) -> Request<Full<Bytes>> {
     let (method, path, len) = match kind {
         Kind::Lookup => ("GET", format!("/{service}/lookup"), 0),
