--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -20,6 +20,7 @@
 use std::any::{Any, TypeId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -60,6 +61,8 @@
     pub fleet: FleetCell,
     /// Whether the process takes new calls, and how many are in flight.
     pub drain: Drain,
+    /// Whether the newest version that can be learned of has been put in force once.
+    pub caught_up: AtomicBool,
     parts: Mutex<BTreeMap<TypeId, Arc<dyn Any + Send + Sync>>>,
 }
 
@@ -100,6 +103,7 @@
             config: ConfigCell::default(),
             fleet: FleetCell::default(),
             drain: Drain::default(),
+            caught_up: AtomicBool::new(false),
             parts: Mutex::default(),
             settings,
         }))
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -18,15 +18,23 @@
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("baobabstage", level)
-        .format(move |out, message, record| match format {
-            LogFormat::Text => out.finish(format_args!("{}", text_line(&name, message, record))),
-            LogFormat::Json => out.finish(format_args!("{}", json_line(&name, message, record))),
+        .format(move |out, message, record| {
+            out.finish(format_args!("{}", line(format, &name, message, record)));
         })
         .chain(std::io::stderr())
         .apply()
         .context("logger cannot be set")
 }
 
+/// Writes a record of the daemon named as one line, whatever its values hold.
+#[must_use]
+pub fn line(format: LogFormat, name: &str, message: &Arguments<'_>, record: &Record<'_>) -> String {
+    match format {
+        LogFormat::Text => text_line(name, message, record),
+        LogFormat::Json => json_line(name, message, record),
+    }
+}
+
 fn text_line(name: &str, message: &Arguments<'_>, record: &Record<'_>) -> String {
     let mut line = format!(
         "time_ms={} level={} daemon={name}",
--- a/src/role/admin.rs
+++ b/src/role/admin.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::Registry;
 use serde_json::{Value, json};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 inventory::submit! {
     Plugin { name: "admin", run, state, metrics }
@@ -41,6 +42,7 @@
         "incarnation": daemon.identity.incarnation,
         "domain": daemon.identity.domain,
         "region": daemon.identity.region,
+        "ready": is_ready(daemon),
         "phase": format!("{:?}", daemon.drain.phase()).to_lowercase(),
         "in_flight": daemon.drain.in_flight(),
         "outbound": addresses.outbound,
@@ -91,10 +93,11 @@
     answer
 }
 
-/// Tests whether the daemon enforces a configuration and takes calls.
+/// Tests whether the daemon has caught up with the newest version that it can learn of, and takes
+/// calls.
 #[must_use]
 pub fn is_ready(daemon: &Daemon) -> bool {
-    daemon.config.stamp().version > 0 && daemon.drain.phase() == Phase::Running
+    daemon.caught_up.load(Ordering::Relaxed) && daemon.drain.phase() == Phase::Running
 }
 
 /// Returns the state dump of every role.
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -9,6 +9,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use rand::Rng;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -80,6 +81,7 @@
         match follow_head(daemon, seen).await {
             Ok(revision) => {
                 seen = Some(revision);
+                daemon.caught_up.store(true, Ordering::Relaxed);
                 delay = RETRY_MIN;
                 if lost {
                     event!(PlatformBack);
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -13,6 +13,7 @@
 use prometheus_client::registry::Registry;
 use prost::Message as _;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -51,6 +52,7 @@
     loop {
         let actor = tree.started().await?;
         tree.caught_up(daemon).await?;
+        daemon.caught_up.store(true, Ordering::Relaxed);
         actors.mark_unchanged();
         let phase = *phases.borrow_and_update();
         let record = match phase {
