--- a/src/member/liveness.rs
+++ b/src/member/liveness.rs
@@ -35,14 +35,12 @@
         self.alone.remove(name);
     }
 
-    /// Notes the end of a stream; returns false when a later one has taken its place.
-    pub(super) fn detach(&mut self, name: &str, incarnation: u64, now: Instant) -> bool {
-        if self.attached.get(name) != Some(&incarnation) {
-            return false;
+    /// Notes the end of a stream, unless one of a later incarnation has taken its place.
+    pub(super) fn detach(&mut self, name: &str, incarnation: u64, now: Instant) {
+        if self.attached.get(name) == Some(&incarnation) {
+            self.attached.remove(name);
+            self.alone.insert(name.into(), now);
         }
-        self.attached.remove(name);
-        self.alone.insert(name.into(), now);
-        true
     }
 
     /// Forgets that a daemon had no stream, since it has announced itself anew.
--- a/src/member/set.rs
+++ b/src/member/set.rs
@@ -119,19 +119,10 @@
 
     /// Notes that a daemon's stream has ended.
     ///
-    /// A daemon that drained goes at once; any other is suspected by [`MemberSet::sweep`] unless
-    /// it attaches again to a relay of its failure domain.
-    pub fn detach(&mut self, name: &str, incarnation: u64, now: Instant) -> Vec<wire::Member> {
-        if !self.liveness.detach(name, incarnation, now) {
-            return Vec::new();
-        }
-        let drained = self.record(name).filter(|record| {
-            record.incarnation == incarnation && record.state() == MemberState::Draining
-        });
-        match drained.cloned() {
-            Some(record) => self.raise(&record, MemberState::Gone, now),
-            None => Vec::new(),
-        }
+    /// The daemon may attach to another relay, so nothing changes before [`MemberSet::sweep`] finds
+    /// that it has not.
+    pub fn detach(&mut self, name: &str, incarnation: u64, now: Instant) {
+        self.liveness.detach(name, incarnation, now);
     }
 
     /// Returns the record that holds for a name, also one that has gone.
@@ -173,25 +164,27 @@
 
     /// Compares with another set's digests.
     ///
-    /// Returns the records of the failure domains that differ, and the names of those of which
-    /// this set may lack something.
+    /// Returns the records of the failure domains that differ, and the names of those, of which
+    /// this set may lack something: the other's digest does not count its tombstones.
     #[must_use]
     pub fn newer_than(&self, theirs: &[wire::DomainDigest]) -> (Vec<wire::Member>, Vec<String>) {
         let theirs: BTreeMap<&str, u64> = theirs
             .iter()
             .map(|their| (their.domain.as_str(), their.digest))
             .collect();
-        let mut records = Vec::new();
-        for (domain, sum) in &self.digests {
-            if theirs.get(domain.as_str()).copied().unwrap_or(0) != sum.digest {
-                records.extend(self.records_of(domain));
-            }
-        }
-        let wanted = theirs
-            .iter()
-            .filter(|(domain, digest)| self.domain_digest(domain) != **digest)
-            .map(|(domain, _)| (*domain).to_owned())
+        let domains: BTreeSet<&str> = self
+            .digests
+            .keys()
+            .map(String::as_str)
+            .chain(theirs.keys().copied())
             .collect();
+        let differing = domains.into_iter().filter(|domain| {
+            let their = theirs.get(domain).copied().unwrap_or(0);
+            self.domain_digest(domain) != their
+        });
+        let wanted: Vec<String> = differing.map(Into::into).collect();
+        let records = wanted.iter().flat_map(|domain| self.records_of(domain));
+        let records = records.collect();
         (records, wanted)
     }
 
--- /dev/null
+++ b/tests/member.rs
@@ -0,0 +1,321 @@
+//! Member sets: order of records, suspicion, removal, and what is kept.
+
+use baobabstage::generated::mesh as wire;
+use baobabstage::generated::mesh::MemberState::{self, Draining, Gone, Ready, Suspect};
+use baobabstage::member::{MemberSet, SetSettings};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use test_case::test_case;
+use tokio::time::{Duration, Instant};
+
+fn member(name: &str, incarnation: u64, sequence: u64, state: MemberState) -> wire::Member {
+    wire::Member {
+        name: name.into(),
+        incarnation,
+        sequence,
+        state: state.into(),
+        service: "certs".into(),
+        domain: "espoo".into(),
+        region: "fi-south".into(),
+        inbound: format!("{name}:7001"),
+        mesh: format!("{name}:7002"),
+        slots: 12,
+    }
+}
+
+fn set() -> MemberSet {
+    MemberSet::new("espoo", SetSettings::default())
+}
+
+/// A relay that has attached this many daemons of one service, with their records.
+fn relay(count: usize, now: Instant) -> (MemberSet, Vec<wire::Member>) {
+    let mut set = set();
+    set.start_relay();
+    let records: Vec<_> = (0..count)
+        .map(|index| member(&format!("vm-{index}"), 1, 1, Ready))
+        .collect();
+    for record in &records {
+        set.attach(record.clone(), now);
+    }
+    (set, records)
+}
+
+fn after(now: Instant, time: Duration) -> Instant {
+    now + time + Duration::from_millis(1)
+}
+
+fn sweep_through(set: &mut MemberSet, from: Instant, time: Duration) -> Instant {
+    let ends = after(from, time);
+    let mut now = from;
+    while now < ends {
+        now += Duration::from_secs(1);
+        set.sweep(now);
+    }
+    now
+}
+
+#[test_case((1, 1, Ready), (1, 1, Suspect); "suspicion beats the announcement")]
+#[test_case((1, 1, Suspect), (1, 1, Gone); "removal beats suspicion")]
+#[test_case((1, 1, Gone), (1, 2, Ready); "next announcement beats removal")]
+#[test_case((1, 9, Draining), (2, 1, Ready); "next incarnation beats drain")]
+#[test_case((1, 1, Ready), (1, 2, Draining); "drain beats the announcement")]
+fn merge_keeps_greater(low: (u64, u64, MemberState), high: (u64, u64, MemberState)) {
+    let now = Instant::now();
+    let low = member("vm-1", low.0, low.1, low.2);
+    let high = member("vm-1", high.0, high.1, high.2);
+    for records in [[&low, &high], [&high, &low]] {
+        let mut set = set();
+        set.merge(records.into_iter().cloned().collect(), now);
+        assert_eq!(set.record("vm-1"), Some(&high));
+        assert_eq!(set.merge(vec![low.clone(), high.clone()], now), []);
+    }
+}
+
+fn records() -> impl Strategy<Value = Vec<wire::Member>> {
+    let record =
+        (0_u8..4, 1_u64..3, 1_u64..3, 0_i32..4).prop_map(|(name, incarnation, sequence, state)| {
+            wire::Member {
+                state,
+                domain: format!("domain-{}", name % 2),
+                ..member(&format!("vm-{name}"), incarnation, sequence, Ready)
+            }
+        });
+    prop::collection::vec(record, 0..12)
+}
+
+fn all(set: &MemberSet) -> Vec<Option<wire::Member>> {
+    let names = (0..4).map(|name| format!("vm-{name}"));
+    names.map(|name| set.record(&name).cloned()).collect()
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn merge_any_order((records, shuffled) in records()
+        .prop_flat_map(|records| (Just(records.clone()), Just(records).prop_shuffle())))
+    {
+        let now = Instant::now();
+        let (mut one, mut other) = (set(), set());
+        one.merge(records.clone(), now);
+        for record in shuffled {
+            other.merge(vec![record], now);
+        }
+        other.merge(records, now);
+        prop_assert_eq!(all(&one), all(&other));
+        prop_assert_eq!(one.digest(), other.digest());
+        prop_assert_eq!(one.digests(), other.digests());
+    }
+
+    #[test]
+    fn newer_than_makes_equal(ours in records(), theirs in records()) {
+        let now = Instant::now();
+        let (mut one, mut other) = (set(), set());
+        one.merge(ours, now);
+        other.merge(theirs, now);
+        // Tombstones that only one side has need a second exchange.
+        for _ in 0..2 {
+            let (records, wanted) = one.newer_than(&other.digests());
+            other.merge(records, now);
+            for domain in wanted {
+                one.merge(other.records_of(&domain), now);
+            }
+        }
+        prop_assert_eq!(one.digests(), other.digests());
+    }
+}
+
+#[test]
+fn digest_ignores_tombstones() {
+    let now = Instant::now();
+    let mut set = set();
+    let empty = set.digest();
+    set.merge(vec![member("vm-1", 1, 1, Ready)], now);
+    assert_ne!(set.digest(), empty);
+    set.merge(vec![member("vm-1", 1, 1, Gone)], now);
+    assert_eq!(set.digest(), empty);
+    assert_eq!(set.digests(), []);
+}
+
+#[test]
+fn digest_same_after_domain_move() {
+    let now = Instant::now();
+    let (mut moved, mut fresh) = (set(), set());
+    let there = wire::Member {
+        domain: "vantaa".into(),
+        ..member("vm-1", 2, 1, Ready)
+    };
+    moved.merge(vec![member("vm-1", 1, 1, Ready), there.clone()], now);
+    fresh.merge(vec![there], now);
+    assert_eq!(moved.digests(), fresh.digests());
+}
+
+#[test]
+fn tombstone_stops_late_copy_and_ends() {
+    let now = Instant::now();
+    let mut set = set();
+    set.merge(vec![member("vm-1", 1, 1, Gone)], now);
+    set.merge(vec![member("vm-1", 1, 1, Ready)], now);
+    assert_eq!(set.fleet().members().len(), 0);
+    set.sweep(after(now, SetSettings::default().tombstone));
+    assert_eq!(set.record("vm-1"), None);
+}
+
+#[test]
+fn detach_suspects_then_removes() {
+    let now = Instant::now();
+    let settings = SetSettings::default();
+    let (mut set, _) = relay(4, now);
+    set.detach("vm-0", 1, now);
+    assert_eq!(set.sweep(now), []);
+    let suspected = set.sweep(after(now, settings.suspect_after));
+    assert_eq!(suspected, [member("vm-0", 1, 1, Suspect)]);
+    assert_eq!(set.fleet().upstreams("certs").len(), 4);
+    let removed = set.sweep(after(now, settings.gone_after));
+    assert_eq!(removed, [member("vm-0", 1, 1, Gone)]);
+    assert_eq!(set.fleet().upstreams("certs").len(), 3);
+}
+
+#[test]
+fn detach_old_incarnation_changes_nothing() {
+    let now = Instant::now();
+    let (mut set, _) = relay(4, now);
+    set.attach(member("vm-0", 2, 1, Ready), now);
+    set.detach("vm-0", 1, now);
+    assert_eq!(set.sweep(after(now, SetSettings::default().gone_after)), []);
+}
+
+#[test]
+fn draining_is_never_suspected() {
+    let now = Instant::now();
+    let (mut set, _) = relay(4, now);
+    set.attach(member("vm-0", 1, 2, Draining), now);
+    set.detach("vm-0", 1, now);
+    let changed = set.sweep(after(now, SetSettings::default().suspect_after));
+    assert_eq!(changed, [member("vm-0", 1, 2, Gone)]);
+}
+
+#[test]
+fn vouched_stays_until_relay_lost() {
+    let now = Instant::now();
+    let settings = SetSettings::default();
+    let (mut set, _) = relay(4, now);
+    let (other, records) = relay(2, now);
+    set.detach("vm-0", 1, now);
+    set.detach("vm-1", 1, now);
+    set.vouch("other", other.attached());
+    assert_eq!(set.sweep(after(now, settings.gone_after)), []);
+    let lost = after(now, settings.gone_after);
+    set.unvouch("other");
+    assert_eq!(set.sweep(lost), []);
+    let suspected = set.sweep(after(lost, settings.suspect_after));
+    assert_eq!(suspected.len(), records.len());
+}
+
+#[test]
+fn child_judges_nobody() {
+    let now = Instant::now();
+    let mut set = set();
+    set.merge(vec![member("vm-1", 1, 1, Ready)], now);
+    sweep_through(&mut set, now, SetSettings::default().keep_limit);
+    assert_eq!(set.fleet().upstreams("certs").len(), 1);
+}
+
+#[test]
+fn foreign_domain_is_not_judged() {
+    let now = Instant::now();
+    let (mut set, _) = relay(1, now);
+    let there = wire::Member {
+        domain: "vantaa".into(),
+        ..member("vm-9", 1, 1, Ready)
+    };
+    set.merge(vec![there], now);
+    sweep_through(&mut set, now, SetSettings::default().keep_limit);
+    assert_eq!(set.fleet().upstreams("certs").len(), 2);
+}
+
+#[test_case(10, 4, 6; "fewer than half go")]
+#[test_case(10, 5, 5; "half go")]
+#[test_case(10, 6, 10; "more than half are kept")]
+#[test_case(10, 10, 10; "all are kept")]
+#[test_case(1, 1, 1; "the only one is kept")]
+fn vanish_at_once(count: usize, lost: usize, left: usize) {
+    let now = Instant::now();
+    let settings = SetSettings::default();
+    let (mut set, records) = relay(count, now);
+    for record in &records[..lost] {
+        set.detach(&record.name, 1, now);
+    }
+    let now = sweep_through(&mut set, now, settings.gone_after * 2);
+    assert_eq!(set.fleet().upstreams("certs").len(), left);
+    sweep_through(&mut set, now, settings.keep_limit);
+    assert_eq!(set.fleet().upstreams("certs").len(), count - lost);
+}
+
+#[test]
+fn kept_go_when_enough_return() {
+    let now = Instant::now();
+    let settings = SetSettings::default();
+    let (mut set, records) = relay(10, now);
+    for record in &records[..8] {
+        set.detach(&record.name, 1, now);
+    }
+    let now = sweep_through(&mut set, now, settings.gone_after);
+    assert_eq!(set.fleet().upstreams("certs").len(), 10);
+    for index in 0..4 {
+        set.attach(member(&format!("vm-{index}"), 1, 2, Ready), now);
+    }
+    sweep_through(&mut set, now, Duration::from_secs(2));
+    assert_eq!(set.fleet().upstreams("certs").len(), 6);
+}
+
+#[test]
+fn vanish_one_by_one_within_window_is_kept() {
+    let now = Instant::now();
+    let (mut set, records) = relay(10, now);
+    let mut at = now;
+    for record in &records[..8] {
+        set.detach(&record.name, 1, at);
+        at = sweep_through(&mut set, at, Duration::from_secs(1));
+    }
+    sweep_through(&mut set, at, SetSettings::default().gone_after);
+    assert!(set.fleet().upstreams("certs").len() > 5);
+}
+
+#[test_case("vm-1"; "under the same name")]
+#[test_case("vm-2"; "under another name")]
+fn replaced_at_address(name: &str) {
+    let now = Instant::now();
+    let (mut set, _) = relay(0, now);
+    set.attach(member("vm-1", 1, 7, Ready), now);
+    set.detach("vm-1", 1, now);
+    let new = wire::Member {
+        inbound: "vm-1:7001".into(),
+        ..member(name, 2, 1, Ready)
+    };
+    set.attach(new.clone(), now);
+    let fleet = set.fleet();
+    assert_eq!(fleet.upstreams("certs"), [new.into()]);
+    set.sweep(now);
+    let old = set.record("vm-1").map(|record| record.incarnation);
+    let removed = set.record("vm-1").is_some_and(|r| r.state() == Gone);
+    assert!(old == Some(2) || removed);
+}
+
+#[test]
+fn refutation_only_when_beaten() {
+    let now = Instant::now();
+    let mut set = set();
+    let own = member("vm-1", 1, 3, Ready);
+    assert_eq!(set.refutation(&own), None);
+    set.merge(vec![own.clone()], now);
+    assert_eq!(set.refutation(&own), None);
+    set.merge(vec![member("vm-1", 1, 3, Suspect)], now);
+    assert_eq!(set.refutation(&own), Some(4));
+    set.merge(vec![member("vm-1", 2, 1, Ready)], now);
+    assert_eq!(set.refutation(&own), None);
+}
