Follow the narrower detach in the tree

Cause: the end of a stream no longer changes records by itself. Change: the node notes the end only.

--- a/src/tree/node.rs
+++ b/src/tree/node.rs
@@ -213,8 +213,8 @@
                 if again {
                     return Vec::new();
                 }
-                let changed = self.members.detach(&link.name, link.incarnation, now);
-                self.spread(&changed, Source::Own, now)
+                self.members.detach(&link.name, link.incarnation, now);
+                Vec::new()
             }
             Side::Peer => {
                 self.members.unvouch(&link.name);
--- a/standin/src/bench/converge/model.rs
+++ b/standin/src/bench/converge/model.rs
@@ -48,7 +48,7 @@
     let records: Vec<wire::Member> = (0..MEMBERS).map(|i| record(i, services)).collect();
     let update = wire::MemberUpdate {
         members: records.clone(),
-        wanted: Vec::new(),
+        ..wire::MemberUpdate::default()
     };
     let plain = update.encode_to_vec();
     println!("records: {MEMBERS}, encoded {} bytes", plain.len());
@@ -89,8 +89,8 @@
         std::hint::black_box(set.sweep(now));
     });
     let digests = wire::MemberUpdate {
-        members: Vec::new(),
         wanted: set.digests().into_iter().map(|d| d.domain).collect(),
+        ..wire::MemberUpdate::default()
     };
     let hello = wire::Hello {
         digests: set.digests(),
