Never tell not run when an earlier attempt may have run

Change: an attempt that may have run outweighs later ones that did not; the caller is told 'unknown' then. tests/promise_calls.rs holds just this case, tests/promise_faults.rs the faults that threaten each promise. With the mechanism taken out, promise_calls fails: 'call-0: ... 503 ... not-run ... left: 1, right: 0'. Conclusion: the answer tells of the call, not of its last attempt.

--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -4,7 +4,7 @@
 
 use crate::call::attempt::{Attempt, AttemptId};
 use crate::call::body::Guarded;
-use crate::call::budget::backoff;
+use crate::call::budget::{Failure, backoff};
 use crate::call::choose::{Choice, Health, Index, Upstream};
 use crate::call::idempotency::{KEY_TIME, KeyId};
 use crate::call::upstream::{Link, UpstreamError};
@@ -137,14 +137,14 @@
         let group = &call.service.group;
         let mut flight = Some(flight);
         let mut tried = Vec::new();
-        let mut last: Option<Box<Response<Body>>> = None;
+        let mut told: Option<Failed> = None;
         loop {
             let index = match call.key {
                 Some(key) => key_holder(call, key).await,
                 None => group.choose(Instant::now(), self.choice, rand::random(), &tried),
             };
             let Some(index) = index else {
-                return last.map(|answer| *answer).ok_or_else(no_upstream);
+                return told.map(|failed| *failed.answer).ok_or_else(no_upstream);
             };
             let made = u32::try_from(tried.len()).unwrap_or(u32::MAX);
             let failed = match self.attempt(call, index, made, &mut flight).await {
@@ -156,11 +156,13 @@
             let now = Instant::now();
             let mut terms = call.terms;
             terms.replayable = call.body.is_replayable();
-            if !terms.allow(now, made, failed.failure) || !call.service.budget.pay(failed.failure) {
+            let failure = failed.failure;
+            let failed = outweigh(told.take(), failed);
+            if !terms.allow(now, made, failure) || !call.service.budget.pay(failure) {
                 return Ok(*failed.answer);
             }
-            last = Some(failed.answer);
-            let pause = backoff(made, failed.failure, rand::random());
+            told = Some(failed);
+            let pause = backoff(made, failure, rand::random());
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
             }
@@ -250,6 +252,16 @@
     }
 }
 
+/// Chooses what the caller is told: an attempt that may have run outweighs a later one that did
+/// not, as the call then may have run.
+fn outweigh(earlier: Option<Failed>, later: Failed) -> Failed {
+    let may_have_run = |failed: &Failed| failed.failure == Failure::MayHaveRun;
+    match earlier {
+        Some(earlier) if may_have_run(&earlier) && !may_have_run(&later) => earlier,
+        _ => later,
+    }
+}
+
 /// Returns the upstream that holds the record of a key.
 ///
 /// While the upstreams have changed lately it may be another than the key belongs to now.
--- /dev/null
+++ b/tests/promise_calls.rs
@@ -0,0 +1,56 @@
+//! What a caller is told when one attempt may have run and another did not.
+
+use http::Request;
+use http_body_util::Full;
+use serde_json::Value;
+use standin::backend::{Behaviour, Fault};
+use standin::bench::soak::operators::declaration;
+use standin::bench::soak::world::{World, submit};
+use standin::caller;
+use standin::fleet::Launcher;
+use std::time::Duration;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+const SITE: (&str, &str) = ("fi-south", "espoo");
+
+/// One upstream loses its answers after the run, the other's backend server is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_after_an_attempt_that_ran() {
+    let launcher = Launcher::new(env!("CARGO_BIN_EXE_baobabd"));
+    let mut world = World::start(launcher).await.unwrap();
+    let losing = Behaviour {
+        fault: Fault::Lost,
+        ..Behaviour::default()
+    };
+    world.add("certs-0", "certs", SITE, losing).await.unwrap();
+    let behaviour = Behaviour::default();
+    world
+        .add("certs-1", "certs", SITE, behaviour)
+        .await
+        .unwrap();
+    let daemon = world.vms[0].daemon.as_ref().unwrap();
+    let change = declaration(&[("certs", 12, 120)]);
+    let told = submit(daemon.operator, &change).await.unwrap();
+    assert_eq!(told["outcome"], "accepted");
+    for (_, daemon) in world.running() {
+        let ready =
+            |state: &Value| state["config"]["version"] == 1 && state["members"]["count"] == 2;
+        daemon.wait_state("start", TIMEOUT, ready).await.unwrap();
+    }
+    world.vms[1].backend.stop();
+
+    let mut ran = 0;
+    for number in 0..30 {
+        let id = format!("call-{number}");
+        let request = Request::get("/certs/lookup").header("x-request-id", &id);
+        let request = request.header("host", "certs").body(Full::default());
+        let answer = caller::call(daemon.outbound, request.unwrap()).await;
+        let answer = answer.unwrap();
+        let runs = world.ledger.runs(&id);
+        ran += runs;
+        if answer.headers()["x-baobab-outcome"] == "not-run" {
+            assert_eq!(runs, 0, "{id}: {answer:?}");
+        }
+    }
+    assert!(ran > 0, "no call ran");
+}
