Attach to the incarnation meant, never to whoever has its address now

Change: relay records, redirects and members carry the incarnation, and a daemon refuses a hello that is meant for another one without naming its own relays. tests/tree_node.rs covers this, damaged updates, coalescing, floors, admissions and silent streams.

--- a/src/role/mesh.rs
+++ b/src/role/mesh.rs
@@ -90,6 +90,9 @@
         request: Request<wire::FetchRequest>,
     ) -> Result<Response<wire::FetchResponse>, Status> {
         let request = request.into_inner();
+        if request.target != 0 && request.target != self.daemon.identity.incarnation {
+            return Err(Status::not_found("another daemon is at this address now"));
+        }
         let have = Stamp::from_wire(request.have.as_ref());
         let snapshot = self.daemon.config.snapshot();
         let newest = snapshot.stamp();
--- a/src/tree.rs
+++ b/src/tree.rs
@@ -17,6 +17,7 @@
 pub mod seek;
 pub mod session;
 mod start;
+pub mod target;
 pub mod uplink;
 
 use crate::daemon::Daemon;
--- a/src/tree/actor.rs
+++ b/src/tree/actor.rs
@@ -3,6 +3,7 @@
 use super::link::{LinkId, Side};
 use super::node::{Effect, Node, Role};
 use super::outbox::Next;
+use super::target::Target;
 use super::{Tree, TreeError};
 use crate::daemon::Daemon;
 use crate::generated::mesh as wire;
@@ -39,7 +40,7 @@
 #[derive(Debug)]
 pub enum Message {
     /// This daemon attaches to another one.
-    Open(Side, String, RpcReplyPort<Handle>),
+    Open(Side, Target, RpcReplyPort<Handle>),
     /// Another daemon attaches.
     Accept(
         Box<wire::Hello>,
@@ -131,8 +132,8 @@
 impl State {
     fn answer(&mut self, message: Message, now: Instant) -> Vec<Effect> {
         match message {
-            Message::Open(side, address, reply) => {
-                let id = self.node.open(side, &address, now);
+            Message::Open(side, target, reply) => {
+                let id = self.node.open(side, &target, now);
                 answer(reply, self.add(id));
             }
             Message::Accept(hello, reply) => match self.node.accept(&hello, now) {
--- a/src/tree/node/accept.rs
+++ b/src/tree/node/accept.rs
@@ -7,6 +7,7 @@
 use crate::snapshot::Stamp;
 use crate::tree::choice;
 use crate::tree::link::{Link, LinkId, Side};
+use crate::tree::target::Target;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -21,10 +22,12 @@
 
 impl Node {
     /// Starts a stream to another daemon; the greeting is the first message in its outbox.
-    pub fn open(&mut self, side: Side, address: &str, now: Instant) -> LinkId {
+    pub fn open(&mut self, side: Side, target: &Target, now: Instant) -> LinkId {
         let mut outbox = self.outbox(side, now);
-        outbox.greet(Content::Hello(self.hello(side)));
-        let id = self.links.insert(Link::new(side, address, outbox, now));
+        outbox.greet(Content::Hello(self.hello(side, target.incarnation)));
+        let id = self
+            .links
+            .insert(Link::new(side, &target.address, outbox, now));
         self.woken.insert(id);
         id
     }
@@ -139,15 +142,15 @@
             if sent == most {
                 return;
             }
-            let mut choices = [self.mesh.as_str(), mate.as_str()];
+            let mut choices = [self.mesh.as_str(), mate.address.as_str()];
             choice::rank(&link.name, &mut choices);
-            let moves = link.side == Side::Child && choices[0] == mate;
+            let moves = link.side == Side::Child && choices[0] == mate.address;
             if !moves || self.moved.contains_key(&link.name) {
                 continue;
             }
             self.moved.insert(link.name.clone(), now);
             link.outbox.redirect(wire::Redirect {
-                addresses: vec![mate.clone()],
+                relays: vec![mate.clone()],
                 retry_ms: 0,
             });
             self.woken.insert(id);
@@ -179,6 +182,10 @@
         side: Side,
         now: Instant,
     ) -> Result<(), wire::Redirect> {
+        if hello.target != 0 && hello.target != self.me.incarnation {
+            // The daemon may belong to another fleet, so it learns nothing of this one.
+            return Err(wire::Redirect::default());
+        }
         let parent = self.links.values().any(|link| {
             link.side == Side::Parent && (link.name == hello.name || link.address == hello.mesh)
         });
@@ -224,22 +231,27 @@
         let mut records: Vec<_> = self.relays.values().collect();
         records.retain(|record| record.address != self.mesh);
         records.sort_by_key(|record| record.domain != self.me.domain);
-        let addresses = records.into_iter().take(MAX_NAMED);
         wire::Redirect {
-            addresses: addresses.map(|record| record.address.clone()).collect(),
+            relays: records.into_iter().take(MAX_NAMED).cloned().collect(),
             retry_ms: u32::try_from(retry.as_millis()).unwrap_or(u32::MAX),
         }
     }
 
-    /// Returns the address of the other relay of the failure domain, if a stream to it is open.
-    fn mate(&self) -> Option<String> {
+    /// Returns the other relay of the failure domain, if a stream to it is open.
+    fn mate(&self) -> Option<wire::RelayRecord> {
         let mut links = self.links.values();
         let mate = links
             .find(|link| link.side == Side::Peer && link.relay && link.domain == self.me.domain);
-        mate.map(|link| link.address.clone())
+        mate.map(|link| wire::RelayRecord {
+            name: link.name.clone(),
+            address: link.address.clone(),
+            domain: link.domain.clone(),
+            incarnation: link.incarnation,
+            slot: 0,
+        })
     }
 
-    fn hello(&self, side: Side) -> wire::Hello {
+    fn hello(&self, side: Side, target: u64) -> wire::Hello {
         wire::Hello {
             name: self.me.name.clone(),
             incarnation: self.me.incarnation,
@@ -250,6 +262,7 @@
             have: Some(self.newest().to_wire()),
             digests: self.members.digests(),
             relay: matches!(self.role, Role::Relay(_)),
+            target,
         }
     }
 
--- a/src/tree/relay.rs
+++ b/src/tree/relay.rs
@@ -5,6 +5,7 @@
 use super::link::Side;
 use super::node::{Role, is_relay};
 use super::seek::SLOTS;
+use super::target::Target;
 use super::uplink::{relay_record, set_role};
 use super::{Tree, lease, session};
 use crate::daemon::{Daemon, Phase};
@@ -161,7 +162,7 @@
 async fn join_relays(daemon: &Daemon, tree: &Arc<Tree>, actor: &TreeRef) -> anyhow::Result<()> {
     let mut dials = Dials {
         tasks: JoinSet::new(),
-        addresses: BTreeSet::new(),
+        targets: BTreeSet::new(),
     };
     let mut turn = 0;
     let mut missing = BTreeSet::new();
@@ -185,7 +186,7 @@
         let before = std::mem::take(&mut missing);
         for record in relays {
             if dials_first(daemon, tree, &record) || before.contains(&record.name) {
-                dials.start(tree, actor, record.address);
+                dials.start(tree, actor, Target::from(&record));
             }
             missing.insert(record.name);
         }
@@ -214,19 +215,19 @@
 
 /// The streams to other relays that this daemon has opened. They end when this is dropped.
 struct Dials {
-    tasks: JoinSet<String>,
-    addresses: BTreeSet<String>,
+    tasks: JoinSet<Target>,
+    targets: BTreeSet<Target>,
 }
 
 impl Dials {
-    fn start(&mut self, tree: &Arc<Tree>, actor: &TreeRef, address: String) {
-        if !self.addresses.insert(address.clone()) {
+    fn start(&mut self, tree: &Arc<Tree>, actor: &TreeRef, target: Target) {
+        if !self.targets.insert(target.clone()) {
             return;
         }
         let (actor, traffic) = (actor.clone(), Arc::clone(tree.traffic()));
         self.tasks.spawn(async move {
-            session::attach(&actor, &traffic, &address, Side::Peer, |_| {}).await;
-            address
+            session::attach(&actor, &traffic, &target, Side::Peer, |_| {}).await;
+            target
         });
     }
 
@@ -237,8 +238,8 @@
             tokio::select! {
                 () = &mut pause => return,
                 Some(ended) = self.tasks.join_next() => {
-                    if let Ok(address) = ended {
-                        self.addresses.remove(&address);
+                    if let Ok(target) = ended {
+                        self.targets.remove(&target);
                     }
                 }
             }
--- a/src/tree/seek.rs
+++ b/src/tree/seek.rs
@@ -5,6 +5,7 @@
 //! reach the daemons that may stand in.
 
 use super::choice;
+use super::target::Target;
 use crate::generated::mesh as wire;
 use std::collections::{BTreeSet, VecDeque};
 
@@ -16,8 +17,8 @@
 pub struct View {
     /// The relays known, of every failure domain.
     pub relays: Vec<wire::RelayRecord>,
-    /// The other daemons of the failure domain that may live, as name and mesh address.
-    pub mates: Vec<(String, String)>,
+    /// The other daemons of the failure domain that may live, by name.
+    pub mates: Vec<(String, Target)>,
     /// The mesh addresses from the settings.
     pub peers: Vec<String>,
 }
@@ -25,8 +26,8 @@
 /// What to do next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// Attach to this address.
-    Dial(String),
+    /// Attach to this daemon.
+    Dial(Target),
     /// Ask the platform for the relays of the failure domain.
     List,
     /// Take this vacant relay slot.
@@ -53,8 +54,8 @@
     name: String,
     domain: String,
     mesh: String,
-    tried: BTreeSet<String>,
-    hints: VecDeque<String>,
+    tried: BTreeSet<Target>,
+    hints: VecDeque<Target>,
     listed: Listed,
     stand_ins: usize,
 }
@@ -82,9 +83,9 @@
         self.stand_ins = 0;
     }
 
-    /// Tries these addresses first, since a relay named them.
-    pub fn redirected(&mut self, addresses: Vec<String>) {
-        self.hints = addresses.into();
+    /// Tries these first, since a relay named them.
+    pub fn redirected(&mut self, relays: &[wire::RelayRecord]) {
+        self.hints = relays.iter().map(Target::from).collect();
     }
 
     /// Takes in what the platform lists for the failure domain; `None` if it does not answer.
@@ -100,13 +101,13 @@
 
     /// Returns what to do next.
     pub fn step(&mut self, view: &View) -> Step {
-        while let Some(address) = self.hints.pop_front() {
-            if self.tries(&address) {
-                return Step::Dial(address);
+        while let Some(target) = self.hints.pop_front() {
+            if self.tries(&target) {
+                return Step::Dial(target);
             }
         }
-        if let Some(address) = self.next_relay(view) {
-            return Step::Dial(address);
+        if let Some(target) = self.next_relay(view) {
+            return Step::Dial(target);
         }
         match self.listed {
             Listed::No => Step::List,
@@ -126,35 +127,35 @@
         }
         let mut mates: Vec<_> = view.mates.iter().collect();
         mates.sort();
-        for (name, address) in mates {
+        for (name, target) in mates {
             if *name >= self.name || self.stand_ins == MAX_STAND_INS {
                 break;
             }
-            if self.tries(address) {
+            if self.tries(target) {
                 self.stand_ins += 1;
-                return Step::Dial(address.clone());
+                return Step::Dial(target.clone());
             }
         }
         Step::StandIn
     }
 
-    fn next_relay(&mut self, view: &View) -> Option<String> {
+    fn next_relay(&mut self, view: &View) -> Option<Target> {
         let relays = view.relays.iter();
         let own = relays.filter(|relay| relay.domain == self.domain);
-        let mut addresses: Vec<String> = own.map(|relay| relay.address.clone()).collect();
-        choice::rank(&self.name, &mut addresses);
-        addresses.into_iter().find(|address| self.tries(address))
+        let mut targets: Vec<Target> = own.map(Target::from).collect();
+        choice::rank(&self.name, &mut targets);
+        targets.into_iter().find(|target| self.tries(target))
     }
 
-    fn next_peer(&mut self, view: &View) -> Option<String> {
-        let mut addresses = view.peers.clone();
-        choice::rank(&self.name, &mut addresses);
-        addresses.into_iter().find(|address| self.tries(address))
+    fn next_peer(&mut self, view: &View) -> Option<Target> {
+        let mut targets: Vec<Target> = view.peers.iter().map(|peer| Target::any(peer)).collect();
+        choice::rank(&self.name, &mut targets);
+        targets.into_iter().find(|target| self.tries(target))
     }
 
-    /// Notes an address as tried; false if it already is, or is this daemon's own.
-    fn tries(&mut self, address: &str) -> bool {
-        address != self.mesh && self.tried.insert(address.into())
+    /// Notes a daemon as tried; false if it already is, or is this daemon itself.
+    fn tries(&mut self, target: &Target) -> bool {
+        target.address != self.mesh && self.tried.insert(target.clone())
     }
 }
 
--- a/src/tree/session.rs
+++ b/src/tree/session.rs
@@ -3,6 +3,7 @@
 use super::actor::{Handle, Message, TreeRef};
 use super::link::Side;
 use super::outbox::Next;
+use super::target::Target;
 use super::{Traffic, TreeError};
 use crate::generated::mesh as wire;
 use crate::generated::mesh::frame::Content;
@@ -28,10 +29,10 @@
 pub type Sent = Result<wire::Frame, Status>;
 
 /// How a stream to another daemon came to its end.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum End {
-    /// The other daemon names others to try, and a time to wait in milliseconds.
-    Redirected(Vec<String>, u32),
+    /// The other daemon names others to try.
+    Redirected(wire::Redirect),
     /// The other daemon asked this one to take a relay slot.
     Promoted(u32),
     /// The stream was open and has ended.
@@ -76,15 +77,15 @@
 pub async fn attach(
     tree: &TreeRef,
     traffic: &Arc<Traffic>,
-    address: &str,
+    target: &Target,
     side: Side,
     welcomed: impl FnOnce(&wire::Welcome),
 ) -> End {
-    let channel = match connect(address).await {
+    let channel = match connect(&target.address).await {
         Ok(channel) => channel,
         Err(err) => return End::Refused(err.to_string()),
     };
-    let opened = tree.call(|reply| Message::Open(side, address.into(), reply));
+    let opened = tree.call(|reply| Message::Open(side, target.clone(), reply));
     let handle = match opened.await {
         Ok(handle) => handle,
         Err(err) => return End::Refused(err.to_string()),
@@ -134,13 +135,13 @@
     };
     match &first.content {
         Some(Content::Welcome(welcome)) => welcomed(welcome),
-        Some(Content::Redirect(redirect)) => return redirected(redirect.clone()),
+        Some(Content::Redirect(redirect)) => return End::Redirected(redirect.clone()),
         _ => return End::Refused("first message is no welcome".into()),
     }
     let mut frame = first;
     loop {
         match &frame.content {
-            Some(Content::Redirect(redirect)) => return redirected(redirect.clone()),
+            Some(Content::Redirect(redirect)) => return End::Redirected(redirect.clone()),
             Some(Content::Promote(promote)) => return End::Promoted(promote.slot),
             _ => {}
         }
@@ -155,10 +156,6 @@
     }
 }
 
-fn redirected(redirect: wire::Redirect) -> End {
-    End::Redirected(redirect.addresses, redirect.retry_ms)
-}
-
 async fn receive(
     tree: &TreeRef,
     traffic: &Traffic,
--- a/src/tree/start.rs
+++ b/src/tree/start.rs
@@ -2,6 +2,7 @@
 
 use super::actor::{Message, TreeRef};
 use super::session::{CONNECT_TIMEOUT, MAX_FRAME_LEN};
+use super::target::Target;
 use crate::daemon::Daemon;
 use crate::generated::mesh as wire;
 use crate::generated::mesh::mesh_client::MeshClient;
@@ -30,14 +31,14 @@
         return Ok(());
     }
     let peers = daemon.settings.peers.iter();
-    let mut asked: BTreeSet<String> = BTreeSet::new();
-    let mut next: Vec<String> = peers.map(ToString::to_string).collect();
+    let mut asked: BTreeSet<Target> = BTreeSet::new();
+    let mut next: Vec<Target> = peers.map(|peer| Target::any(&peer.to_string())).collect();
     // The second time it asks the relays that the peers named.
     for _ in 0..2 {
-        next.retain(|address| asked.len() < MAX_ASKED && asked.insert(address.clone()));
+        next.retain(|target| asked.len() < MAX_ASKED && asked.insert(target.clone()));
         let answers = ask(&daemon.identity.name, std::mem::take(&mut next)).await;
         for answer in answers {
-            next.extend(answer.relays.iter().map(|relay| relay.address.clone()));
+            next.extend(answer.relays.iter().map(Target::from));
             take_in(daemon, actor, answer).await?;
         }
     }
@@ -59,22 +60,27 @@
     }
 }
 
-async fn ask(name: &str, addresses: Vec<String>) -> Vec<wire::FetchResponse> {
+async fn ask(name: &str, targets: Vec<Target>) -> Vec<wire::FetchResponse> {
     let mut asked = JoinSet::new();
-    for address in addresses {
+    for target in targets {
         let name = name.to_owned();
-        asked.spawn(async move { fetch(&address, name).await.ok() });
+        asked.spawn(async move { fetch(target, name).await.ok() });
     }
     asked.join_all().await.into_iter().flatten().collect()
 }
 
-async fn fetch(address: &str, name: String) -> anyhow::Result<wire::FetchResponse> {
-    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{address}"))?
+async fn fetch(target: Target, name: String) -> anyhow::Result<wire::FetchResponse> {
+    let address = format!("http://{}", target.address);
+    let endpoint = tonic::transport::Endpoint::from_shared(address)?
         .connect_timeout(CONNECT_TIMEOUT)
         .timeout(CONNECT_TIMEOUT * 2);
     let client = MeshClient::new(endpoint.connect().await?);
     let mut client = client.max_decoding_message_size(MAX_FRAME_LEN);
-    let request = wire::FetchRequest { have: None, name };
+    let request = wire::FetchRequest {
+        have: None,
+        name,
+        target: target.incarnation,
+    };
     Ok(client.fetch(request).await?.into_inner())
 }
 
--- a/src/tree/uplink.rs
+++ b/src/tree/uplink.rs
@@ -7,6 +7,7 @@
 use super::node::{Role, is_relay};
 use super::seek::{Seeker, Step, View};
 use super::session::{self, End};
+use super::target::Target;
 use super::{Tree, start};
 use crate::daemon::{Daemon, Phase};
 use crate::event;
@@ -64,11 +65,12 @@
         let mut least = Duration::ZERO;
         loop {
             match seeker.step(&self.view().await?) {
-                Step::Dial(address) => match self.attach(&address).await? {
-                    End::Redirected(addresses, wait_ms) => {
-                        event!(Redirected, "from={address} to={addresses:?}");
-                        least = Duration::from_millis(u64::from(wait_ms));
-                        seeker.redirected(addresses);
+                Step::Dial(target) => match self.attach(&target).await? {
+                    End::Redirected(redirect) => {
+                        let count = redirect.relays.len();
+                        event!(Redirected, "from={} relays={count}", target.address);
+                        least = Duration::from_millis(u64::from(redirect.retry_ms));
+                        seeker.redirected(&redirect.relays);
                     }
                     End::Promoted(slot) => {
                         if self.acquire(slot).await? {
@@ -77,13 +79,13 @@
                         seeker.restart();
                     }
                     End::Lost(reason) => {
-                        event!(Detached, "address={address} reason={reason}");
+                        event!(Detached, "address={} reason={reason}", target.address);
                         self.lost().await?;
                         backoff.reset();
                         seeker.restart();
                     }
                     End::Refused(reason) => {
-                        log::debug!(target: "baobabstage", "attach to {address}: {reason}");
+                        log::debug!(target: "baobabstage", "attach to {}: {reason}", target.address);
                     }
                 },
                 Step::List => self.list(&mut seeker).await?,
@@ -108,16 +110,16 @@
         }
     }
 
-    async fn attach(&self, address: &str) -> anyhow::Result<End> {
+    async fn attach(&self, target: &Target) -> anyhow::Result<End> {
         let (sender, welcome) = tokio::sync::oneshot::channel();
         let traffic = self.tree.traffic();
-        let attached = session::attach(self.actor, traffic, address, Side::Parent, |welcome| {
+        let attached = session::attach(self.actor, traffic, target, Side::Parent, |welcome| {
             // The receiver lives until the stream has ended.
             let _ = sender.send(welcome.name.clone());
         });
         let noted = async {
             if let Ok(name) = welcome.await {
-                event!(Attached, "relay={name} address={address}");
+                event!(Attached, "relay={name} address={}", target.address);
                 set_role(self.tree, self.actor, Role::Child).await?;
             }
             std::future::pending::<anyhow::Result<()>>().await
@@ -197,7 +199,7 @@
         Ok(View {
             relays: relations.relays,
             mates: mates
-                .map(|member| (member.name.clone(), member.mesh.clone()))
+                .map(|member| (member.name.clone(), Target::from(member.as_ref())))
                 .collect(),
             peers: self
                 .daemon
--- /dev/null
+++ b/tests/tree_node.rs
@@ -0,0 +1,274 @@
+//! The control state of daemons in the distribution tree, without sockets.
+
+use baobabstage::Change;
+use baobabstage::daemon::Identity;
+use baobabstage::generated::mesh as wire;
+use baobabstage::generated::mesh::frame::Content;
+use baobabstage::generated::mesh::update::Content as Update;
+use baobabstage::snapshot::{Snapshot, Stamp};
+use baobabstage::tree::link::{LinkId, Side};
+use baobabstage::tree::node::{Effect, Node, NodeSettings, Role};
+use baobabstage::tree::outbox::Next;
+use baobabstage::tree::target::Target;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const SETTINGS: NodeSettings = NodeSettings {
+    window: Duration::from_millis(50),
+    heartbeat: Duration::from_secs(5),
+    max_children: 3,
+    admissions: 2,
+};
+
+fn node(name: &str, role: Role) -> Node {
+    let now = Instant::now();
+    let identity = Identity {
+        name: name.into(),
+        incarnation: 7,
+        domain: "espoo".into(),
+        region: "fi-south".into(),
+    };
+    let mut node = Node::new(identity, format!("{name}:1"), SETTINGS, now);
+    node.set_role(role, now);
+    node
+}
+
+fn target() -> Target {
+    Target {
+        address: "relay:1".into(),
+        incarnation: 7,
+    }
+}
+
+fn versions(count: u32) -> Vec<Arc<Snapshot>> {
+    let mut newest = Arc::new(Snapshot::default());
+    let mut all = Vec::new();
+    for slots in 1..=count {
+        let text = format!(
+            "id = \"change-{slots}\"\n[[put]]\nkind = \"pool\"\nname = \"certs\"\n\
+             spec = {{ slots = {slots}, connections = 120 }}\n"
+        );
+        let applied = Change::from_toml(&text).unwrap().apply(&newest).unwrap();
+        newest = Arc::new(applied.snapshot);
+        all.push(Arc::clone(&newest));
+    }
+    all
+}
+
+fn send(node: &mut Node, link: LinkId) -> Option<Content> {
+    match node.next(link, Instant::now())? {
+        Next::Send(content) => Some(*content),
+        Next::Wait(_) => None,
+    }
+}
+
+/// A relay and a child with the two ends of their stream.
+struct Pair {
+    relay: Node,
+    child: Node,
+    down: LinkId,
+    up: LinkId,
+}
+
+fn attach(mut relay: Node, mut child: Node) -> Result<Pair, wire::Redirect> {
+    let now = Instant::now();
+    let up = child.open(Side::Parent, &target(), now);
+    let Some(Content::Hello(hello)) = send(&mut child, up) else {
+        panic!("the first message is no hello");
+    };
+    let (down, _) = relay.accept(&hello, now)?;
+    let mut pair = Pair {
+        relay,
+        child,
+        down,
+        up,
+    };
+    pair.settle();
+    Ok(pair)
+}
+
+impl Pair {
+    fn receive(&mut self, content: Content) -> Vec<Effect> {
+        self.child.receive(self.up, content, Instant::now())
+    }
+
+    /// Moves messages until both sides have none.
+    fn settle(&mut self) {
+        loop {
+            let down = send(&mut self.relay, self.down);
+            let up = send(&mut self.child, self.up);
+            if down.is_none() && up.is_none() {
+                return;
+            }
+            if let Some(content) = down {
+                for effect in self.receive(content) {
+                    if let Effect::Apply(snapshot) = effect {
+                        self.child.applied(snapshot.stamp(), String::new());
+                    }
+                }
+            }
+            if let Some(content) = up {
+                self.relay.receive(self.down, content, Instant::now());
+            }
+        }
+    }
+
+    fn next_update(&mut self) -> wire::Update {
+        match send(&mut self.relay, self.down) {
+            Some(Content::Update(update)) => update,
+            other => panic!("no update but {other:?}"),
+        }
+    }
+}
+
+fn damaged(mut update: wire::Update) -> wire::Update {
+    if let Some(Update::Delta(delta)) = &mut update.content {
+        let body = &delta.upserts[0].body;
+        delta.upserts[0].body = String::from_utf8_lossy(body).replace("120", "121").into();
+    } else if let Some(Update::Full(packed)) = &mut update.content {
+        packed.data = packed.data.slice(..packed.data.len() / 2);
+    }
+    update
+}
+
+#[tokio::test(start_paused = true)]
+async fn receive_damaged_delta_asks_for_full() {
+    let mut pair = attach(node("relay", Role::Relay(0)), node("child", Role::Seeking)).unwrap();
+    let all = versions(2);
+    pair.relay.load(Arc::clone(&all[0]), Instant::now());
+    pair.settle();
+    pair.relay.load(Arc::clone(&all[1]), Instant::now());
+    let update = pair.next_update();
+    assert!(
+        matches!(update.content, Some(Update::Delta(_))),
+        "{update:?}"
+    );
+    let effects = pair.receive(Content::Update(damaged(update)));
+    assert!(effects.is_empty(), "{effects:?}");
+    assert_eq!(pair.child.newest(), all[0].stamp());
+    let need = send(&mut pair.child, pair.up).unwrap();
+    pair.relay.receive(pair.down, need, Instant::now());
+    let update = pair.next_update();
+    assert!(
+        matches!(update.content, Some(Update::Full(_))),
+        "{update:?}"
+    );
+    pair.receive(Content::Update(update));
+    assert_eq!(pair.child.newest(), all[1].stamp());
+}
+
+#[tokio::test(start_paused = true)]
+async fn receive_truncated_full_closes() {
+    let mut pair = attach(node("relay", Role::Relay(0)), node("child", Role::Seeking)).unwrap();
+    pair.relay.load(Arc::clone(&versions(1)[0]), Instant::now());
+    let update = damaged(pair.next_update());
+    let effects = pair.receive(Content::Update(update));
+    assert!(matches!(effects[..], [Effect::Close(_)]), "{effects:?}");
+    assert_eq!(pair.child.newest(), Stamp::default());
+}
+
+#[tokio::test(start_paused = true)]
+async fn next_coalesces_to_newest() {
+    let mut pair = attach(node("relay", Role::Relay(0)), node("child", Role::Seeking)).unwrap();
+    let all = versions(5);
+    for snapshot in &all {
+        pair.relay.load(Arc::clone(snapshot), Instant::now());
+    }
+    let update = pair.next_update();
+    pair.receive(Content::Update(update));
+    assert_eq!(pair.child.newest(), all[4].stamp());
+    assert_eq!(send(&mut pair.relay, pair.down), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn receive_older_version_changes_nothing() {
+    let mut pair = attach(node("relay", Role::Relay(0)), node("child", Role::Seeking)).unwrap();
+    let all = versions(2);
+    pair.child.load(Arc::clone(&all[1]), Instant::now());
+    let full = Update::Full(all[0].pack());
+    let update = wire::Update {
+        content: Some(full),
+    };
+    let effects = pair.receive(Content::Update(update));
+    assert!(effects.is_empty(), "{effects:?}");
+    assert_eq!(pair.child.newest(), all[1].stamp());
+}
+
+#[tokio::test(start_paused = true)]
+async fn status_counts_acknowledged() {
+    let mut pair = attach(node("relay", Role::Relay(0)), node("child", Role::Seeking)).unwrap();
+    let snapshot = Arc::clone(&versions(1)[0]);
+    pair.relay.load(Arc::clone(&snapshot), Instant::now());
+    let status = pair.relay.status(1, true);
+    assert_eq!((status.attached, status.applied), (2, 0));
+    assert_eq!(status.laggards, ["relay", "child"]);
+    pair.relay.applied(snapshot.stamp(), String::new());
+    pair.settle();
+    let status = pair.relay.status(1, true);
+    assert_eq!(status.names, ["relay", "child"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn accept_tells_floor() {
+    let mut pair = attach(node("relay", Role::Relay(0)), node("child", Role::Seeking)).unwrap();
+    let all = versions(2);
+    pair.relay.load(Arc::clone(&all[1]), Instant::now());
+    pair.settle();
+    pair.relay.closed(pair.down, Instant::now());
+    let mut again = node("child", Role::Seeking);
+    let up = again.open(Side::Parent, &target(), Instant::now());
+    let Some(Content::Hello(hello)) = send(&mut again, up) else {
+        panic!("the first message is no hello");
+    };
+    let (down, _) = pair.relay.accept(&hello, Instant::now()).unwrap();
+    let Some(Content::Welcome(welcome)) = send(&mut pair.relay, down) else {
+        panic!("the first answer is no welcome");
+    };
+    assert_eq!(welcome.floor, 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn accept_bounds_admissions() {
+    let mut relay = node("relay", Role::Relay(0));
+    let hello = |name: &str| wire::Hello {
+        name: name.into(),
+        ..wire::Hello::default()
+    };
+    for name in ["a", "b"] {
+        relay.accept(&hello(name), Instant::now()).unwrap();
+    }
+    let redirect = relay.accept(&hello("c"), Instant::now()).unwrap_err();
+    assert!(redirect.retry_ms >= 500, "{redirect:?}");
+    tokio::time::advance(Duration::from_secs(1)).await;
+    relay.accept(&hello("c"), Instant::now()).unwrap();
+    tokio::time::advance(Duration::from_secs(1)).await;
+    // There is no place for a fourth, however long it waits.
+    relay.accept(&hello("d"), Instant::now()).unwrap_err();
+}
+
+#[tokio::test(start_paused = true)]
+async fn accept_other_incarnation_learns_nothing() {
+    let mut relay = node("relay", Role::Relay(0));
+    relay.learn_relays(vec![wire::RelayRecord::default()]);
+    let hello = wire::Hello {
+        name: "stranger".into(),
+        target: 6,
+        ..wire::Hello::default()
+    };
+    let redirect = relay.accept(&hello, Instant::now()).unwrap_err();
+    assert_eq!(redirect, wire::Redirect::default());
+}
+
+#[tokio::test(start_paused = true)]
+async fn tick_closes_silent_stream() {
+    let mut pair = attach(node("relay", Role::Relay(0)), node("child", Role::Seeking)).unwrap();
+    tokio::time::advance(SETTINGS.heartbeat).await;
+    pair.settle();
+    tokio::time::advance(SETTINGS.heartbeat * 2).await;
+    let closes = |effects: Vec<Effect>| effects.iter().any(|e| matches!(e, Effect::Close(_)));
+    assert!(!closes(pair.relay.tick(Instant::now())));
+    tokio::time::advance(SETTINGS.heartbeat).await;
+    assert!(closes(pair.relay.tick(Instant::now())));
+    assert!(closes(pair.child.tick(Instant::now())));
+}
