Log every event with fields

Cause: a value with a space, such as a caller's request id, could pass for another field of the line. Change: every event is logged as fields, which are quoted one by one.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -138,7 +138,7 @@
     /// Refuses new calls, lets those in flight end within the drain timeout, and stops.
     pub async fn shut_down(&self) {
         self.drain.advance(Phase::Draining);
-        event!(Draining, "in_flight={}", self.drain.in_flight());
+        event!(Draining, in_flight = self.drain.in_flight());
         tokio::time::sleep(ANNOUNCE_TIME).await;
         // Calls that outlast the timeout are cut off.
         let _ = tokio::time::timeout(self.settings.drain_timeout, self.drain.landed()).await;
--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -71,14 +71,14 @@
         match Table::compile(snapshot) {
             Ok(table) => self.table.store(Arc::new(table)),
             Err(err) => {
-                event!(VersionRefused, "version={new} error={err}");
+                event!(VersionRefused, version = new, error = err);
                 state.refused = Some((new, err.to_string()));
                 return Err(err);
             }
         }
         state.floor = new.version;
         state.applied = Some(Instant::now());
-        event!(VersionApplied, "version={new}");
+        event!(VersionApplied, version = new);
         self.stamp.send_replace(new);
         Ok(true)
     }
--- a/src/daemon/socket.rs
+++ b/src/daemon/socket.rs
@@ -20,7 +20,7 @@
         let listener = TcpListener::bind(address).map_err(fault)?;
         listener.set_nonblocking(true).map_err(fault)?;
         let address = listener.local_addr().map_err(fault)?;
-        event!(Listening, "listener={name} address={address}");
+        event!(Listening, listener = name, address = address);
         Ok(Socket { listener, address })
     }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -126,7 +126,7 @@
 static COUNTS: [AtomicU64; NUMBERS] = [const { AtomicU64::new(0) }; NUMBERS];
 
 /// A field of a log line: its key and value.
-pub type Field<'a> = (&'static str, &'a (dyn fmt::Display + Sync));
+pub type Field<'a> = (&'static str, &'a dyn fmt::Display);
 
 /// The key-value pairs of a log record.
 struct Pairs<'a> {
--- a/src/member/liveness.rs
+++ b/src/member/liveness.rs
@@ -145,7 +145,7 @@
     fn suspect(&mut self, record: &wire::Member, now: Instant) -> Vec<wire::Member> {
         match record.state() {
             MemberState::Ready => {
-                event!(MemberSuspected, "member={}", record.name);
+                event!(MemberSuspected, member = record.name);
                 self.raise(record, MemberState::Suspect, now)
             }
             MemberState::Draining => self.raise(record, MemberState::Gone, now),
@@ -164,7 +164,7 @@
         for (service, records) in due {
             let keep = !service.is_empty() && self.loses_too_much(&service, now);
             if keep && !self.liveness.kept.contains(&service) {
-                event!(MembersKept, "service={service} count={}", records.len());
+                event!(MembersKept, service = service, count = records.len());
             }
             for record in records {
                 changed.extend(if keep {
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -90,10 +90,10 @@
             }
             Err(err) => {
                 if !lost && err.category() == Category::Unavailable {
-                    event!(PlatformLost, "error={err}");
+                    event!(PlatformLost, error = err);
                     lost = true;
                 } else if err.category() != Category::Unavailable {
-                    event!(SnapshotUnreadable, "error={err}");
+                    event!(SnapshotUnreadable, error = err);
                 }
                 let share = rand::rng().random_range(0.5..1.0);
                 sleep(delay.mul_f64(share)).await;
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -115,7 +115,7 @@
         let mut answer = answer.unwrap_or_else(|refusal| {
             let id = id.as_ref().and_then(|id| id.to_str().ok());
             let id = id.unwrap_or_default();
-            event!(CallRefused, "request={id} reason={:?}", refusal.reason);
+            event!(CallRefused, request = id, reason = refusal.reason);
             refusal.into_answer(id)
         });
         if let Ok(load) = HeaderValue::from_str(&self.gate.load().to_string()) {
@@ -186,7 +186,11 @@
             daemon.drain.advance(Phase::Draining);
         }
         if let Some(other) = mismatch(answer.headers(), id.as_ref()) {
-            event!(AnswerMismatched, "request={id:?} answer={other:?}");
+            event!(
+                AnswerMismatched,
+                request = format_args!("{id:?}"),
+                answer = format_args!("{other:?}")
+            );
             let reason = "backend server answered another call";
             return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason));
         }
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -83,7 +83,7 @@
         if renewed != Ok(true) || draining {
             match write_record(daemon, draining).await {
                 Ok(granted) => lease = Some(granted),
-                Err(err) => event!(PlatformLost, "error={err}"),
+                Err(err) => event!(PlatformLost, error = err),
             }
         }
         tokio::select! {
@@ -122,7 +122,7 @@
                 let records = records.filter_map(|entry| wire::Member::decode(entry.value).ok());
                 daemon.fleet.replace(Fleet::new(records));
             }
-            Err(err) => event!(PlatformLost, "error={err}"),
+            Err(err) => event!(PlatformLost, error = err),
         }
         sleep(LIST_EVERY).await;
     }
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -106,7 +106,7 @@
         let id = request::request_id(&request);
         let answer = self.forward(daemon, request, &id, flight).await;
         let mut answer = answer.unwrap_or_else(|refusal| {
-            event!(CallRefused, "request={id} reason={:?}", refusal.reason);
+            event!(CallRefused, request = id, reason = refusal.reason);
             refusal.into_answer(&id)
         });
         *answer.version_mut() = version;
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -88,12 +88,7 @@
             Outcome::NotRun => Failure::NotRun,
             Outcome::Unknown => Failure::MayHaveRun,
         };
-        event!(
-            CallRefused,
-            "request={} reason={:?}",
-            self.id,
-            refusal.reason
-        );
+        event!(CallRefused, request = self.id, reason = refusal.reason);
         let answer = Box::new(refusal.into_answer(self.id));
         Failed { failure, answer }
     }
@@ -112,7 +107,7 @@
     }
 
     pub(super) fn unknown(&self, status: StatusCode, reason: &str) -> Failed {
-        event!(CallUnknown, "request={} reason={reason:?}", self.id);
+        event!(CallUnknown, request = self.id, reason = reason);
         let answer = Refusal::unknown(status, reason).into_answer(self.id);
         let answer = Box::new(answer);
         let failure = Failure::MayHaveRun;
@@ -164,7 +159,11 @@
     let asked = call.head.headers.get(call::REQUEST_ID);
     let answered = headers.get(call::REQUEST_ID);
     if answered.is_some() && answered != asked {
-        event!(AnswerMismatched, "request={} answer={answered:?}", call.id);
+        event!(
+            AnswerMismatched,
+            request = call.id,
+            answer = format_args!("{answered:?}")
+        );
         note_failure(upstream);
         return Err(call.unknown(StatusCode::BAD_GATEWAY, "answer belongs to another call"));
     }
@@ -178,7 +177,7 @@
         ) => Failure::MayHaveRun,
         (None, _) => {
             if upstream.health.succeed(now - started) {
-                event!(UpstreamRestored, "upstream={}", upstream.facts.name);
+                event!(UpstreamRestored, upstream = upstream.facts.name);
             }
             return Ok(answer);
         }
@@ -190,7 +189,7 @@
 fn note_failure(upstream: &Upstream) {
     if let Some(time) = upstream.health.fail(Instant::now()) {
         let name = &upstream.facts.name;
-        event!(UpstreamEjected, "upstream={name} ms={}", time.as_millis());
+        event!(UpstreamEjected, upstream = name, ms = time.as_millis());
     }
 }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -131,7 +131,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => spawn(stream),
                 Err(err) => {
-                    event!(ConnectionFailed, "listener={} error={err}", socket.address());
+                    event!(ConnectionFailed, listener = socket.address(), error = err);
                     tokio::time::sleep(Duration::from_millis(10)).await;
                 }
             },
@@ -172,7 +172,7 @@
     let connection = graceful.watch(connection.into_owned());
     tokio::spawn(async move {
         if let Err(err) = connection.await {
-            event!(ConnectionFailed, "error={err}");
+            event!(ConnectionFailed, error = err);
         }
         drop(guard);
     });
--- a/src/tree/node.rs
+++ b/src/tree/node.rs
@@ -205,7 +205,7 @@
         };
         match link.side {
             Side::Child => {
-                event!(ChildDetached, "child={}", link.name);
+                event!(ChildDetached, child = link.name);
                 let mut others = self.links.values();
                 let again =
                     others.any(|other| other.side == Side::Child && other.name == link.name);
@@ -309,7 +309,7 @@
                 self.take(snapshot, Some(id), now)
             }
             Err(err) => {
-                event!(DeltaRefused, "full={full} error={err}");
+                event!(DeltaRefused, full = full, error = err);
                 // Asking again for what came damaged as a whole might go on for ever.
                 if full {
                     return vec![Effect::Close(id)];
@@ -331,9 +331,9 @@
         if !ack.error.is_empty() {
             event!(
                 VersionRefused,
-                "child={} version={stamp} error={}",
-                link.name,
-                ack.error
+                child = link.name,
+                version = stamp,
+                error = ack.error
             );
             return Vec::new();
         }
--- a/src/tree/node/accept.rs
+++ b/src/tree/node/accept.rs
@@ -59,7 +59,7 @@
         let id = self.links.insert(link);
         self.woken.insert(id);
         if side == Side::Child {
-            event!(ChildAttached, "child={}", hello.name);
+            event!(ChildAttached, child = hello.name);
         } else {
             self.tell_attached(id);
         }
--- a/src/tree/relay.rs
+++ b/src/tree/relay.rs
@@ -137,11 +137,11 @@
             }
             Err(err) => {
                 if err.category() != Category::Unavailable {
-                    event!(SnapshotUnreadable, "error={err}");
+                    event!(SnapshotUnreadable, error = err);
                     // What the head named is gone, so it must have moved on.
                     seen = None;
                 } else if !std::mem::replace(&mut lost, true) {
-                    event!(PlatformLost, "error={err}");
+                    event!(PlatformLost, error = err);
                 }
                 let delay = backoff.delay(&mut rand::rng());
                 sleep(delay).await;
--- a/src/tree/uplink.rs
+++ b/src/tree/uplink.rs
@@ -66,7 +66,11 @@
             match seeker.step(&self.view().await?) {
                 Step::Dial(address) => match self.attach(&address).await? {
                     End::Redirected(addresses, wait_ms) => {
-                        event!(Redirected, "from={address} to={addresses:?}");
+                        event!(
+                            Redirected,
+                            from = address,
+                            to = format_args!("{addresses:?}")
+                        );
                         least = Duration::from_millis(u64::from(wait_ms));
                         seeker.redirected(addresses);
                     }
@@ -77,7 +81,7 @@
                         seeker.restart();
                     }
                     End::Lost(reason) => {
-                        event!(Detached, "address={address} reason={reason}");
+                        event!(Detached, address = address, reason = reason);
                         self.lost().await?;
                         backoff.reset();
                         seeker.restart();
@@ -117,7 +121,7 @@
         });
         let noted = async {
             if let Ok(name) = welcome.await {
-                event!(Attached, "relay={name} address={address}");
+                event!(Attached, relay = name, address = address);
                 set_role(self.tree, self.actor, Role::Child).await?;
             }
             std::future::pending::<anyhow::Result<()>>().await
@@ -179,7 +183,7 @@
 
     async fn stand_in(&self) -> anyhow::Result<()> {
         if self.daemon.drain.phase() == Phase::Running && self.tree.role() != Role::StandIn {
-            event!(RelayStandIn, "domain={}", self.daemon.identity.domain);
+            event!(RelayStandIn, domain = self.daemon.identity.domain);
             set_role(self.tree, self.actor, Role::StandIn).await?;
         }
         Ok(())
@@ -223,9 +227,9 @@
     actor.call(|reply| Message::Role(role, reply)).await?;
     let before = tree.role.send_replace(role);
     if is_relay(role) {
-        event!(RelayStarted, "role={role:?}");
+        event!(RelayStarted, role = format_args!("{role:?}"));
     } else if is_relay(before) {
-        event!(RelayEnded, "role={role:?}");
+        event!(RelayEnded, role = format_args!("{role:?}"));
     }
     Ok(())
 }
