--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod bench;
 pub mod caller;
+pub mod fault;
 pub mod fleet;
 pub mod platform;
 pub mod scene;
