Hold the outcomes told against the log under lost answers

Cause: nothing tested that an answer told over the API agrees with the log when the platform loses every third answer, nor that disjoint changes at two daemons rebase. Change: a test of each.

--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -267,3 +267,58 @@
     assert!(next_line(&mut one).await.is_none());
     assert_eq!(daemon.ended().await.unwrap(), Some(0));
 }
+
+/// Every answer is held against the log once the platform answers again.
+#[tokio::test]
+async fn outcomes_agree_with_log() {
+    let scene = scene().await;
+    scene.platform.set_faults(Faults {
+        lose_every: 3,
+        ..Faults::default()
+    });
+    let mut told = Vec::new();
+    for index in 0..12 {
+        let path = format!("/v1/resources/pool/certs?change=c{index}");
+        let spec = format!(r#"{{"slots": {}, "connections": 120}}"#, index + 1);
+        let (_, answer) = call(&scene, "PUT", &path, &[], spec).await;
+        told.push((format!("c{index}"), answer["outcome"].clone()));
+    }
+    scene.platform.set_faults(Faults::default());
+    let (_, history) = call(&scene, "GET", "/v1/changes", &[], "").await;
+    let entries = history["changes"].as_array().unwrap();
+    for (id, outcome) in told {
+        let count = entries.iter().filter(|entry| entry["change"] == id).count();
+        match outcome.as_str().unwrap() {
+            "accepted" => assert_eq!(count, 1, "{id}"),
+            "not-accepted" => assert_eq!(count, 0, "{id}"),
+            other => assert_eq!(other, "unknown"),
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn disjoint_changes_rebase() {
+    let mut scene = scene().await;
+    scene.add("certs-1", "vantaa", &[]).await.unwrap();
+    scene.settle(2).await.unwrap();
+    let scene = std::sync::Arc::new(scene);
+    let mut tasks = Vec::new();
+    for index in 0..8 {
+        let scene = std::sync::Arc::clone(&scene);
+        tasks.push(tokio::spawn(async move {
+            let change = json!({ "id": format!("c{index}"), "put": [{
+                "kind": "pool", "name": format!("p{index}"), "based_on": 0,
+                "spec": { "slots": 1, "connections": 1 } }] });
+            scene
+                .post(index % 2, "/v1/changes", &change.to_string())
+                .await
+        }));
+    }
+    let mut versions = Vec::new();
+    for task in tasks {
+        let told = task.await.unwrap().unwrap();
+        versions.push(told["version"].as_u64().unwrap());
+    }
+    versions.sort_unstable();
+    assert_eq!(versions, [1, 2, 3, 4, 5, 6, 7, 8]);
+}
