--- a/src/platform/budget.rs
+++ b/src/platform/budget.rs
@@ -104,7 +104,7 @@
         match error {
             Some(err @ (PlatformError::Unavailable(_) | PlatformError::Unknown(_))) => {
                 if !self.lost.swap(true, Ordering::Relaxed) {
-                    event!(PlatformLost, "error={err}");
+                    event!(PlatformLost, error = err);
                 }
             }
             Some(PlatformError::Refused(_)) | None => {
--- a/src/store/prune.rs
+++ b/src/store/prune.rs
@@ -29,7 +29,7 @@
         tokio::spawn(async move {
             // What is left over is deleted after a later version.
             if let Ok(count) = prune(platform.as_ref(), version).await {
-                event!(Pruned, "count={count} version={version}");
+                event!(Pruned, count = count, version = version);
             }
             drop(guard);
         });
--- a/src/tree/uplink.rs
+++ b/src/tree/uplink.rs
@@ -68,7 +68,7 @@
                 Step::Dial(target) => match self.attach(&target).await? {
                     End::Redirected(redirect) => {
                         let count = redirect.relays.len();
-                        event!(Redirected, "from={} relays={count}", target.address);
+                        event!(Redirected, from = target.address, relays = count);
                         least = Duration::from_millis(u64::from(redirect.retry_ms));
                         seeker.redirected(&redirect.relays);
                     }
@@ -79,7 +79,7 @@
                         seeker.restart();
                     }
                     End::Lost(reason) => {
-                        event!(Detached, "address={} reason={reason}", target.address);
+                        event!(Detached, address = target.address, reason = reason);
                         self.lost().await?;
                         backoff.reset();
                         seeker.restart();
@@ -119,7 +119,7 @@
         });
         let noted = async {
             if let Ok(name) = welcome.await {
-                event!(Attached, "relay={name} address={}", target.address);
+                event!(Attached, relay = name, address = target.address);
                 set_role(self.tree, self.actor, Role::Child).await?;
             }
             std::future::pending::<anyhow::Result<()>>().await
@@ -181,7 +181,7 @@
 
     async fn stand_in(&self) -> anyhow::Result<()> {
         if self.daemon.drain.phase() == Phase::Running && self.tree.role() != Role::StandIn {
-            event!(RelayStandIn, "domain={}", self.daemon.identity.domain);
+            event!(RelayStandIn, domain = self.daemon.identity.domain);
             set_role(self.tree, self.actor, Role::StandIn).await?;
         }
         Ok(())
@@ -225,9 +225,9 @@
     actor.call(|reply| Message::Role(role, reply)).await?;
     let before = tree.role.send_replace(role);
     if is_relay(role) {
-        event!(RelayStarted, "role={role:?}");
+        event!(RelayStarted, role = format_args!("{role:?}"));
     } else if is_relay(before) {
-        event!(RelayEnded, "role={role:?}");
+        event!(RelayEnded, role = format_args!("{role:?}"));
     }
     Ok(())
 }
