--- a/src/call/choose.rs
+++ b/src/call/choose.rs
@@ -211,8 +211,7 @@
 
 impl Upstream {
     /// Rates the upstream; less is better.
-    fn cost(&self, now: Instant, sizes: &Sizes) -> u64 {
-        let answer_us = self.health.answer_us.load(Ordering::Relaxed);
+    fn cost(&self, now: Instant, sizes: &Sizes, answer_us: u64) -> u64 {
         let mut cost = (self.health.load(now) + 1_000) * answer_us.max(1);
         if self.facts.suspect {
             cost = cost.saturating_mul(SUSPECT_PENALTY);
@@ -223,6 +222,18 @@
         cost.saturating_mul(1_000) / self.warmth(now, sizes)
     }
 
+    /// Tests whether this upstream is rated better than another.
+    fn beats(&self, other: &Upstream, now: Instant, sizes: &Sizes) -> bool {
+        let own_us = self.health.answer_us.load(Ordering::Relaxed);
+        let other_us = other.health.answer_us.load(Ordering::Relaxed);
+        // One that has not answered yet is rated by its load alone.
+        let (own_us, other_us) = match (own_us, other_us) {
+            (0, _) | (_, 0) => (1, 1),
+            both => both,
+        };
+        self.cost(now, sizes, own_us) < other.cost(now, sizes, other_us)
+    }
+
     /// Returns the share of calls that a new upstream takes, in thousandths.
     fn warmth(&self, now: Instant, sizes: &Sizes) -> u64 {
         let Some(joined) = self.facts.joined else {
@@ -295,8 +306,9 @@
                 self.usable(now, all, turn, tried)
             }
             Choice::TwoChoices => {
-                let load = |upstream: &Upstream| u64::from(upstream.health.in_flight());
-                self.better(now, all, dice, tried, load)
+                let beats =
+                    |a: &Upstream, b: &Upstream| a.health.in_flight() < b.health.in_flight();
+                self.better(now, all, dice, tried, beats)
             }
             Choice::Load => self.near_first(now, dice, tried),
         }
@@ -316,16 +328,16 @@
     }
 
     fn near_first(&self, now: Instant, dice: Dice, tried: &[Index]) -> Option<Index> {
-        let cost = |upstream: &Upstream| upstream.cost(now, &self.sizes);
-        let near = self.better(now, 0..self.near, dice, tried, cost);
+        let beats = |a: &Upstream, b: &Upstream| a.beats(b, now, &self.sizes);
+        let near = self.better(now, 0..self.near, dice, tried, beats);
         let loaded = |index: Index| self.upstreams[index.0].is_loaded(now, &self.sizes);
         if near.is_some_and(|index| !loaded(index)) {
             return near;
         }
         let far = self.near..self.upstreams.len();
-        let far = self.better(now, far, dice, tried, cost);
+        let far = self.better(now, far, dice, tried, beats);
         match (near, far) {
-            (Some(near), Some(far)) => Some(self.cheaper(near, far, cost)),
+            (Some(near), Some(far)) => Some(self.pick(near, far, beats)),
             (near, far) => near.or(far),
         }
     }
@@ -337,7 +349,7 @@
         range: std::ops::Range<usize>,
         dice: Dice,
         tried: &[Index],
-        cost: impl Fn(&Upstream) -> u64,
+        beats: impl Fn(&Upstream, &Upstream) -> bool,
     ) -> Option<Index> {
         let one = self.usable(now, range.clone(), dice.0, tried)?;
         if range.len() == 1 {
@@ -348,12 +360,12 @@
         let step = 1 + dice.1 % width;
         let from = u32::try_from(one.0 - range.start).unwrap_or(0) + step;
         let two = self.usable(now, range, from, tried)?;
-        Some(self.cheaper(one, two, cost))
+        Some(self.pick(one, two, beats))
     }
 
-    fn cheaper(&self, one: Index, two: Index, cost: impl Fn(&Upstream) -> u64) -> Index {
+    fn pick(&self, one: Index, two: Index, beats: impl Fn(&Upstream, &Upstream) -> bool) -> Index {
         let (a, b) = (&self.upstreams[one.0], &self.upstreams[two.0]);
-        if cost(b) < cost(a) { two } else { one }
+        if beats(b, a) { two } else { one }
     }
 
     /// Returns the first usable upstream of a range from a place on, around its end.
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -5,7 +5,7 @@
 use crate::call::attempt::{Attempt, AttemptId};
 use crate::call::body::Guarded;
 use crate::call::budget::backoff;
-use crate::call::choose::{Choice, Health, Index, Upstream};
+use crate::call::choose::{Choice, Group, Health, Index, Upstream};
 use crate::call::idempotency::{KEY_TIME, KeyId};
 use crate::call::upstream::{Link, UpstreamError};
 use crate::call::view::{ServiceView, ViewCell, Viewer};
@@ -137,22 +137,22 @@
         let group = &call.service.group;
         let mut flight = Some(flight);
         let mut tried = Vec::new();
+        let mut made = 0;
         let mut last: Option<Box<Response<Body>>> = None;
         loop {
             let index = match call.key {
                 Some(key) => key_holder(call, key).await,
-                None => group.choose(Instant::now(), self.choice, rand::random(), &tried),
+                None => self.choose(group, &tried),
             };
             let Some(index) = index else {
                 return last.map(|answer| *answer).ok_or_else(no_upstream);
             };
-            let made = u32::try_from(tried.len()).unwrap_or(u32::MAX);
             let failed = match self.attempt(call, index, made, &mut flight).await {
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
             tried.push(index);
-            let made = made + 1;
+            made += 1;
             let now = Instant::now();
             let mut terms = call.terms;
             terms.replayable = call.body.is_replayable();
@@ -167,6 +167,13 @@
         }
     }
 
+    /// Chooses an upstream that was not tried, or any when all were.
+    fn choose(&self, group: &Group, tried: &[Index]) -> Option<Index> {
+        let now = Instant::now();
+        let untried = group.choose(now, self.choice, rand::random(), tried);
+        untried.or_else(|| group.choose(now, self.choice, rand::random(), &[]))
+    }
+
     async fn attempt(
         &self,
         call: &Call<'_>,
--- a/standin/src/bench/calls.rs
+++ b/standin/src/bench/calls.rs
@@ -3,6 +3,7 @@
 //! Each run first measures the time that the mesh adds: calls that cost the backend servers nothing
 //! are made by the mesh and directly, in random order. Then comes the load of the scenario.
 
+mod deep;
 mod load;
 pub mod mesh;
 pub mod profile;
@@ -61,6 +62,9 @@
         .worker_threads(WORKERS)
         .enable_all()
         .build()?;
+    if let Some(name @ ("deep" | "deep-alone")) = options.scenario.as_deref() {
+        return runtime.block_on(run_deep(name == "deep", options.json.as_ref()));
+    }
     let report = runtime.block_on(run(options))?;
     if let Some(path) = &options.json {
         let mut file = std::fs::File::create(path)?;
@@ -71,6 +75,30 @@
     Ok(())
 }
 
+/// Measures how retries multiply over a call tree. In `deep-alone` no header is passed on.
+async fn run_deep(pass_on: bool, json: Option<&String>) -> anyhow::Result<()> {
+    let mut lines = String::new();
+    for found in deep::run(pass_on).await? {
+        println!(
+            "{:>3}% fail: {:.3} calls at depth 21 for each at the top, {:.1}% answered",
+            found.fail_percent, found.factor, found.answered_percent
+        );
+        let line = serde_json::json!({
+            "scenario": "deep",
+            "headers_passed_on": pass_on,
+            "fail_percent": found.fail_percent,
+            "calls_at_depth": found.factor,
+            "answered_percent": found.answered_percent,
+        });
+        lines += &line.to_string();
+        lines.push('\n');
+    }
+    if let Some(path) = json {
+        std::fs::write(path, lines)?;
+    }
+    Ok(())
+}
+
 async fn run(options: &Options) -> anyhow::Result<Report> {
     let profile = Profile::named(&options.profile)?;
     let scenario = Scenario::named(options.scenario.as_deref().unwrap_or("even"))?;
--- a/standin/src/bench/calls/mesh.rs
+++ b/standin/src/bench/calls/mesh.rs
@@ -109,19 +109,8 @@
     ///
     /// Fails when the change is refused.
     pub async fn configure(&self, change: &Value) -> anyhow::Result<()> {
-        let request = Request::builder()
-            .method(Method::POST)
-            .uri("/v1/changes")
-            .body(Full::from(change.to_string()))?;
-        let answer = caller::call(self.daemons[0].operator, request).await?;
-        ensure!(answer.status().is_success(), "apply: {:?}", answer.body());
-        let body: Value = serde_json::from_slice(answer.body())?;
-        let version = body["version"].as_u64().unwrap_or(1);
-        for daemon in self.daemons.iter().chain(&self.entries) {
-            let applied = |state: &Value| state["config"]["version"].as_u64() >= Some(version);
-            daemon.wait_state("configuration", TIMEOUT, applied).await?;
-        }
-        Ok(())
+        let daemons: Vec<&Process> = self.daemons.iter().chain(&self.entries).collect();
+        send_change(&daemons, change).await
     }
 
     /// Returns the processor time that the daemons have used.
@@ -132,17 +121,44 @@
     }
 
     fn flags(&self, name: &str, domain: &str) -> Vec<String> {
-        let flags = [
-            ("--name", name.to_owned()),
-            ("--domain", domain.into()),
-            ("--region", self.profile.region.into()),
-            ("--platform", self.platform.address().to_string()),
-        ];
-        let flags = flags.into_iter();
-        flags
-            .flat_map(|(flag, value)| [flag.to_owned(), value])
-            .collect()
+        flags(name, domain, self.profile.region, &self.platform)
+    }
+}
+
+/// Has a change accepted and waits until it is in force on every daemon.
+///
+/// # Errors
+///
+/// Fails when the change is refused.
+pub async fn send_change(daemons: &[&Process], change: &Value) -> anyhow::Result<()> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri("/v1/changes")
+        .body(Full::from(change.to_string()))?;
+    let answer = caller::call(daemons[0].operator, request).await?;
+    ensure!(answer.status().is_success(), "apply: {:?}", answer.body());
+    let body: Value = serde_json::from_slice(answer.body())?;
+    let version = body["version"].as_u64().unwrap_or(1);
+    for daemon in daemons {
+        let applied = |state: &Value| state["config"]["version"].as_u64() >= Some(version);
+        daemon.wait_state("configuration", TIMEOUT, applied).await?;
     }
+    Ok(())
+}
+
+/// Returns the flags of a daemon without a backend server.
+#[must_use]
+pub fn flags(name: &str, domain: &str, region: &str, platform: &Platform) -> Vec<String> {
+    let flags = [
+        ("--name", name.to_owned()),
+        ("--domain", domain.into()),
+        ("--region", region.into()),
+        ("--platform", platform.address().to_string()),
+    ];
+    let flags = flags.into_iter();
+    flags
+        .flat_map(|(flag, value)| [flag.to_owned(), value])
+        .collect()
 }
 
 fn behaviour_of(behaviour: Behaviour, index: usize) -> Behaviour {
