Count bytes at each socket over its life in the convergence bench

Cause: connections that ended between two readings lost their counts, so relays under restarts showed none; bytes to the platform and between daemons were one figure. Change: sockets are read several times a second and counted one by one; the table has the bytes between daemons apart. Accepted connections of the mesh and of the platform stand-in get TCP_NODELAY: tonic's tcp_nodelay has no effect on a listener that it is handed.

--- a/src/role/mesh.rs
+++ b/src/role/mesh.rs
@@ -13,7 +13,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status, Streaming};
 
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
@@ -30,11 +31,13 @@
         let service = MeshServer::new(Service { daemon, tree });
         let service = service.max_decoding_message_size(session::MAX_FRAME_LEN);
         tonic::transport::Server::builder()
-            .tcp_nodelay(true)
             .add_service(service)
-            .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
-                drain.reached(Phase::Stopped).await;
-            })
+            .serve_with_incoming_shutdown(
+                TcpIncoming::from(listener).with_nodelay(Some(true)),
+                async move {
+                    drain.reached(Phase::Stopped).await;
+                },
+            )
             .await?;
         Ok(())
     })
--- a/standin/src/bench/converge.rs
+++ b/standin/src/bench/converge.rs
@@ -13,8 +13,8 @@
 use daemons::Daemons;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use report::{Report, Traffic};
-use sample::Sample;
+use report::Report;
+use sample::Meter;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use timing::Timing;
@@ -99,7 +99,9 @@
     let mut report = Report::new(mode, size, started.elapsed());
     sleep(SETTLE).await;
 
-    report.idle = window(&platform, &daemons, None).await?;
+    let mut meter = Meter::start(&platform, &daemons)?;
+    meter.wait(&daemons, WINDOW).await?;
+    report.idle = meter.stop(&platform, &daemons)?;
     let mut rng = StdRng::seed_from_u64(options.seed);
     changes(options, &platform, &mut daemons, &mut rng, &mut report).await?;
     churn(&platform, &mut daemons, &mut rng, &mut report).await?;
@@ -111,18 +113,6 @@
     Ok(report)
 }
 
-/// Measures what the fleet spends while nothing but `restarts` happens.
-async fn window(
-    platform: &Platform,
-    daemons: &Daemons,
-    until: Option<Instant>,
-) -> anyhow::Result<Traffic> {
-    let before = Sample::take(platform, daemons)?;
-    sleep_until(until.unwrap_or(Instant::now() + WINDOW)).await;
-    let after = Sample::take(platform, daemons)?;
-    Ok(before.until(&after))
-}
-
 /// Applies changes at seeded times and measures when each is in force.
 async fn changes(
     options: &Options,
@@ -131,10 +121,11 @@
     rng: &mut StdRng,
     report: &mut Report,
 ) -> anyhow::Result<()> {
-    let before = Sample::take(platform, daemons)?;
+    let mut meter = Meter::start(platform, daemons)?;
     let mut versions = Vec::new();
     for index in 0..options.changes {
         sleep(Duration::from_millis(rng.random_range(GAP_MS))).await;
+        meter.read(daemons)?;
         let entry = rng.random_range(0..daemons.len());
         let (body, id) = daemons::change(index, rng.random_range(0..options.services));
         report.change_len = body.len();
@@ -153,8 +144,8 @@
             None => report.failed += 1,
         }
     }
-    let after = Sample::take(platform, daemons)?;
-    report.changing = before.until(&after);
+    meter.wait(daemons, SETTLE).await?;
+    report.changing = meter.stop(platform, daemons)?;
     report.changes = options.changes;
     Ok(())
 }
@@ -166,7 +157,7 @@
     rng: &mut StdRng,
     report: &mut Report,
 ) -> anyhow::Result<()> {
-    let before = Sample::take(platform, daemons)?;
+    let mut meter = Meter::start(platform, daemons)?;
     let ends = Instant::now() + WINDOW;
     let mut next = Instant::now();
     while next < ends {
@@ -174,10 +165,10 @@
         daemons.restart(index).await?;
         report.restarts += 1;
         next += Duration::from_secs(1) / RESTARTS_PER_SECOND;
+        meter.read(daemons)?;
         sleep_until(next).await;
     }
-    let after = Sample::take(platform, daemons)?;
-    report.churn = before.until(&after);
+    report.churn = meter.stop(platform, daemons)?;
     let settled = Instant::now();
     match daemons.wait_ready(READY_TIMEOUT).await {
         Ok(()) => report.settle_ms = settled.elapsed().as_millis(),
--- a/standin/src/bench/converge/report.rs
+++ b/standin/src/bench/converge/report.rs
@@ -6,29 +6,48 @@
 use std::io::Write as _;
 use std::time::Duration;
 
-/// What daemons spent in a time; rates are means over daemons unless said otherwise.
+/// What daemons of one role spent in a second; means over them unless said otherwise.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Share {
+    /// The number of daemons.
+    pub count: usize,
+    /// Bytes sent and received, to the platform and to other daemons.
+    pub bytes_s: f64,
+    /// The same of the daemon that spent most.
+    pub max_bytes_s: f64,
+    /// Bytes sent to and received from other daemons.
+    pub mesh_bytes_s: f64,
+    /// Share of a core.
+    pub core: f64,
+}
+
+/// What the fleet spent in a time.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Traffic {
     /// The length of the time.
     pub seconds: f64,
-    /// Bytes sent and received by a child in a second.
-    pub child_bytes_s: f64,
-    /// The same of the child that spent most.
-    pub child_max_bytes_s: f64,
-    /// Bytes sent and received by a relay in a second.
-    pub relay_bytes_s: f64,
-    /// The same of the relay that spent most.
-    pub relay_max_bytes_s: f64,
-    /// The number of relays.
-    pub relays: usize,
-    /// Share of a core that a daemon used.
-    pub core_share: f64,
-    /// Share of a core that a relay used.
-    pub relay_core_share: f64,
+    /// The daemons that no other is attached to.
+    pub child: Share,
+    /// The daemons that others are attached to.
+    pub relay: Share,
     /// Calls to the platform, by kind.
     pub calls: Calls,
 }
 
+impl Traffic {
+    /// Returns the bytes of all daemons.
+    fn bytes(&self, rate: impl Fn(&Share) -> f64) -> f64 {
+        let all = |share| rate(share) * share.count as f64;
+        (all(&self.child) + all(&self.relay)) * self.seconds
+    }
+
+    /// Returns the mean share of a core.
+    fn core(&self) -> f64 {
+        let count = (self.child.count + self.relay.count).max(1) as f64;
+        self.bytes(|share| share.core) / self.seconds.max(f64::MIN_POSITIVE) / count
+    }
+}
+
 /// The figures for one mode and size.
 pub struct Report {
     mode: String,
@@ -100,36 +119,45 @@
 
     /// Returns the bytes that a change costs one daemon, above its idle traffic.
     pub fn change_bytes(&self) -> f64 {
-        let all = |traffic: &Traffic| {
-            let relays = traffic.relays as f64;
-            let children = self.size as f64 - relays;
-            traffic.child_bytes_s * children + traffic.relay_bytes_s * relays
-        };
-        let above = (all(&self.changing) - all(&self.idle)) * self.changing.seconds;
+        self.change_cost(|share| share.bytes_s)
+    }
+
+    /// Returns the part of [`Report::change_bytes`] between daemons, where each byte counts twice.
+    fn mesh_change_bytes(&self) -> f64 {
+        self.change_cost(|share| share.mesh_bytes_s)
+    }
+
+    fn change_cost(&self, rate: impl Fn(&Share) -> f64 + Copy) -> f64 {
+        let idle = self.idle.bytes(rate) / self.idle.seconds * self.changing.seconds;
+        let above = self.changing.bytes(rate) - idle;
         above / f64::from(self.changes.max(1)) / self.size as f64
     }
 
     /// Returns a line of the table.
     pub fn row(&self) -> String {
-        format!(
-            "{:<7}{:>8}{:>8}{:>8}{:>8}{:>9.0}{:>9.0}{:>9.0}{:>9.0}{:>9.0}{:>7.2}{:>7.2}{:>7.1}{:>8}{:>8}{:>7}",
-            self.mode,
-            self.size,
-            self.times.value_at_quantile(0.5),
-            self.p99_ms(),
-            self.times.max(),
-            self.change_bytes(),
-            self.idle.child_bytes_s,
-            self.idle.relay_bytes_s,
-            self.churn.child_bytes_s,
-            self.churn.relay_bytes_s,
-            100.0 * self.idle.core_share,
-            100.0 * self.idle.relay_core_share,
-            self.rss_mb,
-            format!("{:.1}", rate(&self.idle)),
-            self.killed_ms.map_or("-".into(), |ms| ms.to_string()),
-            self.failed,
-        )
+        let Report { idle, churn, .. } = self;
+        let killed = self.killed_ms.map_or("-".into(), |ms| ms.to_string());
+        let fields = [
+            self.mode.clone(),
+            self.size.to_string(),
+            self.times.value_at_quantile(0.5).to_string(),
+            self.p99_ms().to_string(),
+            self.times.max().to_string(),
+            format!("{:.0}", self.change_bytes()),
+            format!("{:.0}", self.mesh_change_bytes()),
+            format!("{:.0}", idle.child.bytes_s),
+            format!("{:.0}", idle.relay.bytes_s),
+            format!("{:.0}", churn.child.bytes_s),
+            format!("{:.0}", churn.relay.bytes_s),
+            format!("{:.2}", 100.0 * idle.core()),
+            format!("{:.2}", 100.0 * idle.relay.core),
+            format!("{:.1}", self.rss_mb),
+            format!("{:.1}", rate(idle)),
+            killed,
+            self.settle_ms.to_string(),
+            self.failed.to_string(),
+        ];
+        fields.map(|field| format!("{field:>9}")).concat()
     }
 
     fn json(&self) -> Value {
@@ -144,10 +172,11 @@
             "changes": self.changes,
             "change_len": self.change_len,
             "change_bytes": self.change_bytes(),
-            "child_bytes_s": self.idle.child_bytes_s,
-            "relay_bytes_s": self.idle.relay_bytes_s,
+            "mesh_change_bytes": self.mesh_change_bytes(),
+            "child_bytes_s": self.idle.child.bytes_s,
+            "relay_bytes_s": self.idle.relay.bytes_s,
             "platform_calls_s": rate(&self.idle),
-            "core_share": self.idle.core_share,
+            "core_share": self.idle.core(),
             "rss_mb": self.rss_mb,
             "failed": self.failed,
             "restarts": self.restarts,
@@ -167,13 +196,8 @@
     let per_second = |count: u64| count as f64 / traffic.seconds.max(f64::MIN_POSITIVE);
     json!({
         "seconds": traffic.seconds,
-        "child_bytes_s": traffic.child_bytes_s,
-        "child_max_bytes_s": traffic.child_max_bytes_s,
-        "relay_bytes_s": traffic.relay_bytes_s,
-        "relay_max_bytes_s": traffic.relay_max_bytes_s,
-        "relays": traffic.relays,
-        "core_share": traffic.core_share,
-        "relay_core_share": traffic.relay_core_share,
+        "child": share_json(&traffic.child),
+        "relay": share_json(&traffic.relay),
         "gets_s": per_second(traffic.calls.gets),
         "lists_s": per_second(traffic.calls.lists),
         "watches_s": per_second(traffic.calls.watches),
@@ -183,18 +207,34 @@
     })
 }
 
+fn share_json(share: &Share) -> Value {
+    json!({
+        "count": share.count,
+        "bytes_s": share.bytes_s,
+        "max_bytes_s": share.max_bytes_s,
+        "mesh_bytes_s": share.mesh_bytes_s,
+        "core": share.core,
+    })
+}
+
 /// Returns the heading of the table.
-pub fn heading() -> &'static str {
-    "mode    daemons  p50 ms  p99 ms  max ms B/change  child/s  relay/s churn-ch  churn-r  cpu%  \
-     r-cpu% rss MB calls/s kill ms failed"
+pub fn heading() -> String {
+    let names = [
+        "mode", "daemons", "p50 ms", "p99 ms", "max ms", "B/change", "mesh B/c", "child/s",
+        "relay/s", "churn-c", "churn-r", "core %", "r-core %", "RSS MB", "calls/s", "kill ms",
+        "settle", "failed",
+    ];
+    names.map(|name| format!("{name:>9}")).concat()
 }
 
 /// Returns what the columns mean.
 pub fn legend() -> &'static str {
     "p50, p99, max: from acceptance until every daemon enforces the change (log lines, 1 ms)\n\
-     B/change: bytes sent and received by a daemon for a change, above its idle traffic\n\
+     B/change: bytes sent and received by a daemon for a change, above its idle traffic;\n\
+     mesh B/c: of these, bytes between daemons\n\
      child/s, relay/s: bytes sent and received in a second, idle; churn: with 2 restarts a second\n\
-     cpu%, r-cpu%: share of a core, idle, of all daemons and of relays; calls/s: to the platform"
+     core %, r-core %: of a core, idle, by all daemons and by relays; calls/s: to the platform\n\
+     kill ms: convergence while a relay is killed; settle: ms from the last restart until all agree"
 }
 
 /// Writes one JSON object a line.
--- a/standin/src/bench/converge/sample.rs
+++ b/standin/src/bench/converge/sample.rs
@@ -1,101 +1,164 @@
-//! What the daemons have spent so far: bytes at their sockets, processor time, platform calls.
+//! What the daemons spend: bytes at their sockets, processor time, platform calls.
 //!
 //! Bytes are read from the kernel's counters of each open TCP socket (`ss -tinp`), which costs the
 //! daemons nothing. They are payload bytes, the framing of HTTP/2 included, the headers of TCP and
-//! IP left out. Connections that were opened and closed between two samples are missed.
+//! IP left out. The sockets are read several times a second, and only what a connection carries
+//! between its last reading and its end is missed.
 
 use super::daemons::Daemons;
-use super::report::Traffic;
+use super::report::{Share, Traffic};
 use crate::platform::{Calls, Platform};
 use anyhow::Context as _;
 use std::collections::{BTreeMap, BTreeSet};
 use std::process::Command;
-use tokio::time::Instant;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
 
 /// Length of the processor clock's tick in seconds.
 const TICK_SECONDS: f64 = 0.01;
 const PAGE_KB: u64 = 4;
+const READ_EVERY: Duration = Duration::from_millis(300);
 
-/// The counters at one time.
-pub struct Sample {
-    at: Instant,
+/// Counts what is spent from its making on.
+pub struct Meter {
+    started: Instant,
     calls: Calls,
-    daemons: BTreeMap<u32, Spent>,
+    cpu: BTreeMap<u32, f64>,
+    sockets: BTreeMap<Key, Count>,
+    read: Instant,
 }
 
-#[derive(Clone, Copy, Default)]
-struct Spent {
-    bytes: u64,
-    seconds: f64,
-    relay: bool,
+/// A socket: its process and both addresses.
+type Key = (u32, String, String);
+
+#[derive(Clone, Copy)]
+struct Count {
+    first: u64,
+    last: u64,
+    kind: Kind,
 }
 
-impl Sample {
-    /// Reads the counters of all running daemons.
-    pub fn take(platform: &Platform, daemons: &Daemons) -> anyhow::Result<Self> {
-        let sockets = sockets(daemons)?;
-        let mut spent: BTreeMap<u32, Spent> = BTreeMap::new();
-        for id in daemons.running().iter().filter_map(|one| one.process.id()) {
-            let seconds = cpu_seconds(id).unwrap_or(0.0);
-            let one = Spent {
-                seconds,
-                ..Spent::default()
-            };
-            spent.insert(id, one);
-        }
-        for socket in sockets {
-            if let Some(one) = spent.get_mut(&socket.process) {
-                one.bytes += socket.bytes;
-                one.relay |= socket.accepted;
-            }
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    /// To the platform.
+    Platform,
+    /// To another daemon.
+    Attached,
+    /// From another daemon.
+    Accepted,
+}
+
+impl Meter {
+    /// Starts to count.
+    pub fn start(platform: &Platform, daemons: &Daemons) -> anyhow::Result<Self> {
+        let mut sockets = sockets(daemons)?;
+        for count in sockets.values_mut() {
+            count.first = count.last;
         }
-        Ok(Sample {
-            at: Instant::now(),
+        let ids = daemons.running().iter().filter_map(|one| one.process.id());
+        Ok(Meter {
+            started: Instant::now(),
             calls: platform.calls(),
-            daemons: spent,
+            cpu: ids.map(|id| (id, cpu_seconds(id).unwrap_or(0.0))).collect(),
+            sockets,
+            read: Instant::now(),
         })
     }
 
-    /// Returns what was spent from this sample to a later one, by daemons that run at both.
-    pub fn until(&self, later: &Sample) -> Traffic {
-        let seconds = (later.at - self.at).as_secs_f64();
-        let (mut children, mut relays, mut shares) = (Vec::new(), Vec::new(), Vec::new());
-        let mut relay_shares = Vec::new();
-        for (id, before) in &self.daemons {
-            let Some(after) = later.daemons.get(id) else {
+    /// Reads the sockets if the last reading is old enough.
+    pub fn read(&mut self, daemons: &Daemons) -> anyhow::Result<()> {
+        if self.read.elapsed() < READ_EVERY {
+            return Ok(());
+        }
+        self.read_now(daemons)
+    }
+
+    /// Waits for a time, and reads the sockets meanwhile.
+    pub async fn wait(&mut self, daemons: &Daemons, time: Duration) -> anyhow::Result<()> {
+        let ends = Instant::now() + time;
+        while Instant::now() < ends {
+            sleep(READ_EVERY.min(ends - Instant::now())).await;
+            self.read(daemons)?;
+        }
+        Ok(())
+    }
+
+    /// Returns what daemons that ran all the time have spent.
+    pub fn stop(mut self, platform: &Platform, daemons: &Daemons) -> anyhow::Result<Traffic> {
+        self.read_now(daemons)?;
+        let seconds = self.started.elapsed().as_secs_f64();
+        let ids = daemons.running().iter().filter_map(|one| one.process.id());
+        let (mut children, mut relays) = (Vec::new(), Vec::new());
+        for id in ids {
+            let Some(before) = self.cpu.get(&id) else {
                 continue;
             };
-            let rate = after.bytes.saturating_sub(before.bytes) as f64 / seconds;
-            let share = (after.seconds - before.seconds) / seconds;
-            shares.push(share);
-            if before.relay || after.relay {
-                relays.push(rate);
-                relay_shares.push(share);
+            let spent = Spent {
+                core: (cpu_seconds(id).unwrap_or(*before) - before) / seconds,
+                mesh: self.bytes(id, |kind| kind != Kind::Platform) / seconds,
+                platform: self.bytes(id, |kind| kind == Kind::Platform) / seconds,
+            };
+            let group = if self.is_relay(id) {
+                &mut relays
             } else {
-                children.push(rate);
-            }
+                &mut children
+            };
+            group.push(spent);
         }
-        Traffic {
+        Ok(Traffic {
             seconds,
-            child_bytes_s: mean(children.iter().copied()),
-            child_max_bytes_s: max(&children),
-            relay_bytes_s: mean(relays.iter().copied()),
-            relay_max_bytes_s: max(&relays),
-            relays: relays.len(),
-            core_share: mean(shares.iter().copied()),
-            relay_core_share: mean(relay_shares.iter().copied()),
-            calls: difference(&later.calls, &self.calls),
+            child: share(&children),
+            relay: share(&relays),
+            calls: difference(&platform.calls(), &self.calls),
+        })
+    }
+
+    fn read_now(&mut self, daemons: &Daemons) -> anyhow::Result<()> {
+        for (key, count) in sockets(daemons)? {
+            let known = self.sockets.entry(key).or_insert(count);
+            known.last = count.last.max(known.last);
         }
+        self.read = Instant::now();
+        Ok(())
+    }
+
+    fn bytes(&self, id: u32, wanted: impl Fn(Kind) -> bool) -> f64 {
+        let sockets = self.sockets.iter();
+        let own = sockets.filter(|((process, ..), count)| *process == id && wanted(count.kind));
+        own.map(|(_, count)| (count.last - count.first) as f64)
+            .sum()
+    }
+
+    fn is_relay(&self, id: u32) -> bool {
+        let mut sockets = self.sockets.iter();
+        sockets.any(|((process, ..), count)| *process == id && count.kind == Kind::Accepted)
+    }
+}
+
+/// What one daemon has spent in a second.
+struct Spent {
+    core: f64,
+    mesh: f64,
+    platform: f64,
+}
+
+fn share(daemons: &[Spent]) -> Share {
+    let total = |one: &Spent| one.mesh + one.platform;
+    Share {
+        count: daemons.len(),
+        bytes_s: mean(daemons.iter().map(total)),
+        max_bytes_s: daemons.iter().map(total).fold(0.0, f64::max),
+        mesh_bytes_s: mean(daemons.iter().map(|one| one.mesh)),
+        core: mean(daemons.iter().map(|one| one.core)),
     }
 }
 
 /// Returns the running daemons to which others are attached, by their place.
 pub fn relays(daemons: &Daemons) -> anyhow::Result<Vec<usize>> {
-    let sockets = sockets(daemons)?;
-    let accepting: BTreeSet<u32> = sockets
-        .iter()
-        .filter(|socket| socket.accepted)
-        .map(|socket| socket.process)
+    let accepting: BTreeSet<u32> = sockets(daemons)?
+        .into_iter()
+        .filter(|(_, count)| count.kind == Kind::Accepted)
+        .map(|((process, ..), _)| process)
         .collect();
     let running = daemons.running().iter().enumerate();
     Ok(running
@@ -104,15 +167,8 @@
         .collect())
 }
 
-struct Socket {
-    process: u32,
-    bytes: u64,
-    /// The daemon accepted it at its mesh address.
-    accepted: bool,
-}
-
 /// Reads the sockets to the platform and between daemons.
-fn sockets(daemons: &Daemons) -> anyhow::Result<Vec<Socket>> {
+fn sockets(daemons: &Daemons) -> anyhow::Result<BTreeMap<Key, Count>> {
     let output = Command::new("ss").arg("-tinpH").output().context("ss")?;
     let text = String::from_utf8_lossy(&output.stdout).replace("\n\t", " ");
     let running = daemons.running().iter();
@@ -124,26 +180,34 @@
         .collect())
 }
 
-fn read_socket(line: &str, platform: &str, meshes: &BTreeSet<String>) -> Option<Socket> {
+fn read_socket(line: &str, platform: &str, meshes: &BTreeSet<String>) -> Option<(Key, Count)> {
     let mut fields = line.split_whitespace();
     let local = fields.nth(3)?;
     let remote = fields.next()?;
-    let accepted = meshes.contains(local);
-    if !accepted && remote != platform && !meshes.contains(remote) {
+    let kind = if meshes.contains(local) {
+        Kind::Accepted
+    } else if remote == platform {
+        Kind::Platform
+    } else if meshes.contains(remote) {
+        Kind::Attached
+    } else {
         return None;
-    }
+    };
     let (_, process) = line.split_once("pid=")?;
     let process = process.split(',').next()?.parse().ok()?;
     let count = |name: &str| {
         let value = line.split_whitespace().find_map(|f| f.strip_prefix(name));
-        value.and_then(|value| value.parse().ok()).unwrap_or(0)
+        value
+            .and_then(|value| value.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
+    let last = count("bytes_sent:") + count("bytes_received:");
+    let count = Count {
+        first: 0,
+        last,
+        kind,
     };
-    let bytes: u64 = count("bytes_sent:") + count("bytes_received:");
-    Some(Socket {
-        process,
-        bytes,
-        accepted,
-    })
+    Some(((process, local.into(), remote.into()), count))
 }
 
 /// Returns the processor time that a process has used.
@@ -169,10 +233,6 @@
     if count == 0.0 { 0.0 } else { sum / count }
 }
 
-fn max(values: &[f64]) -> f64 {
-    values.iter().copied().fold(0.0, f64::max)
-}
-
 fn difference(later: &Calls, earlier: &Calls) -> Calls {
     Calls {
         gets: later.gets - earlier.gets,
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
-use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 
 /// The limits of the service.
@@ -150,9 +150,8 @@
         })
         .max_decoding_message_size(4 * MAX_VALUE_LEN);
         let server = tonic::transport::Server::builder()
-            .tcp_nodelay(true)
             .add_service(service)
-            .serve_with_incoming(TcpListenerStream::new(listener));
+            .serve_with_incoming(TcpIncoming::from(listener).with_nodelay(Some(true)));
         tokio::spawn(server);
         Ok(Platform { shared, address })
     }
