--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,7 +12,7 @@
 use crate::event;
 use crate::generated::mesh as wire;
 use crate::member::Fleet;
-use crate::platform::{Client, ClientSettings, Platform};
+use crate::platform::{Budget, Client, ClientSettings, Platform};
 use crate::settings::{Addresses, Settings};
 use crate::store::Store;
 use crate::sync::lock;
@@ -20,6 +20,7 @@
 use std::any::{Any, TypeId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -28,6 +29,9 @@
 /// Time for other daemons to learn that this one drains.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(500);
 
+/// Time for connections to end once no call is in flight.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Who this process is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Identity {
@@ -57,6 +61,8 @@
     pub fleet: FleetCell,
     /// Whether the process takes new calls, and how many are in flight.
     pub drain: Drain,
+    /// Whether the newest version that can be learned of has been put in force once.
+    pub caught_up: AtomicBool,
     parts: Mutex<BTreeMap<TypeId, Arc<dyn Any + Send + Sync>>>,
 }
 
@@ -82,7 +88,7 @@
     /// Fails as [`Daemon::new`] does.
     pub fn with_platform(settings: Settings, platform: Arc<dyn Platform>) -> Result<Arc<Self>> {
         let sockets = Sockets::bind(&settings.listen)?;
-        let mesh = advertised(&settings, sockets.addresses().mesh);
+        let mesh = advertised(&settings, &sockets, sockets.addresses().mesh);
         let name = settings.name.clone().unwrap_or_else(|| default_name(mesh));
         let identity = Identity {
             name,
@@ -93,10 +99,11 @@
         Ok(Arc::new(Daemon {
             identity,
             sockets,
-            store: Store::new(platform),
+            store: Store::new(Arc::new(Budget::new(platform, settings.platform_timeout))),
             config: ConfigCell::default(),
             fleet: FleetCell::default(),
             drain: Drain::default(),
+            caught_up: AtomicBool::new(false),
             parts: Mutex::default(),
             settings,
         }))
@@ -111,7 +118,7 @@
     /// Returns the address that others reach a listener of this daemon by.
     #[must_use]
     pub fn advertised(&self, bound: SocketAddr) -> SocketAddr {
-        advertised(&self.settings, bound)
+        advertised(&self.settings, &self.sockets, bound)
     }
 
     /// Returns a role's own state, which is made on the first call.
@@ -135,6 +142,9 @@
         tokio::time::sleep(ANNOUNCE_TIME).await;
         // Calls that outlast the timeout are cut off.
         let _ = tokio::time::timeout(self.settings.drain_timeout, self.drain.landed()).await;
+        self.drain.advance(Phase::Closing);
+        // What was written last is still on its way out.
+        let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.drain.closed()).await;
         self.drain.advance(Phase::Stopped);
     }
 
@@ -185,7 +195,18 @@
     }
 }
 
-fn advertised(settings: &Settings, bound: SocketAddr) -> SocketAddr {
+fn advertised(settings: &Settings, sockets: &Sockets, bound: SocketAddr) -> SocketAddr {
+    let addresses = sockets.addresses();
+    let special = if bound == addresses.inbound {
+        settings.advertise_inbound
+    } else if bound == addresses.mesh {
+        settings.advertise_mesh
+    } else {
+        None
+    };
+    if let Some(address) = special {
+        return address;
+    }
     SocketAddr::new(settings.advertise.unwrap_or(bound.ip()), bound.port())
 }
 
--- a/src/role/mesh.rs
+++ b/src/role/mesh.rs
@@ -26,18 +26,17 @@
 fn run(daemon: Arc<Daemon>) -> Work {
     Box::pin(async move {
         let listener = daemon.sockets.mesh.listener()?;
+        // The server's own setting does not reach a listener that is handed to it.
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
         let drain = daemon.drain.clone();
         let tree = Tree::of(&daemon);
         let service = MeshServer::new(Service { daemon, tree });
         let service = service.max_decoding_message_size(session::MAX_FRAME_LEN);
         tonic::transport::Server::builder()
             .add_service(service)
-            .serve_with_incoming_shutdown(
-                TcpIncoming::from(listener).with_nodelay(Some(true)),
-                async move {
-                    drain.reached(Phase::Stopped).await;
-                },
-            )
+            .serve_with_incoming_shutdown(incoming, async move {
+                drain.reached(Phase::Stopped).await;
+            })
             .await?;
         Ok(())
     })
--- /dev/null
+++ b/tests/standins.rs
@@ -0,0 +1,171 @@
+//! The stand-ins show the limits and faults that they are asked for.
+
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use standin::backend::{Backend, Behaviour, Ending, Fault, Ledger, Report, pattern};
+use standin::caller;
+use standin::fault::{Accept, Break, Control, FaultProxy, Faults, Pass};
+use std::net::SocketAddr;
+use std::time::Duration;
+use test_case::test_case;
+
+const LONG: Duration = Duration::from_secs(20);
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn backend(behaviour: Behaviour) -> (Backend, Ledger) {
+    let ledger = Ledger::default();
+    let backend = Backend::start("certs-0", any(), behaviour, ledger.clone());
+    (backend.await.unwrap(), ledger)
+}
+
+async fn call(backend: &Backend, id: &str) -> anyhow::Result<http::Response<bytes::Bytes>> {
+    let request = Request::get("/certs/1").header("x-request-id", id);
+    caller::call(backend.address(), request.body(Full::default())?).await
+}
+
+async fn until(what: &str, condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::task::yield_now().await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(20), wait).await;
+    assert!(waited.is_ok(), "{what}");
+}
+
+#[tokio::test]
+async fn backend_sheds_above_queue() {
+    let behaviour = Behaviour {
+        slots: 1,
+        queue: 1,
+        fault: Fault::Stuck,
+        ..Behaviour::default()
+    };
+    let (backend, ledger) = backend(behaviour).await;
+    let mut held = Vec::new();
+    for id in ["a", "b"] {
+        let backend = backend.clone();
+        held.push(tokio::spawn(
+            async move { call(&backend, id).await.is_ok() },
+        ));
+    }
+    until("one call runs", || backend.running() == 1).await;
+    let mut shed = Vec::new();
+    for id in ["c", "d", "e"] {
+        let call = tokio::time::timeout(Duration::from_millis(500), call(&backend, id));
+        if let Ok(answer) = call.await {
+            shed.push(answer.unwrap());
+        }
+    }
+    assert!(shed.len() >= 2);
+    assert_eq!(shed[0].status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(shed[0].headers()["retry-after"], "1");
+    assert!(ledger.runs("c") + ledger.runs("d") + ledger.runs("e") <= 1);
+    for call in held {
+        call.abort();
+    }
+    until("the run is cancelled", || {
+        ledger.ended(Ending::Cancelled) > 0
+    })
+    .await;
+}
+
+#[test_case(Fault::Lost, 1; "lost")]
+#[test_case(Fault::Truncated, 1; "truncated")]
+#[tokio::test]
+async fn backend_breaks_answer(fault: Fault, runs: u32) {
+    let behaviour = Behaviour {
+        fault,
+        ..Behaviour::default()
+    };
+    let (backend, ledger) = backend(behaviour).await;
+    assert!(call(&backend, "a").await.is_err());
+    assert_eq!(ledger.runs("a"), runs);
+    assert_eq!(ledger.ended(Ending::Done), 1);
+}
+
+#[tokio::test]
+async fn backend_crosses_answers() {
+    let (backend, _) = backend(Behaviour::default()).await;
+    call(&backend, "a").await.unwrap();
+    backend.set(Behaviour {
+        fault: Fault::Crossed,
+        ..Behaviour::default()
+    });
+    let answer = call(&backend, "b").await.unwrap();
+    assert_eq!(answer.headers()["x-request-id"], "a");
+}
+
+#[tokio::test]
+async fn backend_streams_whole() {
+    let (backend, _) = backend(Behaviour::default()).await;
+    let answer = caller::get(backend.address(), "/photos/bytes/100000")
+        .await
+        .unwrap();
+    assert_eq!(answer.body(), &pattern(100_000));
+}
+
+#[test_case(Report::Truth, 503; "truth")]
+#[test_case(Report::Idle, 200; "idle")]
+#[test_case(Report::Sick, 503; "sick")]
+#[tokio::test]
+async fn backend_health(report: Report, status: u16) {
+    let behaviour = Behaviour {
+        draining: true,
+        report,
+        ..Behaviour::default()
+    };
+    let (backend, _) = backend(behaviour).await;
+    let answer = caller::get(backend.address(), "/health").await.unwrap();
+    assert_eq!(answer.status(), status);
+    backend.stop();
+    until("connections are closed", || backend.connections() == 0).await;
+    assert!(caller::get(backend.address(), "/health").await.is_err());
+}
+
+/// Starts a backend server behind a fault proxy.
+async fn proxied(behaviour: Behaviour) -> (SocketAddr, Control, Backend) {
+    let (backend, _) = backend(behaviour).await;
+    let (address, control) = FaultProxy::start(backend.address()).await.unwrap();
+    (address, control, backend)
+}
+
+#[test_case(Faults::default(), true; "none")]
+#[test_case(Faults { rate: 1_000_000, delay: Duration::from_millis(5), ..Faults::default() }, true; "slow")]
+#[test_case(Faults { accept: Accept::Reset, ..Faults::default() }, false; "refused")]
+#[test_case(Faults { break_after: Some((5_000, Break::Reset)), ..Faults::default() }, false; "reset")]
+#[test_case(Faults { break_after: Some((5_000, Break::Close)), ..Faults::default() }, false; "cut_short")]
+#[tokio::test]
+async fn proxy_call(faults: Faults, whole: bool) {
+    let (address, control, _backend) = proxied(Behaviour::default()).await;
+    control.set(faults);
+    let answer = caller::get(address, "/bytes/50000");
+    let answer = tokio::time::timeout(LONG, answer).await.unwrap();
+    assert_eq!(answer.is_ok(), whole, "{answer:?}");
+    if let Ok(answer) = answer {
+        assert_eq!(answer.body(), &pattern(50_000));
+    }
+}
+
+#[test_case(Faults { accept: Accept::Silent, ..Faults::default() }, 0; "silent")]
+#[test_case(Faults { pass: Pass::Up, ..Faults::default() }, 1; "one_way")]
+#[test_case(Faults { pass: Pass::Down, ..Faults::default() }, 0; "other_way")]
+#[test_case(Faults { hold_every: 1, ..Faults::default() }, 0; "held")]
+#[tokio::test]
+async fn proxy_holds(faults: Faults, runs: u32) {
+    let (backend, ledger) = backend(Behaviour::default()).await;
+    let (address, control) = FaultProxy::start(backend.address()).await.unwrap();
+    control.set(faults);
+    let held = caller::get(address, "/certs/1");
+    let held = tokio::time::timeout(Duration::from_millis(300), held);
+    assert!(held.await.is_err());
+    assert_eq!(ledger.runs(""), runs);
+    control.heal();
+    control.cut();
+    let answer = caller::get(address, "/certs/1");
+    let answer = tokio::time::timeout(LONG, answer).await;
+    answer.unwrap().unwrap();
+}
