--- a/src/tree.rs
+++ b/src/tree.rs
@@ -120,8 +120,8 @@
                 .await
                 .map_err(stopped)?;
             // A relay that has just started has read the platform's newest version as well.
-            if role != Role::Seeking && stamps.borrow_and_update().version >= daemon.config.floor()
-            {
+            let version = stamps.borrow_and_update().version;
+            if role != Role::Seeking && version >= daemon.config.floor() {
                 return Ok(());
             }
             tokio::select! {
