End a deadlock between applying a version and asking for the floor

A debugger showed one thread in Tree::caught_up, which held the stamp's read lock while it waited for the cell's mutex, and one in ConfigCell::apply, which held the mutex while it waited for the stamp's write lock; the state dump then blocked a third. The soak describes the tree when the daemons do not find each other, and has calls in flight when it stops a daemon.

--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -6,6 +6,7 @@
 use crate::sync::lock;
 use crate::table::Table;
 use arc_swap::ArcSwap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -15,12 +16,13 @@
 pub struct ConfigCell {
     table: ArcSwap<Table>,
     stamp: watch::Sender<Stamp>,
+    /// Read without `state`, which is held while receivers of `stamp` are woken.
+    floor: AtomicU64,
     state: Mutex<State>,
 }
 
 #[derive(Default)]
 struct State {
-    floor: u64,
     applied: Option<Instant>,
     refused: Option<(Stamp, String)>,
 }
@@ -63,8 +65,8 @@
         if new.version < now.version || new == now {
             return Ok(false);
         }
-        if new.version == now.version || new.version < state.floor {
-            let floor = state.floor;
+        let floor = self.floor();
+        if new.version == now.version || new.version < floor {
             let message = format!("version {new} does not follow {now} (floor {floor})");
             return Err(Error::new(Category::Conflict, message));
         }
@@ -76,7 +78,7 @@
                 return Err(err);
             }
         }
-        state.floor = new.version;
+        self.floor.store(new.version, Ordering::Release);
         state.applied = Some(Instant::now());
         event!(VersionApplied, "version={new}");
         self.stamp.send_replace(new);
@@ -85,14 +87,14 @@
 
     /// Refuses every version below this one from now on.
     pub fn raise_floor(&self, version: u64) {
-        let mut state = lock(&self.state);
-        state.floor = state.floor.max(version);
+        let _state = lock(&self.state);
+        self.floor.fetch_max(version, Ordering::AcqRel);
     }
 
     /// Returns the least version that may be put in force.
     #[must_use]
     pub fn floor(&self) -> u64 {
-        lock(&self.state).floor
+        self.floor.load(Ordering::Acquire)
     }
 
     /// Describes the configuration for the state dump.
@@ -103,7 +105,7 @@
         serde_json::json!({
             "version": self.stamp().version,
             "stamp": self.stamp(),
-            "floor": state.floor,
+            "floor": self.floor(),
             "applied_ms_ago": state.applied.map(|at| at.elapsed().as_millis()),
             "resources": self.table().snapshot().resources().len(),
             "refused": refused.map(|(stamp, error)| format!("{stamp}: {error}")),
--- a/src/tree.rs
+++ b/src/tree.rs
@@ -119,9 +119,9 @@
                 .wait_for(|role| *role != Role::Seeking)
                 .await
                 .map_err(stopped)?;
+            let version = stamps.borrow_and_update().version;
             // A relay that has just started has read the platform's newest version as well.
-            if role != Role::Seeking && stamps.borrow_and_update().version >= daemon.config.floor()
-            {
+            if role != Role::Seeking && version >= daemon.config.floor() {
                 return Ok(());
             }
             tokio::select! {
--- a/standin/src/bench/soak.rs
+++ b/standin/src/bench/soak.rs
@@ -9,7 +9,7 @@
 
 use crate::backend::Behaviour;
 use crate::fleet::Launcher;
-use anyhow::ensure;
+use anyhow::{bail, ensure};
 use monitor::Monitor;
 use operators::{Operators, declaration};
 use oracle::Tally;
@@ -173,11 +173,28 @@
                 state["config"]["version"] == 1 && state["members"]["count"] == known
             };
             let left = deadline.saturating_duration_since(Instant::now());
-            daemon.wait_state("start", left, ready).await?;
+            if daemon.wait_state("start", left, ready).await.is_err() {
+                self.describe().await;
+                bail!("the daemons do not know each other within {START_TIME:?}");
+            }
         }
         Ok(())
     }
 
+    /// Prints the place of each daemon in the tree.
+    async fn describe(&self) {
+        for (index, daemon) in self.world.running() {
+            let name = &self.world.vms[index].name;
+            let state = daemon.state().await.unwrap_or_default();
+            let (tree, count) = (&state["config"]["tree"], &state["members"]["count"]);
+            let (role, parent) = (&tree["role"], &tree["parent"]);
+            println!(
+                "{name}: {role}, {count} members, relays {}, parent {parent}",
+                tree["relays"]
+            );
+        }
+    }
+
     /// Starts callers, operators and the monitor.
     #[must_use]
     pub fn start_load(&self, seed: u64) -> Vec<tokio::task::JoinHandle<()>> {
@@ -200,10 +217,10 @@
     ///
     /// Fails when a daemon cannot be started again.
     pub async fn round(&mut self, troubles: &[Trouble], time: Duration) -> anyhow::Result<()> {
-        let since = Instant::now();
         for trouble in troubles {
             trouble.begin(&mut self.world).await?;
         }
+        let since = Instant::now();
         self.show_running();
         sleep(time).await;
         for trouble in troubles {
--- a/standin/src/bench/soak/trouble.rs
+++ b/standin/src/bench/soak/trouble.rs
@@ -11,11 +11,13 @@
 use rand::rngs::StdRng;
 use rand::seq::index;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time after which a leaving backend server gets no new work.
 const LEAVE_TIME: Duration = Duration::from_secs(3);
 
+const SLOW_WORK: Duration = Duration::from_secs(1);
+const SLOW_TIME: Duration = Duration::from_millis(500);
 const STOP_TIME: Duration = Duration::from_secs(40);
 
 /// A fault.
@@ -80,7 +82,13 @@
                 }
             }
             Trouble::Pause(vms) => signal(world, vms, "STOP").await,
-            Trouble::Terminate(vms) => signal(world, vms, "TERM").await,
+            Trouble::Terminate(vms) => {
+                // Calls shall be in flight when the signal comes.
+                behave(world, vms, |behaviour| behaviour.work += SLOW_WORK);
+                sleep(SLOW_TIME).await;
+                signal(world, vms, "TERM").await;
+                behave(world, vms, |behaviour| behaviour.work -= SLOW_WORK);
+            }
             Trouble::Platform(faults) => world.platform.set_faults(*faults),
             Trouble::Inbound(vms, faults) => {
                 for vm in vms {
