--- a/tests/config_cell.rs
+++ b/tests/config_cell.rs
@@ -1,32 +1,31 @@
-//! The configuration in force, used by several tasks at once.
+//! The configuration cell never waits for those who look at it.
 
 use baobabstage::daemon::ConfigCell;
-use baobabstage::snapshot::Snapshot;
-use std::collections::BTreeMap;
-use std::sync::{Arc, mpsc};
-use std::time::Duration;
+use baobabstage::prelude::*;
+use std::sync::mpsc;
+use std::thread;
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 
+/// A daemon once hung for good: one thread held the stamp and asked for the floor, another put a
+/// version in force.
 #[test]
-fn floor_while_stamp_is_borrowed() {
+fn floor_is_read_while_a_version_is_applied() {
     let cell = Arc::new(ConfigCell::default());
-    let mut stamps = cell.subscribe();
-    let borrowed = stamps.borrow_and_update();
-    let writer = Arc::clone(&cell);
-    let applied = std::thread::spawn(move || {
-        let snapshot = Snapshot::new(1, "change", BTreeMap::new());
-        writer.apply(Arc::new(snapshot)).unwrap()
-    });
-    // The table is swapped just before `apply` waits for the borrow to end.
+    let receiver = cell.subscribe();
+    let seen = receiver.borrow();
+    let applying = Arc::clone(&cell);
+    let snapshot = Arc::new(Snapshot::new(1, "one", BTreeMap::new()));
+    let applied = thread::spawn(move || applying.apply(snapshot).unwrap());
+    // From here on the other thread waits for `seen` to be dropped.
     while cell.table().stamp().version == 0 {
-        std::thread::yield_now();
+        thread::yield_now();
     }
-    let (sender, receiver) = mpsc::channel();
-    let reader = Arc::clone(&cell);
-    std::thread::spawn(move || sender.send(reader.floor()));
-    let floor = receiver.recv_timeout(TIMEOUT);
-    drop(borrowed);
+    let (sender, floor) = mpsc::channel();
+    let asking = Arc::clone(&cell);
+    thread::spawn(move || sender.send(asking.floor()));
+    let floor = floor.recv_timeout(TIMEOUT);
+    drop(seen);
+    assert_eq!(floor, Ok(1));
     assert!(applied.join().unwrap());
-    assert!(floor.is_ok(), "floor waits for the borrow");
 }
