--- a/src/store.rs
+++ b/src/store.rs
@@ -139,6 +139,10 @@
         if cached.stamp() == stamp {
             return Ok(cached);
         }
+        if let Some(snapshot) = self.load_step(head, &cached).await {
+            self.note(&snapshot);
+            return Ok(snapshot);
+        }
         let mut data = Vec::new();
         for chunk in 0..head.record.chunks {
             let key = chunk_key(stamp, chunk);
@@ -151,10 +155,39 @@
             let message = format!("snapshot {stamp} holds {}", snapshot.stamp());
             return Err(Error::new(Category::Conflict, message));
         }
-        self.remember(&snapshot);
+        self.note(&snapshot);
         Ok(snapshot)
     }
 
+    /// Makes the next version from the one at hand and the record of the change between them,
+    /// which is much shorter than a snapshot; `None` where that does not lead to the hash stated.
+    async fn load_step(&self, head: &Head, base: &Snapshot) -> Option<Arc<Snapshot>> {
+        let stamp = head.stamp();
+        if base.version() + 1 != stamp.version {
+            return None;
+        }
+        let record: wire::ChangeRecord = self.record(&change_key(stamp)).await.ok()?;
+        let mut delta = wire::Delta {
+            base: Some(base.stamp().to_wire()),
+            stamp: Some(stamp.to_wire()),
+            change: record.change,
+            ..wire::Delta::default()
+        };
+        for effect in record.effects {
+            let (kind, name) = (effect.kind, effect.name);
+            match effect.after {
+                Some(body) => delta.upserts.push(wire::Resource {
+                    kind,
+                    name,
+                    revision: stamp.version,
+                    body,
+                }),
+                None => delta.removals.push(wire::ResourceKey { kind, name }),
+            }
+        }
+        base.apply_delta(delta).ok().map(Arc::new)
+    }
+
     /// Reads the newest accepted version.
     ///
     /// # Errors
@@ -234,7 +267,8 @@
         Arc::clone(&self.newest.borrow())
     }
 
-    fn remember(&self, snapshot: &Arc<Snapshot>) {
+    /// Notes a version that this daemon has learned of, so that it need not be read.
+    pub fn note(&self, snapshot: &Arc<Snapshot>) {
         self.newest.send_if_modified(|newest| {
             let newer = newest.version() < snapshot.version();
             if newer {
@@ -282,6 +316,11 @@
     Ok(entry.stamp.as_ref().map(|stamp| stamp.version))
 }
 
+/// Returns the key of the record of the change that made a version.
+fn change_key(stamp: Stamp) -> String {
+    format!("{CHANGES}{:012}/{stamp}", stamp.version)
+}
+
 /// Returns the key of a value that holds a part of a snapshot.
 fn chunk_key(stamp: Stamp, chunk: u32) -> String {
     let Stamp { version, hash } = stamp;
--- a/src/store/accept.rs
+++ b/src/store/accept.rs
@@ -1,7 +1,7 @@
 //! Accepting changes: the compare-and-swap of `head`, and the proof of what became of it.
 
 use super::{
-    CHANGES, HEAD_KEY, KEPT_CHANGES, LOGS, Outcome, Store, chunk_key, explain_conflict,
+    HEAD_KEY, KEPT_CHANGES, LOGS, Outcome, Store, change_key, chunk_key, explain_conflict,
     find_change, from_platform,
 };
 use crate::change::{Applied, Change};
@@ -133,7 +133,7 @@
         match self.platform.swap(HEAD_KEY, expected, Some(value), 0).await {
             Ok(Swap::Done(_)) => {
                 let version = swapping.snapshot.version();
-                self.remember(&swapping.snapshot);
+                self.note(&swapping.snapshot);
                 self.prune_after(version);
                 Ok(Some(Outcome::Accepted {
                     version,
@@ -170,7 +170,7 @@
             values.push((chunk_key(stamp, chunks), part));
             chunks += 1;
         }
-        let record = format!("{CHANGES}{:012}/{stamp}", stamp.version);
+        let record = change_key(stamp);
         values.push((record.clone(), applied.record.encode_to_vec().into()));
         log.entries.push(wire::LogEntry {
             stamp: Some(stamp.to_wire()),
--- a/src/tree/actor.rs
+++ b/src/tree/actor.rs
@@ -221,6 +221,7 @@
     /// Puts a version in force. The daemon's own refusal does not keep it from passing on.
     fn apply(&mut self, snapshot: Arc<Snapshot>) {
         let stamp = snapshot.stamp();
+        self.daemon.store.note(&snapshot);
         let error = match self.daemon.config.apply(snapshot) {
             Ok(_) => String::new(),
             Err(err) => err.to_string(),
