--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -85,7 +85,7 @@
             }
             Err(err) => {
                 if err.category() != Category::Unavailable {
-                    event!(SnapshotUnreadable, "error={err}");
+                    event!(SnapshotUnreadable, error = err);
                 }
                 let share = rand::rng().random_range(0.5..1.0);
                 sleep(delay.mul_f64(share)).await;
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -4,8 +4,8 @@
 
 use crate::call::attempt::{Attempt, AttemptId};
 use crate::call::body::Guarded;
-use crate::call::budget::backoff;
-use crate::call::choose::{Choice, Health, Index, Upstream};
+use crate::call::budget::{Failure, backoff};
+use crate::call::choose::{Choice, Group, Health, Index, Upstream};
 use crate::call::idempotency::{KEY_TIME, KeyId};
 use crate::call::upstream::{Link, UpstreamError};
 use crate::call::view::{ServiceView, ViewCell, Viewer};
@@ -107,7 +107,7 @@
         let id = request::request_id(&request);
         let answer = self.forward(daemon, request, &id, flight).await;
         let mut answer = answer.unwrap_or_else(|refusal| {
-            event!(CallRefused, "request={id} reason={:?}", refusal.reason);
+            event!(CallRefused, request = id, reason = refusal.reason);
             refusal.into_answer(&id)
         });
         *answer.version_mut() = version;
@@ -137,36 +137,45 @@
         let group = &call.service.group;
         let mut flight = Some(flight);
         let mut tried = Vec::new();
-        let mut last: Option<Box<Response<Body>>> = None;
+        let mut made = 0;
+        let mut told: Option<Failed> = None;
         loop {
             let index = match call.key {
                 Some(key) => key_holder(call, key).await,
-                None => group.choose(Instant::now(), self.choice, rand::random(), &tried),
+                None => self.choose(group, &tried),
             };
             let Some(index) = index else {
-                return last.map(|answer| *answer).ok_or_else(no_upstream);
+                return told.map(|failed| *failed.answer).ok_or_else(no_upstream);
             };
-            let made = u32::try_from(tried.len()).unwrap_or(u32::MAX);
             let failed = match self.attempt(call, index, made, &mut flight).await {
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
             tried.push(index);
-            let made = made + 1;
+            made += 1;
             let now = Instant::now();
             let mut terms = call.terms;
             terms.replayable = call.body.is_replayable();
-            if !terms.allow(now, made, failed.failure) || !call.service.budget.pay(failed.failure) {
+            let failure = failed.failure;
+            let failed = outweigh(told.take(), failed);
+            if !terms.allow(now, made, failure) || !call.service.budget.pay(failure) {
                 return Ok(*failed.answer);
             }
-            last = Some(failed.answer);
-            let pause = backoff(made, failed.failure, rand::random());
+            told = Some(failed);
+            let pause = backoff(made, failure, rand::random());
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
             }
         }
     }
 
+    /// Chooses an upstream that was not tried, or any when all were.
+    fn choose(&self, group: &Group, tried: &[Index]) -> Option<Index> {
+        let now = Instant::now();
+        let untried = group.choose(now, self.choice, rand::random(), tried);
+        untried.or_else(|| group.choose(now, self.choice, rand::random(), &[]))
+    }
+
     async fn attempt(
         &self,
         call: &Call<'_>,
@@ -250,6 +259,16 @@
     }
 }
 
+/// Chooses what the caller is told: an attempt that may have run outweighs a later one that did
+/// not, as the call then may have run.
+fn outweigh(earlier: Option<Failed>, later: Failed) -> Failed {
+    let may_have_run = |failed: &Failed| failed.failure == Failure::MayHaveRun;
+    match earlier {
+        Some(earlier) if may_have_run(&earlier) && !may_have_run(&later) => earlier,
+        _ => later,
+    }
+}
+
 /// Returns the upstream that holds the record of a key.
 ///
 /// While the upstreams have changed lately it may be another than the key belongs to now.
--- a/src/tree/relay.rs
+++ b/src/tree/relay.rs
@@ -134,7 +134,7 @@
             }
             Err(err) => {
                 if err.category() != Category::Unavailable {
-                    event!(SnapshotUnreadable, "error={err}");
+                    event!(SnapshotUnreadable, error = err);
                     // What the head named is gone, so it must have moved on.
                     seen = None;
                 }
