Fill the second relay slot sooner; test relays and daemons that drain

Cause: after a start one relay took every child for 3 s, and half of them moved to the second relay afterwards.

Change: while a slot is vacant the relay looks again after 0.5 s, growing to 3 s. A draining daemon is never suspected and a draining relay's children move; both are tested with real processes.

--- a/src/tree/relay.rs
+++ b/src/tree/relay.rs
@@ -27,6 +27,9 @@
 /// The time between two looks at the relays that the platform lists.
 const LIST_EVERY: Duration = Duration::from_secs(3);
 
+/// The time until the first look after a vacant slot was seen. It grows up to [`LIST_EVERY`].
+const VACANT_MIN: Duration = Duration::from_millis(500);
+
 /// Time for a draining relay's last announcement to leave before its children are sent away.
 const DISMISS_DELAY: Duration = Duration::from_millis(100);
 
@@ -165,13 +168,16 @@
         targets: BTreeSet::new(),
     };
     let mut turn = 0;
+    let mut backoff = Backoff::new(VACANT_MIN, LIST_EVERY);
     let mut missing = BTreeSet::new();
     loop {
+        let mut pause = about(LIST_EVERY);
         let listed = lease::list(daemon.store.platform().as_ref(), "").await;
         if let Ok(records) = listed {
             if let Some(slot) = vacant(daemon, tree, &records) {
                 actor.send(Message::Promote(slot, turn));
                 turn += 1;
+                pause = backoff.delay(&mut rand::rng());
             }
             actor
                 .call(|reply| Message::Relays(String::new(), records, reply))
@@ -190,8 +196,7 @@
             }
             missing.insert(record.name);
         }
-        let pause = sleep(about(LIST_EVERY));
-        dials.run_for(pause).await;
+        dials.run_for(sleep(pause)).await;
     }
 }
 
--- a/tests/tree.rs
+++ b/tests/tree.rs
@@ -199,8 +199,24 @@
     cell.daemons[leaving].signal("TERM").await.unwrap();
     for (index, daemon) in cell.daemons.iter().enumerate() {
         if index != leaving {
-            let left = |state: &serde_json::Value| !support::ready(state).contains(&name.as_str());
+            let left = |state: &serde_json::Value| {
+                let seen = support::member_state(state, &name);
+                assert_ne!(seen, Some("SUSPECT"), "it left without having drained");
+                seen != Some("READY")
+            };
             daemon.wait_state("it drains", TIMEOUT, left).await.unwrap();
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn relay_drained() {
+    let mut cell = Cell::start(4).await;
+    let relay = cell.relays().await[0];
+    cell.daemons[relay].signal("TERM").await.unwrap();
+    cell.ended(relay).await;
+    cell.accept(1).await;
+    cell.wait_version(1).await;
+    cell.wait_relays(2).await;
+    cell.wait_members().await;
+}
--- a/tests/tree/support.rs
+++ b/tests/tree/support.rs
@@ -100,6 +100,12 @@
         daemon.process.kill().await.unwrap();
     }
 
+    /// Waits until a daemon that was told to has ended by itself.
+    pub async fn ended(&mut self, index: usize) {
+        let mut daemon = self.daemons.remove(index);
+        assert_eq!(daemon.process.ended().await.unwrap(), Some(0));
+    }
+
     pub fn name(&self, index: usize) -> String {
         self.daemons[index].name.clone()
     }
@@ -237,6 +243,13 @@
     }
 }
 
+/// Returns the state of a member, if it is known.
+pub fn member_state<'a>(state: &'a Value, name: &str) -> Option<&'a str> {
+    let members = state["members"]["members"].as_array()?;
+    let member = members.iter().find(|member| member["name"] == name)?;
+    member["state"].as_str()
+}
+
 /// Returns the names of the members that are ready.
 pub fn ready(state: &Value) -> Vec<&str> {
     let members = state["members"]["members"].as_array();
