--- a/standin/src/bench.rs
+++ b/standin/src/bench.rs
@@ -2,4 +2,5 @@
 
 pub mod calls;
 pub mod converge;
+pub mod operator;
 pub mod soak;
--- a/standin/src/bin/bench.rs
+++ b/standin/src/bin/bench.rs
@@ -1,7 +1,7 @@
 //! Measures convergence and calls, and runs the soak.
 
 use flags::{Bench, BenchCmd};
-use standin::bench::{calls, converge, soak};
+use standin::bench::{calls, converge, operator, soak};
 use standin::fleet;
 use std::process::ExitCode;
 
@@ -48,6 +48,17 @@
                 /// A file to write a JSON object to for each run.
                 optional --json file: String
             }
+            /// Measures the acceptance of changes.
+            cmd operator {
+                /// The number of daemons; 6 by default.
+                optional --daemons count: usize
+                /// Operators who send changes at once; 1 by default.
+                optional --operators count: usize
+                /// Changes that each operator sends; 50 by default.
+                optional --changes count: usize
+                /// Whether all operators change the same resource.
+                optional --same
+            }
             /// Runs daemons under random faults and checks the promises.
             cmd soak {
                 /// Length of the run in minutes; 10 by default.
@@ -86,6 +97,12 @@
             seed: flags.seed.unwrap_or(1),
             json: flags.json,
         }),
+        BenchCmd::Operator(flags) => operator::main(operator::Options {
+            daemons: flags.daemons.unwrap_or(6),
+            operators: flags.operators.unwrap_or(1),
+            changes: flags.changes.unwrap_or(50),
+            same: flags.same,
+        }),
         BenchCmd::Soak(flags) => soak::main(&soak::Options {
             minutes: flags.minutes.unwrap_or(10),
             daemons: flags.daemons.unwrap_or(30),
