Log backend servers that join and leave, and hold every event to a use

Cause: two events of the catalogue were never logged. Change: the fleet's replacement logs who came and went; a test looks for each event in the source. Conclusion: the catalogue holds no dead entry.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -184,7 +184,8 @@
 
     /// Replaces the daemons known.
     pub fn replace(&self, fleet: Fleet) {
-        self.fleet.store(Arc::new(fleet));
+        let before = self.fleet.swap(Arc::new(fleet));
+        log_changes(&before, &self.fleet.load());
         self.changed.send_modify(|count| *count += 1);
     }
 
@@ -195,6 +196,23 @@
     }
 }
 
+/// Logs the backend servers that came and went; not those of a daemon that knew none before.
+fn log_changes(before: &Fleet, after: &Fleet) {
+    if before.members().is_empty() {
+        return;
+    }
+    let differ = |member: &wire::Member, other: &Fleet| {
+        let known = other.members().get(&member.name);
+        !member.service.is_empty() && known.is_none_or(|k| k.incarnation != member.incarnation)
+    };
+    for member in before.members().values().filter(|m| differ(m, after)) {
+        event!(MemberLeft, member = member.name, service = member.service);
+    }
+    for member in after.members().values().filter(|m| differ(m, before)) {
+        event!(MemberJoined, member = member.name, service = member.service);
+    }
+}
+
 fn advertised(settings: &Settings, sockets: &Sockets, bound: SocketAddr) -> SocketAddr {
     let addresses = sockets.addresses();
     let special = if bound == addresses.inbound {
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -1,6 +1,7 @@
 //! The catalogue of log events agrees with the code.
 
 use baobabstage::event::Event;
+use std::path::Path;
 
 #[test]
 fn catalogue_agrees() {
@@ -25,3 +26,35 @@
         .collect();
     assert_eq!(listed, coded);
 }
+
+/// Reads the source files below a directory.
+fn sources(directory: &Path, text: &mut String) {
+    for entry in std::fs::read_dir(directory).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            sources(&path, text);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            text.push_str(&std::fs::read_to_string(&path).unwrap());
+        }
+    }
+}
+
+#[test]
+fn every_event_is_logged() {
+    let mut text = String::new();
+    sources(
+        &Path::new(env!("CARGO_MANIFEST_DIR")).join("src"),
+        &mut text,
+    );
+    let text: String = text.split_whitespace().collect();
+    let unused: Vec<&Event> = Event::ALL
+        .iter()
+        .filter(|event| {
+            let ends = [",", ")"];
+            !ends
+                .iter()
+                .any(|end| text.contains(&format!("event!({event:?}{end}")))
+        })
+        .collect();
+    assert_eq!(unused, Vec::<&Event>::new());
+}
