Keep accepting changes when the log page would not fit into a value

A change whose record was over that size was refused late, with the platform's key in place of a reason. Change: the log names 64 resources of a change and drops its oldest entries until it fits; a change is refused by its size when it is checked.

--- a/src/change.rs
+++ b/src/change.rs
@@ -3,8 +3,10 @@
 use crate::check;
 use crate::error::{Category, Error, Result};
 use crate::generated::mesh as wire;
+use crate::platform::MAX_VALUE_LEN;
 use crate::resource::{Kind, ResourceKey, Spec};
 use crate::snapshot::{Resource, Snapshot};
+use prost::Message;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -300,6 +302,13 @@
             title: self.title.clone(),
             effects,
         };
+        let len = record.encoded_len();
+        if len > MAX_VALUE_LEN {
+            return input(format!(
+                "change {}: {len} bytes before and after; at most {MAX_VALUE_LEN}: send it in parts",
+                self.id
+            ));
+        }
         Ok(Applied { snapshot, record })
     }
 
--- a/src/store/accept.rs
+++ b/src/store/accept.rs
@@ -20,6 +20,12 @@
 const RETRY_MIN: Duration = Duration::from_millis(20);
 const RETRY_MAX: Duration = Duration::from_millis(500);
 
+/// Greatest number of resources that the log names for one change.
+const MAX_TOUCHED: usize = 64;
+
+/// The part of a log page that is dropped, as its reciprocal, when the page does not fit.
+const TRIM_PART: usize = 16;
+
 /// Attempts to write one immutable value within an attempt to accept a change.
 const WRITE_ATTEMPTS: usize = 3;
 
@@ -181,9 +187,7 @@
             record,
             touched: touched(change),
         });
-        let surplus = log.entries.len().saturating_sub(KEPT_CHANGES);
-        log.entries.drain(..surplus);
-        let page = log.encode_to_vec();
+        let page = trimmed_page(log);
         let hash = xxhash_rust::xxh3::xxh3_128(&page);
         let log = format!("{LOGS}{:012}/{hash:032x}", stamp.version);
         values.push((log.clone(), page.into()));
@@ -229,9 +233,28 @@
     }
 }
 
+/// Encodes the newest changes of a log, as many as are kept and fit into a value.
+fn trimmed_page(mut log: wire::LogPage) -> Vec<u8> {
+    let surplus = log.entries.len().saturating_sub(KEPT_CHANGES);
+    log.entries.drain(..surplus);
+    let mut page = log.encode_to_vec();
+    while page.len() > MAX_VALUE_LEN && log.entries.len() > 1 {
+        let surplus = log.entries.len().div_ceil(TRIM_PART);
+        log.entries.drain(..surplus);
+        page = log.encode_to_vec();
+    }
+    page
+}
+
+/// Names the resources that a change touches, and how many more there are.
 fn touched(change: &Change) -> Vec<String> {
-    let operations = change.operations().iter();
-    operations.map(|op| op.key.to_string()).collect()
+    let operations = change.operations();
+    let named = operations.iter().take(MAX_TOUCHED);
+    let mut touched: Vec<String> = named.map(|op| op.key.to_string()).collect();
+    if operations.len() > MAX_TOUCHED {
+        touched.push(format!("and {} more", operations.len() - MAX_TOUCHED));
+    }
+    touched
 }
 
 fn unix_ms() -> u64 {
--- a/tests/change.rs
+++ b/tests/change.rs
@@ -156,6 +156,21 @@
     assert!(err.to_string().contains("snapshot: "), "{err}");
 }
 
+/// What a change did must fit into one value of the platform.
+#[test]
+fn apply_refuses_large_record() {
+    let kinds = |weight: u32| {
+        let kinds: BTreeMap<String, u32> =
+            (0..8_000).map(|i| (format!("{i:063}"), weight)).collect();
+        json!({ "id": "large", "put": [put("policy", "p", &json!({ "kinds": kinds }))] })
+    };
+    let base = apply(&kinds(1)).unwrap();
+    let change = Change::from_json(kinds(2).to_string().as_bytes()).unwrap();
+    let err = change.apply(&base).unwrap_err();
+    assert_eq!(err.category(), Category::Input);
+    assert!(err.to_string().contains("send it in parts"), "{err}");
+}
+
 #[test]
 fn inverse_restores() {
     let first = change_with("pool", "certs", &pool("slots", json!(12)));
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -59,6 +59,33 @@
     assert_eq!(log_ids(&store).await, ["one"]);
 }
 
+/// A log page that would not fit into a value loses its oldest changes, not the next change.
+#[tokio::test(start_paused = true)]
+async fn accept_trims_log_by_size() {
+    let (_, store) = setup();
+    let count = 230;
+    for index in 0..count {
+        let pools: Vec<String> = (0..65)
+            .map(|pool| {
+                format!(
+                    "[[put]]\nkind = \"pool\"\nname = \"{pool:063}\"\n\
+                     spec = {{ slots = {}, connections = 1 }}\n",
+                    index + 1
+                )
+            })
+            .collect();
+        let change = Change::from_toml(&format!("id = \"c{index}\"\n{}", pools.concat())).unwrap();
+        let outcome = store.accept(&change, soon()).await;
+        assert!(
+            matches!(outcome, Outcome::Accepted { .. }),
+            "{index}: {outcome:?}"
+        );
+    }
+    let ids = log_ids(&store).await;
+    assert!((150..count).contains(&ids.len()), "{} entries", ids.len());
+    assert_eq!(ids.last().unwrap(), "c229");
+}
+
 #[tokio::test(start_paused = true)]
 async fn accept_unknown_while_swap_may_land() {
     let (fake, store) = setup();
