Test that a slow watcher gets the newest state

Cause: the watch's bound on memory had no test. Change: a watcher that does not read while ten large versions are accepted gets fewer lines than versions, the last of them the newest.

--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -221,7 +221,9 @@
 }
 
 async fn watch(scene: &Scene, path: &str) -> Response<hyper::body::Incoming> {
-    let stream = tokio::net::TcpStream::connect(scene.vms[0].daemon.operator);
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(64 * 1024).unwrap();
+    let stream = socket.connect(scene.vms[0].daemon.operator);
     let io = hyper_util::rt::TokioIo::new(stream.await.unwrap());
     let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.unwrap();
     tokio::spawn(connection);
@@ -322,3 +324,41 @@
     versions.sort_unstable();
     assert_eq!(versions, [1, 2, 3, 4, 5, 6, 7, 8]);
 }
+
+/// A watcher that does not read skips versions; what it reads at last is the newest state.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_watcher_gets_newest() {
+    const VERSIONS: u64 = 10;
+    let scene = scene().await;
+    let mut slow = watch(&scene, "/v1/watch?kind=policy").await;
+    assert_eq!(next_line(&mut slow).await.unwrap()["type"], "present");
+    for weight in 1..=VERSIONS {
+        let kinds: serde_json::Map<String, Value> = (0..4_000)
+            .map(|index| (format!("{index:063}"), weight.into()))
+            .collect();
+        let body = json!({ "kinds": kinds }).to_string();
+        let (_, told) = call(&scene, "PUT", "/v1/resources/policy/p", &[], body).await;
+        assert_eq!(told["version"], weight, "{told}");
+        in_force(&scene, weight).await;
+    }
+    let mut versions = vec![0];
+    let mut rest = Vec::new();
+    while versions.last() != Some(&VERSIONS) {
+        let frame = tokio::time::timeout(TIMEOUT, slow.body_mut().frame()).await;
+        let frame = frame.unwrap().unwrap().unwrap();
+        rest.extend_from_slice(&frame.into_data().unwrap());
+        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = rest.drain(..=end).collect();
+            let line: Value = serde_json::from_slice(&line).unwrap();
+            if line["type"] == "changed" {
+                versions.push(line["version"].as_u64().unwrap());
+            }
+        }
+    }
+    assert!(versions.is_sorted());
+    let shown = u64::try_from(versions.len()).unwrap();
+    assert!(
+        shown < VERSIONS,
+        "every version was kept for a slow watcher"
+    );
+}
