--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,7 +12,7 @@
 use crate::event;
 use crate::generated::mesh as wire;
 use crate::member::Fleet;
-use crate::platform::{Client, ClientSettings, Platform};
+use crate::platform::{Budget, Client, ClientSettings, Platform};
 use crate::settings::{Addresses, Settings};
 use crate::store::Store;
 use crate::sync::lock;
@@ -20,6 +20,7 @@
 use std::any::{Any, TypeId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -60,6 +61,8 @@
     pub fleet: FleetCell,
     /// Whether the process takes new calls, and how many are in flight.
     pub drain: Drain,
+    /// Whether the newest version that can be learned of has been put in force once.
+    pub caught_up: AtomicBool,
     parts: Mutex<BTreeMap<TypeId, Arc<dyn Any + Send + Sync>>>,
 }
 
@@ -85,7 +88,7 @@
     /// Fails as [`Daemon::new`] does.
     pub fn with_platform(settings: Settings, platform: Arc<dyn Platform>) -> Result<Arc<Self>> {
         let sockets = Sockets::bind(&settings.listen)?;
-        let mesh = advertised(&settings, sockets.addresses().mesh);
+        let mesh = advertised(&settings, &sockets, sockets.addresses().mesh);
         let name = settings.name.clone().unwrap_or_else(|| default_name(mesh));
         let identity = Identity {
             name,
@@ -96,10 +99,11 @@
         Ok(Arc::new(Daemon {
             identity,
             sockets,
-            store: Store::new(platform),
+            store: Store::new(Arc::new(Budget::new(platform, settings.platform_timeout))),
             config: ConfigCell::default(),
             fleet: FleetCell::default(),
             drain: Drain::default(),
+            caught_up: AtomicBool::new(false),
             parts: Mutex::default(),
             settings,
         }))
@@ -114,7 +118,7 @@
     /// Returns the address that others reach a listener of this daemon by.
     #[must_use]
     pub fn advertised(&self, bound: SocketAddr) -> SocketAddr {
-        advertised(&self.settings, bound)
+        advertised(&self.settings, &self.sockets, bound)
     }
 
     /// Returns a role's own state, which is made on the first call.
@@ -134,7 +138,7 @@
     /// Refuses new calls, lets those in flight end within the drain timeout, and stops.
     pub async fn shut_down(&self) {
         self.drain.advance(Phase::Draining);
-        event!(Draining, "in_flight={}", self.drain.in_flight());
+        event!(Draining, in_flight = self.drain.in_flight());
         tokio::time::sleep(ANNOUNCE_TIME).await;
         // Calls that outlast the timeout are cut off.
         let _ = tokio::time::timeout(self.settings.drain_timeout, self.drain.landed()).await;
@@ -191,7 +195,18 @@
     }
 }
 
-fn advertised(settings: &Settings, bound: SocketAddr) -> SocketAddr {
+fn advertised(settings: &Settings, sockets: &Sockets, bound: SocketAddr) -> SocketAddr {
+    let addresses = sockets.addresses();
+    let special = if bound == addresses.inbound {
+        settings.advertise_inbound
+    } else if bound == addresses.mesh {
+        settings.advertise_mesh
+    } else {
+        None
+    };
+    if let Some(address) = special {
+        return address;
+    }
     SocketAddr::new(settings.advertise.unwrap_or(bound.ip()), bound.port())
 }
 
--- a/src/member/liveness.rs
+++ b/src/member/liveness.rs
@@ -35,14 +35,12 @@
         self.alone.remove(name);
     }
 
-    /// Notes the end of a stream; returns false when a later one has taken its place.
-    pub(super) fn detach(&mut self, name: &str, incarnation: u64, now: Instant) -> bool {
-        if self.attached.get(name) != Some(&incarnation) {
-            return false;
+    /// Notes the end of a stream, unless one of a later incarnation has taken its place.
+    pub(super) fn detach(&mut self, name: &str, incarnation: u64, now: Instant) {
+        if self.attached.get(name) == Some(&incarnation) {
+            self.attached.remove(name);
+            self.alone.insert(name.into(), now);
         }
-        self.attached.remove(name);
-        self.alone.insert(name.into(), now);
-        true
     }
 
     /// Forgets that a daemon had no stream, since it has announced itself anew.
@@ -145,7 +143,7 @@
     fn suspect(&mut self, record: &wire::Member, now: Instant) -> Vec<wire::Member> {
         match record.state() {
             MemberState::Ready => {
-                event!(MemberSuspected, "member={}", record.name);
+                event!(MemberSuspected, member = record.name);
                 self.raise(record, MemberState::Suspect, now)
             }
             MemberState::Draining => self.raise(record, MemberState::Gone, now),
@@ -164,7 +162,7 @@
         for (service, records) in due {
             let keep = !service.is_empty() && self.loses_too_much(&service, now);
             if keep && !self.liveness.kept.contains(&service) {
-                event!(MembersKept, "service={service} count={}", records.len());
+                event!(MembersKept, service = service, count = records.len());
             }
             for record in records {
                 changed.extend(if keep {
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -9,6 +9,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use rand::Rng;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -75,23 +76,16 @@
 async fn watch_platform(daemon: &Daemon) -> anyhow::Result<()> {
     let mut seen = None;
     let mut delay = RETRY_MIN;
-    let mut lost = false;
     loop {
         match follow_head(daemon, seen).await {
             Ok(revision) => {
                 seen = Some(revision);
+                daemon.caught_up.store(true, Ordering::Relaxed);
                 delay = RETRY_MIN;
-                if lost {
-                    event!(PlatformBack);
-                }
-                lost = false;
             }
             Err(err) => {
-                if !lost && err.category() == Category::Unavailable {
-                    event!(PlatformLost, "error={err}");
-                    lost = true;
-                } else if err.category() != Category::Unavailable {
-                    event!(SnapshotUnreadable, "error={err}");
+                if err.category() != Category::Unavailable {
+                    event!(SnapshotUnreadable, error = err);
                 }
                 let share = rand::rng().random_range(0.5..1.0);
                 sleep(delay.mul_f64(share)).await;
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -1,7 +1,6 @@
 //! The role that announces this daemon and learns of the others.
 
 use crate::daemon::{Daemon, Phase};
-use crate::event;
 use crate::generated::mesh as wire;
 use crate::generated::mesh::MemberState;
 use crate::kernel::{Plugin, Work};
@@ -13,6 +12,7 @@
 use prometheus_client::registry::Registry;
 use prost::Message as _;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -51,6 +51,7 @@
     loop {
         let actor = tree.started().await?;
         tree.caught_up(daemon).await?;
+        daemon.caught_up.store(true, Ordering::Relaxed);
         actors.mark_unchanged();
         let phase = *phases.borrow_and_update();
         let record = match phase {
@@ -79,10 +80,7 @@
             None => Ok(false),
         };
         if renewed != Ok(true) || draining {
-            match write_record(daemon, draining).await {
-                Ok(granted) => lease = Some(granted),
-                Err(err) => event!(PlatformLost, "error={err}"),
-            }
+            lease = write_record(daemon, draining).await.ok().or(lease);
         }
         tokio::select! {
             () = sleep(RENEW_EVERY) => {}
@@ -114,13 +112,10 @@
 /// Reads every daemon's key again and again.
 async fn list(daemon: &Daemon) -> anyhow::Result<()> {
     loop {
-        match daemon.store.platform().list(PREFIX, false, 0).await {
-            Ok(entries) => {
-                let records = entries.into_iter();
-                let records = records.filter_map(|entry| wire::Member::decode(entry.value).ok());
-                daemon.fleet.replace(Fleet::new(records));
-            }
-            Err(err) => event!(PlatformLost, "error={err}"),
+        if let Ok(entries) = daemon.store.platform().list(PREFIX, false, 0).await {
+            let records = entries.into_iter();
+            let records = records.filter_map(|entry| wire::Member::decode(entry.value).ok());
+            daemon.fleet.replace(Fleet::new(records));
         }
         sleep(LIST_EVERY).await;
     }
--- a/src/settings/flags.rs
+++ b/src/settings/flags.rs
@@ -44,6 +44,10 @@
             optional --admin address: String
             /// The IP number that other daemons reach this one by.
             optional --advertise ip: String
+            /// Where other daemons send calls to this one, as IP:PORT, if not where it listens.
+            optional --advertise-inbound address: String
+            /// Where other daemons attach to this one, as IP:PORT, if not where it listens.
+            optional --advertise-mesh address: String
             /// Time for calls in flight at a graceful shutdown, in milliseconds.
             optional --drain-timeout-ms ms: String
             /// What to do when cut off for long: serve or refuse.
@@ -68,6 +72,37 @@
     }
 }
 
+/// The flags that take a value, each with an environment variable.
+pub const FLAGS: [&str; 27] = [
+    "name",
+    "domain",
+    "region",
+    "service",
+    "backend",
+    "backend-health",
+    "platform",
+    "platform-timeout-ms",
+    "distribution",
+    "peers",
+    "outbound",
+    "inbound",
+    "mesh",
+    "operator",
+    "admin",
+    "advertise",
+    "advertise-inbound",
+    "advertise-mesh",
+    "drain-timeout-ms",
+    "cut-off",
+    "cut-after-ms",
+    "max-children",
+    "admissions",
+    "batch-ms",
+    "heartbeat-ms",
+    "log-format",
+    "log-level",
+];
+
 /// The flags given to the daemon, as written.
 #[derive(Clone, Debug, Default)]
 pub struct Flags {
@@ -107,34 +142,37 @@
 
     fn from_parsed(flags: parsed::Baobabd) -> Self {
         let given = [
-            ("name", flags.name),
-            ("domain", flags.domain),
-            ("region", flags.region),
-            ("service", flags.service),
-            ("backend", flags.backend),
-            ("backend-health", flags.backend_health),
-            ("platform", flags.platform),
-            ("platform-timeout-ms", flags.platform_timeout_ms),
-            ("distribution", flags.distribution),
-            ("peers", flags.peers),
-            ("outbound", flags.outbound),
-            ("inbound", flags.inbound),
-            ("mesh", flags.mesh),
-            ("operator", flags.operator),
-            ("admin", flags.admin),
-            ("advertise", flags.advertise),
-            ("drain-timeout-ms", flags.drain_timeout_ms),
-            ("cut-off", flags.cut_off),
-            ("cut-after-ms", flags.cut_after_ms),
-            ("max-children", flags.max_children),
-            ("admissions", flags.admissions),
-            ("batch-ms", flags.batch_ms),
-            ("heartbeat-ms", flags.heartbeat_ms),
-            ("log-format", flags.log_format),
-            ("log-level", flags.log_level),
+            flags.name,
+            flags.domain,
+            flags.region,
+            flags.service,
+            flags.backend,
+            flags.backend_health,
+            flags.platform,
+            flags.platform_timeout_ms,
+            flags.distribution,
+            flags.peers,
+            flags.outbound,
+            flags.inbound,
+            flags.mesh,
+            flags.operator,
+            flags.admin,
+            flags.advertise,
+            flags.advertise_inbound,
+            flags.advertise_mesh,
+            flags.drain_timeout_ms,
+            flags.cut_off,
+            flags.cut_after_ms,
+            flags.max_children,
+            flags.admissions,
+            flags.batch_ms,
+            flags.heartbeat_ms,
+            flags.log_format,
+            flags.log_level,
         ];
-        let values = given
+        let values = FLAGS
             .into_iter()
+            .zip(given)
             .filter_map(|(name, value)| Some((name, value?)))
             .collect();
         Flags {
