Let a retry budget hold more after calls that succeed, and measure keys

Cause: in the scenario domain-lost 7 idempotent lookups ended unknown, since a budget of ten retries was gone when two daemons were killed with about two dozen calls in flight. Change: a budget starts with ten retries and grows to fifty by first attempts; bench scenario keyed compares calls without and with idempotency keys, and two writes to the platform.

--- a/src/call/budget.rs
+++ b/src/call/budget.rs
@@ -8,7 +8,10 @@
 const RETRY_COST: u32 = 100;
 
 /// Retries that a full budget allows at once.
-const MAX_RETRIES: u32 = 10;
+const MAX_RETRIES: u32 = 50;
+
+/// Retries that a new budget allows.
+const FIRST_RETRIES: u32 = 10;
 
 const BACKOFF_MIN: Duration = Duration::from_millis(5);
 const BACKOFF_MAX: Duration = Duration::from_millis(250);
@@ -22,7 +25,7 @@
 impl Default for Budget {
     fn default() -> Self {
         Budget {
-            tokens: AtomicU32::new(MAX_RETRIES * RETRY_COST),
+            tokens: AtomicU32::new(FIRST_RETRIES * RETRY_COST),
         }
     }
 }
--- a/standin/src/bench/calls.rs
+++ b/standin/src/bench/calls.rs
@@ -125,6 +125,7 @@
         time,
         direct: 0,
         seed: options.seed + 2,
+        keyed: false,
     };
     let stretches = scenario.run(&mut mesh, &callers, &profile, stretch).await?;
     for (name, stretch, calls) in &stretches {
@@ -156,6 +157,7 @@
         time: WARM_UP,
         direct: 50,
         seed,
+        keyed: false,
     };
     callers.run(profile, stretch).await;
     stretch.time = LATENCY_TIME;
--- a/standin/src/bench/calls/load.rs
+++ b/standin/src/bench/calls/load.rs
@@ -43,6 +43,8 @@
     pub direct: u32,
     /// The seed of the schedule.
     pub seed: u64,
+    /// Whether calls that are not idempotent name an idempotency key.
+    pub keyed: bool,
 }
 
 /// What a caller was told.
@@ -109,7 +111,7 @@
         let pools = [self.mesh.clone(), self.direct.clone()];
         let profile = profile.clone();
         let runtime = tokio::runtime::Handle::current();
-        let launch = move || launch(&plan, &pools, &profile, stretch.seed, &runtime, &sender);
+        let launch = move || launch(&plan, &pools, &profile, stretch, &runtime, &sender);
         let launcher = std::thread::spawn(launch);
         let mut all = Vec::new();
         while let Some(call) = made.recv().await {
@@ -164,7 +166,7 @@
     plan: &[Planned],
     pools: &[Vec<Arc<Pool>>; 2],
     profile: &Profile,
-    seed: u64,
+    stretch: Stretch,
     runtime: &tokio::runtime::Handle,
     sender: &mpsc::UnboundedSender<Made>,
 ) {
@@ -180,8 +182,12 @@
             Way::Mesh => &pools[0][planned.pool],
             Way::Direct => &pools[1][planned.pool],
         };
-        let id = format!("{seed}-{:?}-{number}", planned.way);
-        let request = request(profile, planned.kind, &id);
+        let id = format!("{}-{:?}-{number}", stretch.seed, planned.way);
+        let mut request = request(profile, planned.kind, &id);
+        if stretch.keyed && !profile.kinds[planned.kind].idempotent {
+            let key = http::HeaderValue::from_str(&id).expect("ids are letters and digits");
+            request.headers_mut().insert("idempotency-key", key);
+        }
         let length = profile.kinds[planned.kind].body;
         let (pool, sender) = (Arc::clone(pool), sender.clone());
         let in_flight = Arc::clone(&in_flight);
--- a/standin/src/bench/calls/mesh.rs
+++ b/standin/src/bench/calls/mesh.rs
@@ -6,6 +6,7 @@
 use crate::fleet::{Launcher, Process};
 use crate::platform::{Limits, Platform};
 use anyhow::ensure;
+use baobabstage::platform::{Client, ClientSettings, Platform as _, Swap};
 use http::{Method, Request};
 use http_body_util::Full;
 use serde_json::Value;
@@ -15,6 +16,9 @@
 
 const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Keys written to learn the time of a write.
+const WRITES: usize = 100;
+
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
 /// A running service.
@@ -113,6 +117,30 @@
         send_change(&daemons, change).await
     }
 
+    /// Returns the median time of two writes to the platform, one after the other.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn write_time(&self) -> anyhow::Result<Duration> {
+        let client = Client::new(&ClientSettings {
+            address: self.platform.address().to_string(),
+            timeout: TIMEOUT,
+        })?;
+        let mut times = Vec::new();
+        for number in 0..WRITES {
+            let key = format!("bench/{number}");
+            let started = std::time::Instant::now();
+            let Swap::Done(revision) = client.swap(&key, 0, Some("a".into()), 0).await? else {
+                continue;
+            };
+            client.swap(&key, revision, Some("b".into()), 0).await?;
+            times.push(started.elapsed());
+        }
+        times.sort();
+        Ok(times.get(times.len() / 2).copied().unwrap_or_default())
+    }
+
     /// Returns the processor time that the daemons have used.
     #[must_use]
     pub fn cpu_time(&self) -> Duration {
--- a/standin/src/bench/calls/scenario.rs
+++ b/standin/src/bench/calls/scenario.rs
@@ -35,16 +35,19 @@
     DomainLost,
     /// The load is three times the capacity.
     Flash,
+    /// Calls that are not idempotent name an idempotency key.
+    Keyed,
 }
 
 impl Scenario {
-    const ALL: [Scenario; 6] = [
+    const ALL: [Scenario; 7] = [
         Scenario::Even,
         Scenario::Slow,
         Scenario::Liar,
         Scenario::Cold,
         Scenario::DomainLost,
         Scenario::Flash,
+        Scenario::Keyed,
     ];
 
     /// Returns the name.
@@ -57,6 +60,7 @@
             Scenario::Cold => "cold",
             Scenario::DomainLost => "domain-lost",
             Scenario::Flash => "flash",
+            Scenario::Keyed => "keyed",
         }
     }
 
@@ -106,6 +110,7 @@
             Scenario::Cold => return cold(mesh, callers, profile, stretch, usual).await,
             Scenario::DomainLost => return domain_lost(mesh, callers, profile, stretch).await,
             Scenario::Flash => return Ok(flash(callers, profile, stretch).await),
+            Scenario::Keyed => return keyed(mesh, callers, profile, stretch).await,
         }
         let calls = callers.run(profile, stretch).await;
         Ok(vec![("load", stretch, calls)])
@@ -176,3 +181,26 @@
     let during = callers.run(profile, over).await;
     vec![("capacity", at_capacity, before), ("flash", over, during)]
 }
+
+/// Compares calls without and with keys, and two writes to the platform.
+async fn keyed(
+    mesh: &Mesh,
+    callers: &Callers,
+    profile: &Profile,
+    stretch: Stretch,
+) -> anyhow::Result<Vec<Done>> {
+    for backend in &mesh.backends {
+        backend.set(Behaviour::default());
+    }
+    let time = stretch.time / 2;
+    let plain = Stretch { time, ..stretch };
+    let keyed = Stretch {
+        seed: stretch.seed + 1,
+        keyed: true,
+        ..plain
+    };
+    let before = callers.run(profile, plain).await;
+    let with_keys = callers.run(profile, keyed).await;
+    println!("two writes to the platform: {:?}", mesh.write_time().await?);
+    Ok(vec![("plain", plain, before), ("keyed", keyed, with_keys)])
+}
