Test fences over connections that break

Cause: the fence was tested by its rules only. Change: tests of a link by the fault proxy: a fence before the attempt comes, a run whose connection broke, a second arrival, another incarnation. Conclusion: a lost answer is told apart from a call that never ran.

--- /dev/null
+++ b/tests/call_link.rs
@@ -0,0 +1,111 @@
+//! What an inbound side answers an outbound side over a connection that breaks.
+
+use baobabstage::call::attempt::{Attempt, AttemptId};
+use baobabstage::call::fence::Fate;
+use baobabstage::call::upstream::Link;
+use baobabstage::call::{ATTEMPT, DEADLINE_MS, OUTCOME, REQUEST_ID};
+use baobabstage::serve::{Body, full};
+use http::{HeaderValue, Request};
+use standin::backend::{Behaviour, Fault};
+use standin::bench::calls::mesh::Mesh;
+use standin::bench::calls::profile::Profile;
+use standin::fault::{Control, FaultProxy};
+use standin::fleet::Launcher;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A link to the daemon of the only upstream, by a proxy that breaks connections.
+async fn start(behaviour: Behaviour) -> (Mesh, Arc<Link>, Control, u64) {
+    let mut profile = Profile::named("certs").unwrap();
+    profile.upstreams = 1;
+    profile.domains = ["espoo"; 3];
+    let launcher = Launcher::new(env!("CARGO_BIN_EXE_baobabd"));
+    let mesh = Mesh::start(launcher, &profile, behaviour).await.unwrap();
+    let state = mesh.daemons[0].state().await.unwrap();
+    let incarnation = state["admin"]["incarnation"].as_u64().unwrap();
+    let proxy = FaultProxy::start(mesh.daemons[0].inbound).await;
+    let (address, control) = proxy.unwrap();
+    let link = Arc::new(Link::new(address, incarnation));
+    (mesh, link, control, incarnation)
+}
+
+fn attempt(number: u128, incarnation: u64, sent_ms: u64) -> Attempt {
+    Attempt {
+        id: AttemptId(number),
+        incarnation,
+        sent_ms,
+        weight: 1,
+        idempotent: false,
+    }
+}
+
+fn request(attempt: &Attempt, id: &'static str) -> Request<Body> {
+    let value = HeaderValue::from_str(&attempt.to_string()).unwrap();
+    Request::post("http://certs/certs/issue")
+        .header(ATTEMPT, value)
+        .header(DEADLINE_MS, 5_000)
+        .header(REQUEST_ID, id)
+        .body(full("serial"))
+        .unwrap()
+}
+
+/// Sends an attempt and returns the outcome header of the answer; empty for a whole answer.
+async fn send(link: &Link, attempt: &Attempt, id: &'static str) -> Option<String> {
+    let ready = link.ready().await.unwrap();
+    let answer = ready.send(request(attempt, id)).await.ok()?;
+    let outcome = answer.headers().get(OUTCOME);
+    let outcome = outcome.map_or("", |outcome| outcome.to_str().unwrap());
+    Some(outcome.to_owned())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn fence_bars_an_attempt_that_comes_later() {
+    let (mesh, link, _, incarnation) = start(Behaviour::default()).await;
+    let sent_ms = link.ready().await.unwrap().sent_ms;
+    let attempt = attempt(1, incarnation, sent_ms);
+    assert_eq!(link.fence(&attempt).await, Some(Fate::NeverRuns));
+    let outcome = send(&link, &attempt, "call-1").await;
+    assert_eq!(outcome.as_deref(), Some("not-run"));
+    assert_eq!(mesh.ledger.runs("call-1"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn fence_tells_of_a_run_whose_connection_broke() {
+    let late = Behaviour {
+        fault: Fault::Late(Duration::from_secs(2)),
+        ..Behaviour::default()
+    };
+    let (mesh, link, control, incarnation) = start(late).await;
+    let sent_ms = link.ready().await.unwrap().sent_ms;
+    let attempt = attempt(1, incarnation, sent_ms);
+    let sending = tokio::spawn({
+        let link = Arc::clone(&link);
+        async move { send(&link, &attempt, "call-1").await }
+    });
+    let deadline = Instant::now() + TIMEOUT;
+    while mesh.ledger.runs("call-1") == 0 {
+        assert!(Instant::now() < deadline, "call does not run in time");
+        sleep(Duration::from_millis(5)).await;
+    }
+    control.cut();
+    assert_eq!(sending.await.unwrap(), None, "the answer was lost");
+    let fate = link.fence(&attempt).await;
+    assert!(matches!(fate, Some(Fate::Ran | Fate::Running)), "{fate:?}");
+    let outcome = send(&link, &attempt, "call-1").await;
+    assert_eq!(outcome.as_deref(), Some("unknown"), "a second arrival");
+    assert_eq!(mesh.ledger.runs("call-1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn attempt_for_another_incarnation_is_not_run() {
+    let (mesh, link, _, incarnation) = start(Behaviour::default()).await;
+    let sent_ms = link.ready().await.unwrap().sent_ms;
+    let attempt = attempt(1, incarnation - 1, sent_ms);
+    let outcome = send(&link, &attempt, "call-1").await;
+    assert_eq!(outcome.as_deref(), Some("not-run"));
+    assert_eq!(link.fence(&attempt).await, Some(Fate::Forgotten));
+    assert_eq!(mesh.ledger.runs("call-1"), 0);
+}
