End the bench's daemons with it, and let a silent daemon fail the run

Cause: a bench ended by a signal left its daemons behind, and one daemon that stood still held the bench up without a limit. Change: a signal ends the run and so its daemons; requests to a daemon have a time limit; a relay is killed only after the fleet has had time to fill every slot. Conclusion: runs are bounded.

--- a/standin/src/bench/converge.rs
+++ b/standin/src/bench/converge.rs
@@ -18,12 +18,15 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use timing::Timing;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{Instant, sleep, sleep_until};
 
 const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const READY_TIMEOUT: Duration = Duration::from_mins(1);
 const CONVERGE_TIMEOUT: Duration = Duration::from_secs(10);
 const SETTLE: Duration = Duration::from_secs(2);
+/// Longer than a relay's lease, so that the restarts have left no slot vacant.
+const RELAYS_SETTLE: Duration = Duration::from_secs(8);
 const WINDOW: Duration = Duration::from_secs(6);
 const RESTARTS_PER_SECOND: u32 = 2;
 /// Bounds of the time between two changes, in milliseconds.
@@ -63,7 +66,24 @@
     if options.model {
         return model::run(options);
     }
-    tokio::runtime::Runtime::new()?.block_on(run(options))
+    tokio::runtime::Runtime::new()?.block_on(async {
+        // The daemons end with what holds them, so that none outlives the bench.
+        tokio::select! {
+            outcome = run(options) => outcome,
+            terminated = terminated() => terminated,
+        }
+    })
+}
+
+/// Waits for a signal that ends the bench.
+async fn terminated() -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    anyhow::bail!("ended by a signal")
 }
 
 async fn run(options: &Options) -> anyhow::Result<()> {
@@ -106,6 +126,7 @@
     changes(options, &platform, &mut daemons, &mut rng, &mut report).await?;
     churn(&platform, &mut daemons, &mut rng, &mut report).await?;
     if options.kill_relay && mode == "tree" {
+        sleep(RELAYS_SETTLE).await;
         kill_relay(&mut daemons, &mut report).await?;
     }
     report.rss_mb = daemons.rss_mb();
--- a/standin/src/bench/converge/daemons.rs
+++ b/standin/src/bench/converge/daemons.rs
@@ -11,9 +11,11 @@
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 const STARTED_AT_ONCE: usize = 16;
+/// Time for a daemon to answer; one that does not fails the run.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
 const POLL: Duration = Duration::from_millis(200);
 /// An address at which nothing listens; the bench makes no calls.
 const NO_BACKEND: &str = "127.0.0.1:9";
@@ -169,7 +171,9 @@
             .method(Method::POST)
             .uri("/v1/changes")
             .body(Full::from(body))?;
-        let answer = caller::call(self.running[index].process.operator, request).await?;
+        let answer = caller::call(self.running[index].process.operator, request);
+        let answer = timeout(ANSWER_TIMEOUT, answer).await;
+        let answer = answer.with_context(|| format!("change {id}: no answer"))??;
         let body: Value = serde_json::from_slice(answer.body())?;
         ensure!(answer.status().is_success(), "change {id}: {body}");
         body["version"].as_u64().context("no version")
@@ -182,11 +186,12 @@
     }
 
     /// Waits until every daemon is ready and knows exactly the running ones.
-    pub async fn wait_ready(&self, timeout: Duration) -> anyhow::Result<()> {
-        let ends = Instant::now() + timeout;
+    pub async fn wait_ready(&self, time: Duration) -> anyhow::Result<()> {
+        let ends = Instant::now() + time;
         for running in &self.running {
             loop {
-                let state = running.process.state().await?;
+                let state = timeout(ANSWER_TIMEOUT, running.process.state()).await;
+                let state = state.with_context(|| format!("vm-{}: no state", running.index))??;
                 if is_ready(&state, self.running.len()) {
                     break;
                 }
