--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -16,7 +16,8 @@
 pub struct ConfigCell {
     table: ArcSwap<Table>,
     stamp: watch::Sender<Stamp>,
-    /// Read without `state`, which is held while receivers of `stamp` are woken.
+    /// Changed under the lock of `state`, and read without it: a reader may hold a borrow of the
+    /// stamp, for whose end a holder of that lock may wait.
     floor: AtomicU64,
     state: Mutex<State>,
 }
@@ -65,22 +66,22 @@
         if new.version < now.version || new == now {
             return Ok(false);
         }
-        let floor = self.floor();
-        if new.version == now.version || new.version < floor {
+        if new.version == now.version || new.version < self.floor() {
+            let floor = self.floor();
             let message = format!("version {new} does not follow {now} (floor {floor})");
             return Err(Error::new(Category::Conflict, message));
         }
         match Table::compile(snapshot) {
             Ok(table) => self.table.store(Arc::new(table)),
             Err(err) => {
-                event!(VersionRefused, "version={new} error={err}");
+                event!(VersionRefused, version = new, error = err);
                 state.refused = Some((new, err.to_string()));
                 return Err(err);
             }
         }
         self.floor.store(new.version, Ordering::Release);
         state.applied = Some(Instant::now());
-        event!(VersionApplied, "version={new}");
+        event!(VersionApplied, version = new);
         self.stamp.send_replace(new);
         Ok(true)
     }
--- a/src/role/inbound/health.rs
+++ b/src/role/inbound/health.rs
@@ -58,7 +58,7 @@
         Health::Healthy => event!(BackendHealthy),
         Health::Unhealthy => event!(BackendUnhealthy),
         Health::Draining => {
-            event!(Draining, "cause=backend");
+            event!(Draining, cause = "backend");
             daemon.drain.advance(Phase::Draining);
         }
     }
--- a/src/tree.rs
+++ b/src/tree.rs
@@ -17,6 +17,7 @@
 pub mod seek;
 pub mod session;
 mod start;
+pub mod target;
 pub mod uplink;
 
 use crate::daemon::Daemon;
@@ -119,8 +120,8 @@
                 .wait_for(|role| *role != Role::Seeking)
                 .await
                 .map_err(stopped)?;
-            let version = stamps.borrow_and_update().version;
             // A relay that has just started has read the platform's newest version as well.
+            let version = stamps.borrow_and_update().version;
             if role != Role::Seeking && version >= daemon.config.floor() {
                 return Ok(());
             }
--- a/src/tree/uplink.rs
+++ b/src/tree/uplink.rs
@@ -7,6 +7,7 @@
 use super::node::{Role, is_relay};
 use super::seek::{Seeker, Step, View};
 use super::session::{self, End};
+use super::target::Target;
 use super::{Tree, start};
 use crate::daemon::{Daemon, Phase};
 use crate::event;
@@ -64,11 +65,12 @@
         let mut least = Duration::ZERO;
         loop {
             match seeker.step(&self.view().await?) {
-                Step::Dial(address) => match self.attach(&address).await? {
-                    End::Redirected(addresses, wait_ms) => {
-                        event!(Redirected, "from={address} to={addresses:?}");
-                        least = Duration::from_millis(u64::from(wait_ms));
-                        seeker.redirected(addresses);
+                Step::Dial(target) => match self.attach(&target).await? {
+                    End::Redirected(redirect) => {
+                        let count = redirect.relays.len();
+                        event!(Redirected, from = target.address, relays = count);
+                        least = Duration::from_millis(u64::from(redirect.retry_ms));
+                        seeker.redirected(&redirect.relays);
                     }
                     End::Promoted(slot) => {
                         if self.acquire(slot).await? {
@@ -77,13 +79,13 @@
                         seeker.restart();
                     }
                     End::Lost(reason) => {
-                        event!(Detached, "address={address} reason={reason}");
+                        event!(Detached, address = target.address, reason = reason);
                         self.lost().await?;
                         backoff.reset();
                         seeker.restart();
                     }
                     End::Refused(reason) => {
-                        log::debug!(target: "baobabstage", "attach to {address}: {reason}");
+                        log::debug!(target: "baobabstage", "attach to {}: {reason}", target.address);
                     }
                 },
                 Step::List => self.list(&mut seeker).await?,
@@ -108,16 +110,16 @@
         }
     }
 
-    async fn attach(&self, address: &str) -> anyhow::Result<End> {
+    async fn attach(&self, target: &Target) -> anyhow::Result<End> {
         let (sender, welcome) = tokio::sync::oneshot::channel();
         let traffic = self.tree.traffic();
-        let attached = session::attach(self.actor, traffic, address, Side::Parent, |welcome| {
+        let attached = session::attach(self.actor, traffic, target, Side::Parent, |welcome| {
             // The receiver lives until the stream has ended.
             let _ = sender.send(welcome.name.clone());
         });
         let noted = async {
             if let Ok(name) = welcome.await {
-                event!(Attached, "relay={name} address={address}");
+                event!(Attached, relay = name, address = target.address);
                 set_role(self.tree, self.actor, Role::Child).await?;
             }
             std::future::pending::<anyhow::Result<()>>().await
@@ -179,7 +181,7 @@
 
     async fn stand_in(&self) -> anyhow::Result<()> {
         if self.daemon.drain.phase() == Phase::Running && self.tree.role() != Role::StandIn {
-            event!(RelayStandIn, "domain={}", self.daemon.identity.domain);
+            event!(RelayStandIn, domain = self.daemon.identity.domain);
             set_role(self.tree, self.actor, Role::StandIn).await?;
         }
         Ok(())
@@ -197,7 +199,7 @@
         Ok(View {
             relays: relations.relays,
             mates: mates
-                .map(|member| (member.name.clone(), member.mesh.clone()))
+                .map(|member| (member.name.clone(), Target::from(member.as_ref())))
                 .collect(),
             peers: self
                 .daemon
@@ -223,9 +225,9 @@
     actor.call(|reply| Message::Role(role, reply)).await?;
     let before = tree.role.send_replace(role);
     if is_relay(role) {
-        event!(RelayStarted, "role={role:?}");
+        event!(RelayStarted, role = format_args!("{role:?}"));
     } else if is_relay(before) {
-        event!(RelayEnded, "role={role:?}");
+        event!(RelayEnded, role = format_args!("{role:?}"));
     }
     Ok(())
 }
--- a/tests/fuzz_frames.rs
+++ b/tests/fuzz_frames.rs
@@ -7,7 +7,6 @@
 use baobabstage::daemon::Identity;
 use baobabstage::generated::mesh as wire;
 use baobabstage::prelude::*;
-use baobabstage::tree::link::Side;
 use baobabstage::tree::node::{Effect, Node, NodeSettings, Role};
 use proptest::prelude::*;
 use prost::Message;
@@ -132,7 +131,7 @@
                     }
                     Effect::Close(id) => {
                         node.closed(id, now);
-                        link = node.open(Side::Peer, "127.0.0.1:3", now);
+                        (link, _) = node.accept(&hello, now).expect("a peer is admitted");
                     }
                     _ => {}
                 }
