--- a/standin/src/bench/soak/trouble.rs
+++ b/standin/src/bench/soak/trouble.rs
@@ -141,6 +141,8 @@
                 restart(world, vms).await?;
             }
             Trouble::Terminate(vms) => {
+                // The same fault may have come twice and have ended once.
+                signal(world, vms, "TERM").await;
                 for vm in vms {
                     if let Some(daemon) = &mut world.vms[*vm].daemon {
                         let ended = timeout(STOP_TIME, daemon.ended()).await;
--- a/tests/promise_faults.rs
+++ b/tests/promise_faults.rs
@@ -97,6 +97,7 @@
         vec![Trouble::Drain(vec![0, 5])],
         vec![Trouble::Terminate(vec![2])],
         vec![Trouble::Terminate(vec![1, 7])],
+        vec![Trouble::Terminate(vec![3]), Trouble::Terminate(vec![3])],
     ]
 }
 
