Send enough to outgrow the sockets' buffers in the test of a slow watcher

Change: 28 versions; the check that fewer lines than versions come is as it was. Conclusion: what the sockets hold is delivered, what came after is coalesced.

--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -328,7 +328,7 @@
 /// A watcher that does not read skips versions; what it reads at last is the newest state.
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_watcher_gets_newest() {
-    const VERSIONS: u64 = 10;
+    const VERSIONS: u64 = 28;
     let scene = scene().await;
     let mut slow = watch(&scene, "/v1/watch?kind=policy").await;
     assert_eq!(next_line(&mut slow).await.unwrap()["type"], "present");
@@ -357,8 +357,5 @@
     }
     assert!(versions.is_sorted());
     let shown = u64::try_from(versions.len()).unwrap();
-    assert!(
-        shown < VERSIONS,
-        "every version was kept for a slow watcher"
-    );
+    assert!(shown < VERSIONS, "kept for a slow watcher: {versions:?}");
 }
