--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -66,8 +66,8 @@
         if new.version < now.version || new == now {
             return Ok(false);
         }
-        if new.version == now.version || new.version < self.floor() {
-            let floor = self.floor();
+        let floor = self.floor();
+        if new.version == now.version || new.version < floor {
             let message = format!("version {new} does not follow {now} (floor {floor})");
             return Err(Error::new(Category::Conflict, message));
         }
