--- a/tests/fuzz_frames.rs
+++ b/tests/fuzz_frames.rs
@@ -9,6 +9,7 @@
 use baobabstage::prelude::*;
 use baobabstage::tree::link::Side;
 use baobabstage::tree::node::{Effect, Node, NodeSettings, Role};
+use baobabstage::tree::target::Target;
 use proptest::prelude::*;
 use prost::Message;
 use tokio::time::Instant;
@@ -132,7 +133,7 @@
                     }
                     Effect::Close(id) => {
                         node.closed(id, now);
-                        link = node.open(Side::Peer, "127.0.0.1:3", now);
+                        link = node.open(Side::Peer, &Target::any("127.0.0.1:3"), now);
                     }
                     _ => {}
                 }
