Let calls that wait for one connection share its failure

Cause: calls to a daemon that does not answer each tried to connect for a second, one after the other, so that a call could spend its whole deadline waiting and never try another upstream. Change: a call that waited while another failed to connect fails with it, as not run. Conclusion: a lost VM holds up a call by one timeout at most.

--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -253,6 +254,8 @@
     incarnation: u64,
     open: ArcSwapOption<Open>,
     opening: tokio::sync::Mutex<()>,
+    /// Connections that could not be opened.
+    failures: AtomicU64,
 }
 
 /// An open connection with the inbound side's clock as it was when the connection was opened.
@@ -271,6 +274,7 @@
             incarnation,
             open: ArcSwapOption::empty(),
             opening: tokio::sync::Mutex::default(),
+            failures: AtomicU64::new(0),
         }
     }
 
@@ -329,12 +333,21 @@
         if let Some(open) = self.usable() {
             return Ok(open);
         }
+        let failures = self.failures.load(Ordering::Relaxed);
         let _opening = self.opening.lock().await;
         if let Some(open) = self.usable() {
             return Ok(open);
         }
+        // Calls that waited for one attempt to connect share its failure.
+        if self.failures.load(Ordering::Relaxed) != failures {
+            return Err(self.not_sent("no connection just now"));
+        }
         let open = tokio::time::timeout(CONNECT_TIMEOUT, self.connect()).await;
-        let open = open.unwrap_or_else(|_| Err(self.not_sent("no answer in time")))?;
+        let open = open.unwrap_or_else(|_| Err(self.not_sent("no answer in time")));
+        if open.is_err() {
+            self.failures.fetch_add(1, Ordering::Relaxed);
+        }
+        let open = open?;
         let open = Arc::new(open);
         self.open.store(Some(Arc::clone(&open)));
         Ok(open)
--- a/tests/call_link.rs
+++ b/tests/call_link.rs
@@ -109,3 +109,21 @@
     assert_eq!(link.fence(&attempt).await, Some(Fate::Forgotten));
     assert_eq!(mesh.ledger.runs("call-1"), 0);
 }
+
+/// Calls to a daemon that does not answer fail together, not one after the other.
+#[tokio::test(start_paused = true)]
+async fn ready_fails_together() {
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let link = Arc::new(Link::new(silent.local_addr().unwrap(), 1));
+    let started = Instant::now();
+    let calls: Vec<_> = (0..5)
+        .map(|_| {
+            let link = Arc::clone(&link);
+            tokio::spawn(async move { link.ready().await.is_err() })
+        })
+        .collect();
+    for call in calls {
+        assert!(call.await.unwrap());
+    }
+    assert!(started.elapsed() < Duration::from_secs(3));
+}
