--- a/src/tree.rs
+++ b/src/tree.rs
@@ -120,8 +120,8 @@
                 .wait_for(|role| *role != Role::Seeking)
                 .await
                 .map_err(stopped)?;
-            // A relay that has just started has read the platform's newest version as well.
             let version = stamps.borrow_and_update().version;
+            // A relay that has just started has read the platform's newest version as well.
             if role != Role::Seeking && version >= daemon.config.floor() {
                 return Ok(());
             }
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -59,6 +59,33 @@
     assert_eq!(log_ids(&store).await, ["one"]);
 }
 
+/// A log page that would not fit into a value loses its oldest changes, not the next change.
+#[tokio::test(start_paused = true)]
+async fn accept_trims_log_by_size() {
+    let (_, store) = setup();
+    let count = 230;
+    for index in 0..count {
+        let pools: Vec<String> = (0..65)
+            .map(|pool| {
+                format!(
+                    "[[put]]\nkind = \"pool\"\nname = \"{pool:063}\"\n\
+                     spec = {{ slots = {}, connections = 1 }}\n",
+                    index + 1
+                )
+            })
+            .collect();
+        let change = Change::from_toml(&format!("id = \"c{index}\"\n{}", pools.concat())).unwrap();
+        let outcome = store.accept(&change, soon()).await;
+        assert!(
+            matches!(outcome, Outcome::Accepted { .. }),
+            "{index}: {outcome:?}"
+        );
+    }
+    let ids = log_ids(&store).await;
+    assert!((150..count).contains(&ids.len()), "{} entries", ids.len());
+    assert_eq!(ids.last().unwrap(), "c229");
+}
+
 #[tokio::test(start_paused = true)]
 async fn accept_unknown_while_swap_may_land() {
     let (fake, store) = setup();
@@ -121,14 +148,29 @@
 async fn load_missing_chunk() {
     let (fake, store) = setup();
     accept(&store, "one", 12).await;
+    accept(&store, "two", 9).await;
     let other = Store::new(Arc::clone(&fake) as Arc<dyn Platform>);
     let stale = other.head().await.unwrap();
-    accept(&store, "two", 9).await;
-    fake.lose("snapshot/000000000001");
+    accept(&store, "three", 10).await;
+    fake.lose("snapshot/000000000002");
     let err = other.load(&stale).await.unwrap_err();
     assert_eq!(err.category(), Category::Missing);
     let (_, newest) = other.newest().await.unwrap();
-    assert_eq!(newest.version(), 2);
+    assert_eq!(newest.version(), 3);
+}
+
+#[test_case("snapshot/000000000002"; "by_change_record")]
+#[test_case("change/000000000002"; "by_snapshot")]
+#[tokio::test(start_paused = true)]
+async fn load_next_version(lost: &str) {
+    let (fake, store) = setup();
+    accept(&store, "one", 12).await;
+    let other = Store::new(Arc::clone(&fake) as Arc<dyn Platform>);
+    other.newest().await.unwrap();
+    accept(&store, "two", 9).await;
+    fake.lose(lost);
+    let (head, newest) = other.newest().await.unwrap();
+    assert_eq!((newest.version(), newest.stamp()), (2, head.stamp()));
 }
 
 #[tokio::test(start_paused = true)]
