Go on with a shutdown when nobody reads the log

Cause: a log line that could not be written ended the task that logged it. Change: a log line that cannot be written is dropped; test shutdown_with_a_closed_log. The new test was not run to its end without the change, for want of time. Conclusion: the shutdown no longer depends on who reads the log.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -6,6 +6,7 @@
 use log::{LevelFilter, Record};
 use std::borrow::Cow;
 use std::fmt::{Arguments, Write as _};
+use std::io::Write as _;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Sends log lines of this process to standard error.
@@ -21,7 +22,10 @@
         .format(move |out, message, record| {
             out.finish(format_args!("{}", line(format, &name, message, record)));
         })
-        .chain(std::io::stderr())
+        .chain(fern::Output::call(|record| {
+            // A log that nobody reads any more must not end the work at hand.
+            let _ = writeln!(std::io::stderr(), "{}", record.args());
+        }))
         .apply()
         .context("logger cannot be set")
 }
--- a/tests/drain_calls.rs
+++ b/tests/drain_calls.rs
@@ -129,3 +129,30 @@
     }
     assert_eq!(mesh.ledger.started_after("certs-0", since), 0);
 }
+
+/// Nobody reads the log any more; the shutdown goes on all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_with_a_closed_log() {
+    let mut child = tokio::process::Command::new(env!("CARGO_BIN_EXE_baobabd"))
+        .args(["--domain", "espoo", "--region", "fi-south"])
+        .args(["--platform", "127.0.0.1:1"])
+        .stderr(std::process::Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap();
+    let stderr = child.stderr.take().unwrap();
+    let mut lines = tokio::io::AsyncBufReadExt::lines(tokio::io::BufReader::new(stderr));
+    while let Some(line) = lines.next_line().await.unwrap() {
+        if line.contains("name=Started") || line.contains("Started") {
+            break;
+        }
+    }
+    drop(lines);
+    let id = child.id().unwrap().to_string();
+    let sent = tokio::process::Command::new("kill")
+        .args(["-TERM", &id])
+        .status();
+    assert!(sent.await.unwrap().success());
+    let ended = tokio::time::timeout(TIMEOUT, child.wait()).await;
+    assert_eq!(ended.unwrap().unwrap().code(), Some(0));
+}
