Run a daemon's work on one thread unless set otherwise

Cause: a call passes through several tasks in each daemon; with a thread for each core each step woke another thread.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -120,6 +120,8 @@
     pub batch_window: Duration,
     /// Time between heartbeats on an idle stream.
     pub heartbeat: Duration,
+    /// Threads that run the daemon's work.
+    pub threads: u32,
     /// How log lines are written.
     pub log_format: LogFormat,
     /// The least level that is logged.
@@ -214,6 +216,7 @@
             admissions: self.number("admissions", 50, 1, 10_000),
             batch_window: self.millis("batch-ms", 50, 0, 10_000),
             heartbeat: self.millis("heartbeat-ms", 5_000, 100, 60_000),
+            threads: self.number("threads", 1, 1, 64),
             log_format: self.choice(
                 "log-format",
                 LogFormat::Text,
--- a/src/settings/flags.rs
+++ b/src/settings/flags.rs
@@ -62,6 +62,8 @@
             optional --batch-ms ms: String
             /// Time between heartbeats on an idle stream, in milliseconds.
             optional --heartbeat-ms ms: String
+            /// Threads that run the daemon's work.
+            optional --threads count: String
             /// How log lines are written: text or json.
             optional --log-format format: String
             /// The least level that is logged: error, warn, info, debug or trace.
@@ -73,7 +75,7 @@
 }
 
 /// The flags that take a value, each with an environment variable.
-pub const FLAGS: [&str; 27] = [
+pub const FLAGS: [&str; 28] = [
     "name",
     "domain",
     "region",
@@ -99,6 +101,7 @@
     "admissions",
     "batch-ms",
     "heartbeat-ms",
+    "threads",
     "log-format",
     "log-level",
 ];
@@ -167,6 +170,7 @@
             flags.admissions,
             flags.batch_ms,
             flags.heartbeat_ms,
+            flags.threads,
             flags.log_format,
             flags.log_level,
         ];
--- a/src/start.rs
+++ b/src/start.rs
@@ -8,6 +8,7 @@
 use std::ffi::OsString;
 use std::process::ExitCode;
 use std::sync::Arc;
+use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// The exit code for settings that are not valid.
@@ -55,8 +56,22 @@
     }
 }
 
-#[tokio::main]
-async fn run(settings: Settings) -> anyhow::Result<()> {
+/// Runs the daemon on as many threads as the settings say.
+fn run(settings: Settings) -> anyhow::Result<()> {
+    let mut builder = match settings.threads {
+        // On one thread, a call passes from task to task without waking another thread.
+        1 => Builder::new_current_thread(),
+        threads => {
+            let mut builder = Builder::new_multi_thread();
+            builder.worker_threads(threads as usize);
+            builder
+        }
+    };
+    let runtime = builder.enable_all().build().context("runtime")?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> anyhow::Result<()> {
     let name = settings.name.clone().unwrap_or_else(|| "baobabd".into());
     logging::init(settings.log_level, settings.log_format, &name)?;
     let daemon = daemon::Daemon::new(settings)?;
