Notice a silent relay within nine seconds

Cause: a relay that falls silent without closing its connections was noticed after three heartbeats of 5 s, later than the 10 s in which a change is to be in force. Change: the heartbeat is 3 s by default.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -215,7 +215,7 @@
             max_children: self.number("max-children", 256, 1, 10_000),
             admissions: self.number("admissions", 50, 1, 10_000),
             batch_window: self.millis("batch-ms", 50, 0, 10_000),
-            heartbeat: self.millis("heartbeat-ms", 5_000, 100, 60_000),
+            heartbeat: self.millis("heartbeat-ms", 3_000, 100, 60_000),
             threads: self.number("threads", 1, 1, 64),
             log_format: self.choice(
                 "log-format",
