Refuse a revert under the id of another change

Cause: a revert whose new id was in the log already was answered as accepted before, also when that change undid something else. Change: the change found must have left each resource as it was before the one to revert; otherwise the revert is refused as a conflict.

--- a/src/store/accept.rs
+++ b/src/store/accept.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use futures_util::future::try_join_all;
 use prost::Message;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::{Instant, sleep};
@@ -77,7 +78,12 @@
             let record = self.change_record(target).await?;
             let (head, now) = self.newest().await?;
             if let Some(version) = self.find(&head, id, None).await? {
-                return Ok(Err(version));
+                if undoes(&self.change_record(id).await?, &record) {
+                    return Ok(Err(version));
+                }
+                let message =
+                    format!("change id {id} belongs to a change that does not undo {target}");
+                return Err(Error::new(Category::Conflict, message));
             }
             Change::inverse(&record, id, &now).map(Ok)
         };
@@ -225,6 +231,31 @@
 
 /// Tells what is known when the platform could not be read to the end.
 ///
+/// Tests whether one change left every resource of another as it was before.
+fn undoes(later: &wire::ChangeRecord, earlier: &wire::ChangeRecord) -> bool {
+    let later: BTreeMap<_, _> = later
+        .effects
+        .iter()
+        .map(|effect| {
+            (
+                (&effect.kind, &effect.name),
+                (&effect.after, &effect.before),
+            )
+        })
+        .collect();
+    let earlier: BTreeMap<_, _> = earlier
+        .effects
+        .iter()
+        .map(|effect| {
+            (
+                (&effect.kind, &effect.name),
+                (&effect.before, &effect.after),
+            )
+        })
+        .collect();
+    later == earlier
+}
+
 /// An earlier submission under the same id may have been accepted, or still be on its way.
 fn given_up(error: Error) -> Outcome {
     match error.category() {
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -202,3 +202,29 @@
         .await;
     assert!(matches!(undone, Outcome::Accepted { .. }), "{undone:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn revert_repeated() {
+    let (_, store) = setup();
+    accept(&store, "first", 1).await;
+    accept(&store, "second", 2).await;
+    for repeat in [false, true] {
+        let outcome = store.revert("second", "undo", soon()).await;
+        let Outcome::Accepted { version, repeated } = outcome else {
+            panic!("{outcome:?}");
+        };
+        assert_eq!((version, repeated), (3, repeat));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn revert_id_of_another_change() {
+    let (_, store) = setup();
+    accept(&store, "first", 1).await;
+    accept(&store, "second", 2).await;
+    let outcome = store.revert("second", "first", soon()).await;
+    let Outcome::Refused(err) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(err.category(), Category::Conflict);
+}
