--- a/src/settings.rs
+++ b/src/settings.rs
@@ -31,15 +31,6 @@
     Tree,
 }
 
-/// What a daemon does with calls after it has been cut off from every source for long.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CutOff {
-    /// It serves its last version.
-    Serve,
-    /// It refuses calls as not run.
-    Refuse,
-}
-
 /// How log lines are written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogFormat {
@@ -108,10 +99,6 @@
     pub check_only: bool,
     /// Time for calls in flight to end at a graceful shutdown.
     pub drain_timeout: Duration,
-    /// What to do when cut off from every source for long.
-    pub cut_off: CutOff,
-    /// How long is long, for `cut_off`.
-    pub cut_after: Duration,
     /// Greatest number of children that a relay takes.
     pub max_children: u32,
     /// Children that a relay admits in a second.
@@ -206,12 +193,6 @@
             token,
             check_only: self.check_only(),
             drain_timeout: self.millis("drain-timeout-ms", 30_000, 0, 3_600_000),
-            cut_off: self.choice(
-                "cut-off",
-                CutOff::Serve,
-                &[("serve", CutOff::Serve), ("refuse", CutOff::Refuse)],
-            ),
-            cut_after: self.millis("cut-after-ms", 600_000, 1_000, 86_400_000),
             max_children: self.number("max-children", 256, 1, 10_000),
             admissions: self.number("admissions", 50, 1, 10_000),
             batch_window: self.millis("batch-ms", 50, 0, 10_000),
--- a/src/settings/flags.rs
+++ b/src/settings/flags.rs
@@ -50,10 +50,6 @@
             optional --advertise-mesh address: String
             /// Time for calls in flight at a graceful shutdown, in milliseconds.
             optional --drain-timeout-ms ms: String
-            /// What to do when cut off for long: serve or refuse.
-            optional --cut-off mode: String
-            /// How long is long for --cut-off, in milliseconds.
-            optional --cut-after-ms ms: String
             /// Greatest number of children of a relay.
             optional --max-children count: String
             /// Children that a relay admits in a second.
@@ -75,7 +71,7 @@
 }
 
 /// The flags that take a value, each with an environment variable.
-pub const FLAGS: [&str; 28] = [
+pub const FLAGS: [&str; 26] = [
     "name",
     "domain",
     "region",
@@ -95,8 +91,6 @@
     "advertise-inbound",
     "advertise-mesh",
     "drain-timeout-ms",
-    "cut-off",
-    "cut-after-ms",
     "max-children",
     "admissions",
     "batch-ms",
@@ -164,8 +158,6 @@
             flags.advertise_inbound,
             flags.advertise_mesh,
             flags.drain_timeout_ms,
-            flags.cut_off,
-            flags.cut_after_ms,
             flags.max_children,
             flags.admissions,
             flags.batch_ms,
