--- a/src/event.rs
+++ b/src/event.rs
@@ -155,4 +155,5 @@
     ($name:ident, $($key:ident = $value:expr),+ $(,)?) => {
         $crate::event::Event::$name.log_fields(&[$((stringify!($key), &$value)),+])
     };
+    ($name:ident, $($arg:tt)+) => { $crate::event::Event::$name.log(format_args!($($arg)+)) };
 }
