Hold accepted changes against the log after each round of the soak

The log keeps 1,024 changes; of 2,225 accepted it lacked exactly versions 2 to 1,202, since the soak read it only once, at its end. Ruled out: a change lost or reverted, as no retained version was missing and every check of the versions in force held. Change: after each round, each change told accepted since the last one is looked for in the log under its version; no check is left out. Conclusion: a soak of ten minutes is to be run on this.

--- a/standin/src/bench/soak.rs
+++ b/standin/src/bench/soak.rs
@@ -237,6 +237,9 @@
         }
         self.show_running();
         self.monitor.in_force(&self.world, IN_FORCE_TIME).await;
+        // The log keeps a bounded number of changes, more than those of a round.
+        self.monitor
+            .check_accepted(&self.operators.newly_accepted());
         Ok(())
     }
 
@@ -256,6 +259,7 @@
     /// Makes the checks that need all calls and changes.
     pub fn finish(&self) {
         self.traffic.check(&self.world.ledger);
-        self.monitor.check_accepted(&self.operators.accepted());
+        self.monitor
+            .check_accepted(&self.operators.newly_accepted());
     }
 }
--- a/standin/src/bench/soak/operators.rs
+++ b/standin/src/bench/soak/operators.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -21,6 +22,7 @@
     /// Where operators connect now.
     pub entries: watch::Sender<Vec<SocketAddr>>,
     accepted: Arc<Mutex<Vec<(String, u64)>>>,
+    checked: Arc<AtomicUsize>,
     services: Arc<Vec<String>>,
 }
 
@@ -31,6 +33,7 @@
         Operators {
             entries: watch::Sender::default(),
             accepted: Arc::default(),
+            checked: Arc::default(),
             services: Arc::new(services),
         }
     }
@@ -89,6 +92,14 @@
     pub fn accepted(&self) -> Vec<(String, u64)> {
         lock(&self.accepted).clone()
     }
+
+    /// Returns the changes told accepted since the last call.
+    #[must_use]
+    pub fn newly_accepted(&self) -> Vec<(String, u64)> {
+        let accepted = lock(&self.accepted);
+        let checked = self.checked.swap(accepted.len(), Ordering::Relaxed);
+        accepted[checked..].to_vec()
+    }
 }
 
 fn policy(service: &str, percent: u32) -> Value {
