Keep queues short and give up no attempt before its deadline

Change: no attempt deadline; a call waits for a share of its time at most; at the deadline the inbound side is asked, and a call that never ran is refused as such.

--- a/src/call/admission.rs
+++ b/src/call/admission.rs
@@ -16,6 +16,11 @@
 /// Kinds of calls whose service times are kept apart; the others share the common average.
 const MAX_CLASSES: usize = 256;
 
+/// The share of the time left to a call that it may spend in a queue, and the share that it may
+/// spend even if its objective is missed by that.
+const WAIT_SHARE: f64 = 0.3;
+const MIN_WAIT_SHARE: f64 = 0.1;
+
 /// The least time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -182,6 +187,9 @@
         if now + wait + own > demand.deadline {
             return (Decision::Refuse(Reason::Late), turn);
         }
+        if wait > self.longest_wait(now, demand) {
+            return (Decision::Refuse(Reason::Full), turn);
+        }
         if self.queued() >= self.limits.queue {
             match self.queue.last().copied() {
                 Some(last) if last.weight.0 < demand.weight => {
@@ -282,6 +290,20 @@
         }
     }
 
+    /// Returns the longest time that a call waits here. A caller that is refused earlier than that
+    /// has time left to come back, and a short queue keeps the slots as busy as a long one.
+    #[must_use]
+    pub fn longest_wait(&self, now: Instant, demand: &Demand) -> Duration {
+        let left = demand.deadline.saturating_duration_since(now);
+        let most = left.mul_f64(WAIT_SHARE);
+        let Some(objective) = demand.objective else {
+            return most;
+        };
+        let spare = objective.saturating_duration_since(now);
+        let spare = spare.saturating_sub(self.class_time(demand.class));
+        most.min(spare.max(left.mul_f64(MIN_WAIT_SHARE)))
+    }
+
     /// Returns the place that a call would get now.
     fn place(&self, now: Instant, demand: &Demand) -> Place {
         let own = self.class_time(demand.class);
--- a/src/call/budget.rs
+++ b/src/call/budget.rs
@@ -11,9 +11,6 @@
 /// Retries that a new budget allows, unless it is made otherwise.
 const FIRST_RETRIES: f64 = 10.0;
 
-/// An attempt that takes so many times the typical time of its kind may have been lost.
-const UNTYPICAL: u32 = 6;
-
 const BACKOFF_MIN: Duration = Duration::from_millis(5);
 const BACKOFF_MAX: Duration = Duration::from_millis(250);
 
@@ -139,18 +136,6 @@
         };
         safe && self.replayable && made < self.attempts && now < self.deadline
     }
-
-    /// Returns when an attempt is given up, given how many were made before and the time that such
-    /// a call typically takes.
-    #[must_use]
-    pub fn attempt_deadline(&self, now: Instant, made: u32, typical: Duration) -> Instant {
-        let more = self.idempotent && !self.owned_above && self.replayable;
-        if !more || made + 1 >= self.attempts {
-            return self.deadline;
-        }
-        let half = self.deadline.saturating_duration_since(now) / 2;
-        (now + half.max(typical * UNTYPICAL)).min(self.deadline)
-    }
 }
 
 /// Returns the time to wait before the next attempt; `jitter` is in 0 to 1.
--- a/src/call/gate.rs
+++ b/src/call/gate.rs
@@ -9,6 +9,9 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+/// How much longer than expected a call may wait before it is refused after all.
+const OVERSTAY: f64 = 1.5;
+
 /// A call was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{reason}")]
@@ -58,8 +61,7 @@
             Decision::Wait(ticket) => {
                 let (sender, receiver) = oneshot::channel();
                 state.waiting.insert(ticket, (demand.class, sender));
-                let own = state.admission.class_time(demand.class);
-                let latest = demand.deadline.checked_sub(own).unwrap_or(now);
+                let latest = now + state.admission.longest_wait(now, demand).mul_f64(OVERSTAY);
                 Offer::Waits(Waiting {
                     gate: self,
                     ticket,
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -209,6 +209,13 @@
         daemon.drain.phase() != Phase::Running || daemon.backend.load().stage == Stage::Leaving
     }
 
+    /// Bars an attempt of this daemon itself from running if it has not, and says what became of
+    /// it.
+    pub fn bar(&self, attempt: &Attempt) -> Option<fence::Fate> {
+        let mut record = lock(&self.record);
+        Some(record.fence(Instant::now(), attempt.id, attempt.sent_ms))
+    }
+
     fn fence(&self, daemon: &Daemon, asked: &str) -> Response<Body> {
         let attempt = asked.parse::<Attempt>().ok();
         let own = daemon.identity.incarnation;
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -178,7 +178,7 @@
                 return told.map(|failed| *failed.answer).ok_or_else(no_upstream);
             };
             let patience = call.patience(busy, group.upstreams().len() - tried.len());
-            let attempt = self.attempt(call, index, made, patience, &mut flight);
+            let attempt = self.attempt(call, index, patience, &mut flight);
             let failed = match attempt.await {
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
@@ -229,15 +229,13 @@
         &self,
         call: &Call<'_>,
         index: Index,
-        made: u32,
         patience: Option<Duration>,
         flight: &mut Option<Flight>,
     ) -> Result<Response<Body>, Failed> {
         let upstream = &call.service.group.upstreams()[index.0];
         let busy = Busy::new(&upstream.health);
         let started = Instant::now();
-        let typical = call.service.times.typical(call.class);
-        let until = call.terms.attempt_deadline(started, made, typical);
+        let until = call.terms.deadline;
         let answer = match call.service.link(index) {
             Some(link) => self.send_far(call, upstream, link, until, patience).await?,
             None => self.send_near(call, upstream, until, patience).await?,
@@ -295,11 +293,7 @@
         let answer = side.answer(call.daemon, request);
         match tokio::time::timeout_at(until, answer).await {
             Ok(answer) => Ok(answer),
-            Err(_) => Err(call.unknown(
-                upstream,
-                StatusCode::GATEWAY_TIMEOUT,
-                "no answer in time",
-            )),
+            Err(_) => Err(call.overdue(upstream, side.bar(&attempt))),
         }
     }
 
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -27,6 +27,11 @@
 /// The time after which a caller may come back when an upstream could not be reached.
 const UNREACHED_RETRY: Duration = Duration::from_millis(200);
 
+/// Time for an inbound side to say what became of an attempt, while the caller waits and once its
+/// time is up.
+const FENCE_TIME: Duration = Duration::from_millis(800);
+const LATE_FENCE_TIME: Duration = Duration::from_millis(150);
+
 /// The longest wait for a slot that an attempt accepts while other upstreams may have one free.
 const FIRST_PATIENCE: Duration = Duration::ZERO;
 
@@ -198,26 +203,38 @@
             return self.unknown(upstream, StatusCode::PAYLOAD_TOO_LARGE, reason);
         }
         note_failure(upstream);
-        if !self.terms.idempotent && !late {
-            let fate = link.fence(attempt).await;
-            event!(
-                AttemptFenced,
-                request = self.id,
-                upstream = upstream.facts.name,
-                fate = fate.map_or("no answer", Fate::as_str),
-            );
-            if fate == Some(Fate::NeverRuns) {
-                self.log_failed(upstream, "not run", reason);
-                let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
-                return self.refused(refusal.retry_after(UNREACHED_RETRY));
-            }
+        if self.terms.idempotent && !late {
+            return self.unknown(upstream, StatusCode::BAD_GATEWAY, reason);
         }
-        let status = if late {
-            StatusCode::GATEWAY_TIMEOUT
-        } else {
-            StatusCode::BAD_GATEWAY
-        };
-        self.unknown(upstream, status, reason)
+        let time = if late { LATE_FENCE_TIME } else { FENCE_TIME };
+        let fate = tokio::time::timeout(time, link.fence(attempt)).await;
+        let fate = fate.ok().flatten();
+        event!(
+            AttemptFenced,
+            request = self.id,
+            upstream = upstream.facts.name,
+            fate = fate.map_or("no answer", Fate::as_str),
+        );
+        if late {
+            return self.overdue(upstream, fate);
+        }
+        if fate == Some(Fate::NeverRuns) {
+            self.log_failed(upstream, "not run", reason);
+            let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+            return self.refused(refusal.retry_after(UNREACHED_RETRY));
+        }
+        self.unknown(upstream, StatusCode::BAD_GATEWAY, reason)
+    }
+
+    /// Says what has become of a call whose time is up.
+    pub(super) fn overdue(&self, upstream: &Upstream, fate: Option<Fate>) -> Failed {
+        let reason = "no answer in time";
+        if fate == Some(Fate::NeverRuns) {
+            self.log_failed(upstream, "not run", reason);
+            let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+            return self.refused(refusal.retry_after(UNREACHED_RETRY));
+        }
+        self.unknown(upstream, StatusCode::GATEWAY_TIMEOUT, reason)
     }
 
     fn log_failed(&self, upstream: &Upstream, outcome: &str, reason: &str) {
