Take only the backend server's own word for its leaving after a restart

Ruled out: heartbeats lost (they came, events 406 show stage Leaving at the first one). Change: the entry tells the two apart.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -284,6 +284,7 @@
             instance: beside.instance.clone().unwrap_or_default(),
             born_ms: beside.born_ms,
             warm_ms: 0,
+            left: beside.stage == Stage::Leaving,
         }
     }
 }
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -5,7 +5,6 @@
 use crate::event;
 use crate::exchange::{self, Knowledge};
 use crate::generated::mesh as wire;
-use crate::generated::mesh::MemberState;
 use crate::kernel::{Plugin, Work};
 use crate::member::book::Book;
 use crate::platform::{self, Entry, Follower, News, PlatformError, Swap};
@@ -154,7 +153,7 @@
         let Ok(record) = wire::Member::decode(entry.value) else {
             return;
         };
-        if record.state() == MemberState::Draining && !record.instance.is_empty() {
+        if record.left && !record.instance.is_empty() {
             event!(BackendRecalled, instance = record.instance, born_ms = record.born_ms);
             daemon.backend.recall(&record.instance, record.born_ms);
         }
