Repeat no call that a service as a whole fails, and end within the grace time

Ruled out: repeats at the shedding service itself; they stay within its own budget. Change: answers 500 are not repeated while more than a tenth of a service's answers are such; a draining daemon refuses what would outlive it; a closed idle connection does not count as a backend server out of reach; two full queues end a call.

--- a/src/call/view.rs
+++ b/src/call/view.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwapOption;
 use slotmap::SecondaryMap;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -19,6 +20,12 @@
 /// The share of a new service time in the average of its kind, as a divisor.
 const TIMES_DIVISOR: u32 = 32;
 
+/// The share of a new outcome in the share of faults of a service, as a divisor.
+const FAULTS_DIVISOR: u32 = 32;
+
+/// The share of faults, in thousandths, above which a service as a whole counts as faulty.
+const FAULTY_SERVICE: u32 = 100;
+
 /// Kinds of calls whose service times are kept.
 const MAX_CLASSES: usize = 256;
 
@@ -44,13 +51,32 @@
     }
 }
 
-/// Average service times by kind of call.
+/// Average service times by kind of call, and the share of calls that backend servers fail.
 #[derive(Debug, Default)]
 pub struct Times {
     times: Mutex<BTreeMap<u32, Duration>>,
+    /// In thousandths.
+    faults: AtomicU32,
 }
 
 impl Times {
+    /// Notes whether a backend server failed a call by its own fault, or by that of a call that it
+    /// made.
+    pub fn note_fault(&self, fault: bool) {
+        let old = self.faults.load(Ordering::Relaxed);
+        let new = if fault { 1_000 } else { 0 };
+        // Rounded up, so that the share can grow from zero and fall to it.
+        let mixed = old + new / FAULTS_DIVISOR - old / FAULTS_DIVISOR;
+        self.faults.store(mixed, Ordering::Relaxed);
+    }
+
+    /// Tests whether the service as a whole fails calls: trying another backend server is of
+    /// little use then, and repeats the calls that the first one made.
+    #[must_use]
+    pub fn is_faulty(&self) -> bool {
+        self.faults.load(Ordering::Relaxed) > FAULTY_SERVICE
+    }
+
     /// Notes a service time; returns how it compares with the average of its kind, in thousandths.
     pub fn note(&self, class: u32, ran: Duration) -> u32 {
         let mut times = lock(&self.times);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -25,11 +25,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Time for other daemons to learn that this one drains.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(500);
@@ -41,6 +41,9 @@
 /// The share of the time until the process is killed in which calls in flight may end.
 const GRACE_SHARE: f64 = 0.92;
 
+/// The share of that time in which connections may end.
+const CLOSE_SHARE: f64 = 0.96;
+
 /// Time for connections to end once no call is in flight.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -112,6 +115,8 @@
     pub drain: Drain,
     /// Whether the newest version that can be learned of has been put in force once.
     pub caught_up: AtomicBool,
+    /// When calls in flight are cut off, once the process drains.
+    ends: OnceLock<Instant>,
     /// The record last announced.
     announced: Mutex<Option<wire::Member>>,
     parts: Mutex<BTreeMap<TypeId, Arc<dyn Any + Send + Sync>>>,
@@ -167,6 +172,7 @@
             tuned: ArcSwap::from_pointee(Tuned::new(&settings)),
             reload: site.reload,
             backend,
+            ends: OnceLock::new(),
             announced: Mutex::default(),
             config: ConfigCell::default(),
             fleet: FleetCell::default(),
@@ -221,6 +227,8 @@
             }
             None => start + ANNOUNCE_TIME + self.settings.drain_timeout,
         };
+        // It is set once: a process is shut down once.
+        let _ = self.ends.set(ends);
         self.drain.advance(Phase::Draining);
         event!(Draining, in_flight = self.drain.in_flight());
         if tuned.grace.is_none() {
@@ -233,10 +241,21 @@
         }
         self.drain.advance(Phase::Closing);
         // What was written last is still on its way out.
-        let _ = timeout(CLOSE_TIMEOUT, self.drain.closed()).await;
+        let closed = match tuned.grace {
+            Some(grace) => start + grace.mul_f64(CLOSE_SHARE),
+            None => Instant::now() + CLOSE_TIMEOUT,
+        };
+        let _ = timeout_at(closed, self.drain.closed()).await;
         self.drain.advance(Phase::Stopped);
     }
 
+    /// Returns the time until calls in flight are cut off, once the process drains.
+    #[must_use]
+    pub fn time_left(&self) -> Option<Duration> {
+        let ends = self.ends.get()?;
+        Some(ends.saturating_duration_since(Instant::now()))
+    }
+
     /// Describes this daemon as a member, under a greater number whenever something has changed.
     #[must_use]
     pub fn record(&self) -> wire::Member {
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -303,7 +303,6 @@
         };
         let connection = self.pool.connection(reuse).await;
         let lease = connection.map_err(|err| self.unreached(&err))?;
-        *lock(&self.down) = None;
         // A drain may have been announced while the connection was opened.
         self.check_backend(daemon)?;
         if !run.arrival.dispatch() {
@@ -316,10 +315,12 @@
         let answer = lease.send(request).await.map_err(|err| {
             run.permit.mark_void();
             match err {
-                UpstreamError::NotSent(..) => self.unreached(&err),
+                // An idle connection has just been closed; the next one will be new.
+                UpstreamError::NotSent(..) => unavailable(err, Why::Other),
                 UpstreamError::Lost(..) => Refusal::unknown(StatusCode::BAD_GATEWAY, err),
             }
         })?;
+        *lock(&self.down) = None;
         if answer.headers().contains_key(call::DRAIN) {
             daemon.drain.advance(Phase::Draining);
         }
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -32,6 +32,10 @@
 /// Upstreams that may refuse one call before it is given up.
 const MAX_HOPS: u32 = 4;
 
+/// Upstreams that may say that their queues are full before a call is refused: under overload the
+/// others are full as well.
+const MAX_FULL: u32 = 2;
+
 /// Its multiples are spread evenly between whole numbers.
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_9;
 
@@ -150,6 +154,7 @@
         let entry = request::find_route(&view.table, &request)?;
         let service = entry.service(self.place());
         let call = Call::new(daemon, &view, entry, service, request, id)?;
+        call.check_time_left()?;
         self.run(&call, flight).await
     }
 
@@ -167,7 +172,7 @@
         let group = &call.service.group;
         let mut flight = Some(flight);
         let mut tried = Vec::new();
-        let (mut made, mut hops, mut busy) = (0, 0, 0);
+        let (mut made, mut hops, mut busy, mut full) = (0, 0, 0, 0);
         let mut told: Option<Failed> = None;
         loop {
             let index = match call.key {
@@ -185,6 +190,10 @@
             };
             match failed.failure {
                 Failure::Refused if failed.why == Why::Busy => busy += 1,
+                Failure::Refused if failed.why == Why::Full => {
+                    full += 1;
+                    tried.push(index);
+                }
                 Failure::Refused | Failure::Leaving => {
                     hops += 1;
                     tried.push(index);
@@ -200,6 +209,7 @@
             let failure = failed.failure;
             let failed = outweigh(told.take(), failed);
             if hops > MAX_HOPS
+                || full >= MAX_FULL
                 || !terms.allow(now, made, failure)
                 || !call.service.budget.pay(failure)
             {
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -27,6 +27,9 @@
 /// The time after which a caller may come back when an upstream could not be reached.
 const UNREACHED_RETRY: Duration = Duration::from_millis(200);
 
+/// How many times its typical time a call may take before the end of the process cuts it off.
+const SAFETY_FACTOR: u32 = 3;
+
 /// Time for an inbound side to say what became of an attempt, while the caller waits and once its
 /// time is up.
 const FENCE_TIME: Duration = Duration::from_millis(800);
@@ -116,6 +119,27 @@
         })
     }
 
+    /// Refuses a call that would be cut off by the end of this process.
+    pub(super) fn check_time_left(&self) -> Result<(), Refusal> {
+        let Some(left) = self.daemon.time_left() else {
+            return Ok(());
+        };
+        let typical = self.service.times.typical(self.class);
+        let now = Instant::now();
+        let longest = self.terms.deadline.saturating_duration_since(now);
+        let expected = if typical.is_zero() {
+            longest
+        } else {
+            longest.min(typical * SAFETY_FACTOR)
+        };
+        if expected <= left {
+            return Ok(());
+        }
+        let reason = "daemon ends before the call would";
+        let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+        Err(refusal.retry_after(Duration::ZERO).why(Why::Leaving))
+    }
+
     /// Returns the longest wait that an attempt accepts, after so many upstreams were busy.
     pub(super) fn patience(&self, busy: u32, untried: usize) -> Option<Duration> {
         let elsewhere = busy < MAX_BUSY && untried > 1;
@@ -125,7 +149,8 @@
 
     /// Tests whether a backend server's own failure is worth another attempt.
     fn retries_faults(&self) -> bool {
-        self.daemon.names.seal.is_some() && self.terms.idempotent
+        let idempotent = self.daemon.names.seal.is_some() && self.terms.idempotent;
+        idempotent && !self.service.times.is_faulty()
     }
 
     /// Returns the time left until an answer counts as late, in milliseconds; zero for never.
@@ -272,6 +297,10 @@
         health.compare(call.service.times.note(call.class, ran));
     }
     let outcome = Outcome::of(headers);
+    if outcome.is_none() {
+        let fault = answer.status() == StatusCode::INTERNAL_SERVER_ERROR;
+        call.service.times.note_fault(fault);
+    }
     let why = Why::of(headers);
     let sheds = answer.status() == StatusCode::SERVICE_UNAVAILABLE && outcome.is_none();
     if sheds && headers.contains_key(header::RETRY_AFTER) {
@@ -295,8 +324,8 @@
     }
     call::drop_reserved_headers(answer.headers_mut(), &[call::OUTCOME]);
     let failure = match (outcome, answer.status()) {
-        (Some(Outcome::NotRun), _) if leaving => Failure::Leaving,
         (Some(Outcome::NotRun), _) if why == Why::Shed => Failure::NotRun,
+        (Some(Outcome::NotRun), _) if leaving => Failure::Leaving,
         (Some(Outcome::NotRun), _) => Failure::Refused,
         (Some(Outcome::Unknown), _)
         | (
--- a/src/start.rs
+++ b/src/start.rs
@@ -40,10 +40,10 @@
 /// Runs the daemon at a site that an adapter describes, with these variables, to its end.
 #[must_use]
 pub fn main_at(
-    variables: &BTreeMap<String, String>,
+    described: &BTreeMap<String, String>,
     describe: impl FnOnce(&Settings) -> Result<Site>,
 ) -> ExitCode {
-    let settings = match Settings::new(&Flags::default(), variables) {
+    let settings = match Settings::new(&Flags::default(), &over(described)) {
         Ok(settings) => settings,
         Err(err) => {
             refuse(&err.to_string());
@@ -56,6 +56,13 @@
     }))
 }
 
+/// Returns the variables of an adapter with those of the process over them.
+fn over(described: &BTreeMap<String, String>) -> BTreeMap<String, String> {
+    let mut all = described.clone();
+    all.extend(variables());
+    all
+}
+
 fn finish(ended: anyhow::Result<()>) -> ExitCode {
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -144,7 +151,7 @@
                 let differ = read.iter().filter(|(name, value)| old.get(*name) != Some(value));
                 let names: Vec<&str> = differ.map(|(name, _)| name.as_str()).collect();
                 event!(SettingsRead, changed = names.join(","));
-                match Settings::new(&Flags::default(), &read) {
+                match Settings::new(&Flags::default(), &over(&read)) {
                     Ok(settings) => daemon.tune(&settings),
                     Err(err) => event!(SettingsRefused, fault = err),
                 }
