Speak one HTTP dialect to the key-value service everywhere, and spend less between failure domains

Change: the protobuf service goes, the stand-in answers the client's own dialect; news of configuration and members is gathered for longer; calls with long bodies leave their failure domain later.

--- a/codegen/src/main.rs
+++ b/codegen/src/main.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Context, Result};
 
-const FILES: [&str; 2] = ["proto/platform.proto", "proto/mesh.proto"];
+const FILES: [&str; 1] = ["proto/mesh.proto"];
 
 fn main() -> Result<()> {
     let dir = std::env::args()
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -122,7 +122,11 @@
     /// Makes a cell for a backend server that does not report: it is ready from the start.
     #[must_use]
     pub fn fixed(present: bool) -> Self {
-        let stage = if present { Stage::Ready } else { Stage::Unknown };
+        let stage = if present {
+            Stage::Ready
+        } else {
+            Stage::Unknown
+        };
         BackendCell {
             service: None,
             address: None,
@@ -260,7 +264,10 @@
 
 impl State {
     fn leave(&mut self, instance: &str, born_ms: u64) {
-        let known = self.left.iter().any(|(id, born)| id == instance && *born >= born_ms);
+        let known = self
+            .left
+            .iter()
+            .any(|(id, born)| id == instance && *born >= born_ms);
         if known {
             return;
         }
--- a/src/call.rs
+++ b/src/call.rs
@@ -225,7 +225,10 @@
             http::HeaderValue::from_static("application/json"),
         );
         if let Some(time) = self.retry_after {
-            headers.insert(header::RETRY_AFTER, write_retry_after(time, names.fractions));
+            headers.insert(
+                header::RETRY_AFTER,
+                write_retry_after(time, names.fractions),
+            );
         }
         if let Ok(id) = http::HeaderValue::from_str(request_id) {
             headers.insert(&names.request, id);
--- a/src/call/admission.rs
+++ b/src/call/admission.rs
@@ -163,7 +163,10 @@
     /// Returns the time after which a refused caller may find a slot.
     #[must_use]
     pub fn retry_after(&self) -> Duration {
-        let backlog = self.places.values().map(|(_, demand)| self.class_time(demand.class));
+        let backlog = self
+            .places
+            .values()
+            .map(|(_, demand)| self.class_time(demand.class));
         let wait = self.wait(backlog.sum());
         wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
@@ -295,12 +298,13 @@
     #[must_use]
     pub fn longest_wait(&self, now: Instant, demand: &Demand) -> Duration {
         let left = demand.deadline.saturating_duration_since(now);
-        let most = left.mul_f64(WAIT_SHARE);
+        let own = self.class_time(demand.class);
         let Some(objective) = demand.objective else {
-            return most;
+            return left.saturating_sub(own);
         };
+        let most = left.mul_f64(WAIT_SHARE);
         let spare = objective.saturating_duration_since(now);
-        let spare = spare.saturating_sub(self.class_time(demand.class));
+        let spare = spare.saturating_sub(own);
         most.min(spare.max(left.mul_f64(MIN_WAIT_SHARE)))
     }
 
--- a/src/call/choose.rs
+++ b/src/call/choose.rs
@@ -11,6 +11,10 @@
 /// The age at which a reported load counts for nothing.
 const LOAD_AGE_MS: u64 = 1_000;
 
+/// Load in percent of slots above which calls with long bodies go to other failure domains: some
+/// wait costs less than carrying them.
+const HEAVY_SPILL_PERCENT: u32 = 110;
+
 /// Failures in a row after which an upstream is ejected.
 const MAX_FAILURES: u32 = 3;
 
@@ -69,6 +73,16 @@
     Load,
 }
 
+/// How much a call costs to carry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Bulk {
+    /// Little.
+    #[default]
+    Light,
+    /// Its body is long: it stays in its failure domain for longer.
+    Heavy,
+}
+
 /// The sizes that bear on the choice.
 #[derive(Clone, Copy, Debug)]
 pub struct Sizes {
@@ -207,10 +221,14 @@
     /// that an upstream that gets no calls for its faults is tried again.
     #[must_use]
     pub fn faults(&self, now: Instant) -> u32 {
-        let age = self.millis(now).saturating_sub(self.faulty_ms.load(Ordering::Relaxed));
+        let age = self
+            .millis(now)
+            .saturating_sub(self.faulty_ms.load(Ordering::Relaxed));
         let halvings = age / FAULT_HALF_LIFE_MS;
         let faulty = self.faulty.load(Ordering::Relaxed);
-        faulty.checked_shr(u32::try_from(halvings).unwrap_or(32)).unwrap_or(0)
+        faulty
+            .checked_shr(u32::try_from(halvings).unwrap_or(32))
+            .unwrap_or(0)
     }
 
     /// Notes that no answer came. Returns the time of the ejection that follows, if one does.
@@ -330,8 +348,12 @@
     }
 
     /// Tests whether its load calls for other failure domains.
-    fn is_loaded(&self, now: Instant, sizes: &Sizes) -> bool {
-        let most = u64::from(self.slots(sizes)) * u64::from(sizes.spill_percent) * 10;
+    fn is_loaded(&self, now: Instant, sizes: &Sizes, bulk: Bulk) -> bool {
+        let percent = match bulk {
+            Bulk::Light => sizes.spill_percent,
+            Bulk::Heavy => sizes.spill_percent.max(HEAVY_SPILL_PERCENT),
+        };
+        let most = u64::from(self.slots(sizes)) * u64::from(percent) * 10;
         let faulty = self.health.faults(now) >= FAULTY;
         self.health.load(now) >= most || self.health.is_shedding(now) || faulty
     }
@@ -381,6 +403,19 @@
         choice: Choice,
         dice: Dice,
         tried: &[Index],
+    ) -> Option<Index> {
+        self.choose_for(now, choice, dice, tried, Bulk::Light)
+    }
+
+    /// Chooses an upstream as [`Group::choose`] does, for a call of some bulk.
+    #[must_use]
+    pub fn choose_for(
+        &self,
+        now: Instant,
+        choice: Choice,
+        dice: Dice,
+        tried: &[Index],
+        bulk: Bulk,
     ) -> Option<Index> {
         let all = 0..self.upstreams.len();
         match choice {
@@ -393,7 +428,7 @@
                     |a: &Upstream, b: &Upstream| a.health.in_flight() < b.health.in_flight();
                 self.better(now, all, dice, tried, beats)
             }
-            Choice::Load => self.near_first(now, dice, tried),
+            Choice::Load => self.near_first(now, dice, tried, bulk),
         }
     }
 
@@ -410,12 +445,12 @@
         places
     }
 
-    fn near_first(&self, now: Instant, dice: Dice, tried: &[Index]) -> Option<Index> {
+    fn near_first(&self, now: Instant, dice: Dice, tried: &[Index], bulk: Bulk) -> Option<Index> {
         let beats = |a: &Upstream, b: &Upstream| a.beats(b, now, &self.sizes);
         let near = self.better(now, 0..self.near, dice, tried, beats);
         // Both may be loaded by chance while others of the failure domain are not.
-        let near = near.map(|index| self.least_loaded(now, index, tried));
-        let loaded = |index: Index| self.upstreams[index.0].is_loaded(now, &self.sizes);
+        let near = near.map(|index| self.least_loaded(now, index, tried, bulk));
+        let loaded = |index: Index| self.upstreams[index.0].is_loaded(now, &self.sizes, bulk);
         if near.is_some_and(|index| !loaded(index)) {
             return near;
         }
@@ -428,16 +463,18 @@
     }
 
     /// Returns an upstream near by that is not loaded, in place of one that is.
-    fn least_loaded(&self, now: Instant, index: Index, tried: &[Index]) -> Index {
-        if !self.upstreams[index.0].is_loaded(now, &self.sizes) {
+    fn least_loaded(&self, now: Instant, index: Index, tried: &[Index], bulk: Bulk) -> Index {
+        if !self.upstreams[index.0].is_loaded(now, &self.sizes, bulk) {
             return index;
         }
-        let near = (0..self.near).map(Index).filter(|index| !tried.contains(index));
+        let near = (0..self.near)
+            .map(Index)
+            .filter(|index| !tried.contains(index));
         let mut usable = near.filter(|index| {
             let health = &self.upstreams[index.0].health;
             !health.is_leaving() && !health.is_ejected(now)
         });
-        let free = usable.find(|index| !self.upstreams[index.0].is_loaded(now, &self.sizes));
+        let free = usable.find(|index| !self.upstreams[index.0].is_loaded(now, &self.sizes, bulk));
         free.unwrap_or(index)
     }
 
--- a/src/call/gate.rs
+++ b/src/call/gate.rs
@@ -61,7 +61,11 @@
             Decision::Wait(ticket) => {
                 let (sender, receiver) = oneshot::channel();
                 state.waiting.insert(ticket, (demand.class, sender));
-                let latest = now + state.admission.longest_wait(now, demand).mul_f64(OVERSTAY);
+                let longest = state.admission.longest_wait(now, demand);
+                let last = demand
+                    .deadline
+                    .checked_sub(state.admission.class_time(demand.class));
+                let latest = last.unwrap_or(now).min(now + longest.mul_f64(OVERSTAY));
                 Offer::Waits(Waiting {
                     gate: self,
                     ticket,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -309,7 +309,9 @@
 }
 
 fn bind_extra(name: &'static str, address: Option<SocketAddr>) -> Result<Option<Socket>> {
-    address.map(|address| Socket::bind(name, address)).transpose()
+    address
+        .map(|address| Socket::bind(name, address))
+        .transpose()
 }
 
 /// The daemons known, replaced as a whole.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -193,7 +193,9 @@
         headers.insert(EXCHANGE, HeaderValue::from_static("1"));
         headers.insert(header::HOST, HeaderValue::from_static("inbound"));
         let answer = pool.connection(Reuse::Never).await?.send(request).await?;
-        let body = Limited::new(answer.into_body(), MAX_FRAME_LEN).collect().await;
+        let body = Limited::new(answer.into_body(), MAX_FRAME_LEN)
+            .collect()
+            .await;
         let body = body.map_err(|err| UpstreamError::Lost(peer, err.to_string()))?;
         wire::Exchange::decode(body.to_bytes())
             .map_err(|err| ExchangeError::Unreadable(peer, err.to_string()))
--- a/src/generated.rs
+++ b/src/generated.rs
@@ -10,14 +10,3 @@
 pub mod mesh {
     include!("generated/baobabstage.mesh.rs");
 }
-
-#[allow(
-    missing_docs,
-    clippy::pedantic,
-    clippy::all,
-    reason = "the generator does not write for the linter"
-)]
-#[rustfmt::skip]
-pub mod platform {
-    include!("generated/baobabstage.platform.rs");
-}
--- a/src/member/book.rs
+++ b/src/member/book.rs
@@ -147,8 +147,7 @@
 
     fn insert(&mut self, record: wire::Member, listed: bool, now: Instant) -> bool {
         if record.state() == MemberState::Gone {
-            self.gone
-                .insert(record.name.clone(), (rank(&record), now));
+            self.gone.insert(record.name.clone(), (rank(&record), now));
             return self.known.remove(&record.name).is_some();
         }
         let known = Known {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -7,8 +7,8 @@
 
 pub use budget::{Budget, CALLS_PER_SECOND, RETRIES_PER_SECOND};
 pub use client::{Client, ClientSettings};
-pub use follow::{Follower, News};
 pub use dialect::{Call, Dialect, Message, Plain, Reply, plain};
+pub use follow::{Follower, News};
 
 use bytes::Bytes;
 use std::future::Future;
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -1,8 +1,6 @@
 //! The client to the platform's service.
 
-use super::{
-    Answer, Call, Changes, Dialect, Entry, Listing, Platform, PlatformError, Reply, Swap,
-};
+use super::{Answer, Call, Changes, Dialect, Entry, Listing, Platform, PlatformError, Reply, Swap};
 use crate::call::upstream::{BackendPool, Reuse, UpstreamError};
 use crate::serve::full;
 use bytes::Bytes;
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -61,7 +61,10 @@
     /// Tests whether the call changes nothing, so that it can be repeated after any fault.
     #[must_use]
     pub fn is_read(&self) -> bool {
-        matches!(self, Call::Get { .. } | Call::List { .. } | Call::Changes { .. })
+        matches!(
+            self,
+            Call::Get { .. } | Call::List { .. } | Call::Changes { .. }
+        )
     }
 }
 
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -20,10 +20,10 @@
 
 /// Time for which a watch on a given configuration waits. A connection that goes silent is found
 /// by its end; until then peers tell of newer versions.
-const GIVEN_WAIT: Duration = Duration::from_secs(5);
+const GIVEN_WAIT: Duration = Duration::from_secs(10);
 /// Time after a version in which further ones are gathered, so that a quick succession of versions
 /// costs few calls.
-const GATHER_TIME: Duration = Duration::from_millis(250);
+const GATHER_TIME: Duration = Duration::from_millis(600);
 
 /// Greatest delay before a platform that does not answer is asked again for the configuration.
 const GIVEN_RETRY_MAX: Duration = Duration::from_millis(500);
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -449,17 +449,26 @@
         return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason));
     }
     if status == StatusCode::MISDIRECTED_REQUEST && names.expects.is_some() {
-        let other = names.instance.as_ref().and_then(|name| call::text(headers, name));
+        let other = names
+            .instance
+            .as_ref()
+            .and_then(|name| call::text(headers, name));
         event!(
             BackendUnhealthy,
             request = text,
             expected = backend.instance.as_deref().unwrap_or("-"),
             instance = other.unwrap_or("-"),
         );
-        daemon.backend.mismatch(backend.instance.as_deref().unwrap_or_default());
+        daemon
+            .backend
+            .mismatch(backend.instance.as_deref().unwrap_or_default());
         return Err(unavailable("another backend server is there", Why::Shed));
     }
-    if names.not_run.as_ref().is_some_and(|name| headers.contains_key(name)) {
+    if names
+        .not_run
+        .as_ref()
+        .is_some_and(|name| headers.contains_key(name))
+    {
         let refusal = unavailable("backend server refused the call", Why::Shed);
         let after = call::read_retry_after(headers);
         return Err(after.map_or(refusal.clone(), |after| refusal.retry_after(after)));
--- a/src/role/inbound/health.rs
+++ b/src/role/inbound/health.rs
@@ -101,7 +101,11 @@
     *request.uri_mut() = path.parse().unwrap_or_default();
     let host = HeaderValue::from_static("backend");
     request.headers_mut().insert(header::HOST, host);
-    let answer = pool.connection(Reuse::Within(ASK_EVERY * 2)).await?.send(request).await?;
+    let answer = pool
+        .connection(Reuse::Within(ASK_EVERY * 2))
+        .await?
+        .send(request)
+        .await?;
     let (head, body) = answer.into_parts();
     if head.headers.contains_key(call::DRAIN) {
         return Ok(Health::Draining);
--- a/src/role/inbound/keyed.rs
+++ b/src/role/inbound/keyed.rs
@@ -115,7 +115,10 @@
     let ending = receiver.wait_for(Option::is_some).await;
     match ending.ok().and_then(|ending| ending.clone()) {
         Some(Ending::Answered(kept) | Ending::Shed(kept)) => Ok(kept),
-        Some(Ending::NotRun) => Err(unavailable("first call with this key did not run", Why::Other)),
+        Some(Ending::NotRun) => Err(unavailable(
+            "first call with this key did not run",
+            Why::Other,
+        )),
         Some(Ending::Unknown) | None => Err(refused(KeyError::Unknown)),
     }
 }
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -30,10 +30,10 @@
 const RENEW_EVERY: Duration = Duration::from_millis(1_800);
 
 /// Time for which a watch on the entries waits; also the longest that one stays silent unseen.
-const LIST_WAIT: Duration = Duration::from_secs(5);
+const LIST_WAIT: Duration = Duration::from_secs(10);
 
 /// Time after a change in which further ones are gathered.
-const GATHER_TIME: Duration = Duration::from_millis(250);
+const GATHER_TIME: Duration = Duration::from_millis(800);
 
 /// Delays before a platform that does not answer is asked again. Entries that lapsed while it was
 /// away shall be back within two seconds of its return.
@@ -116,7 +116,11 @@
             }
             Err(err) => {
                 let since = *failing_since.get_or_insert_with(Instant::now);
-                event!(AnnouncementFailed, error = err, ms = since.elapsed().as_millis());
+                event!(
+                    AnnouncementFailed,
+                    error = err,
+                    ms = since.elapsed().as_millis()
+                );
                 if since.elapsed() > VOUCH_AFTER {
                     // Peers take the greater number as a sign of life.
                     daemon.renumber();
@@ -154,7 +158,11 @@
             return;
         };
         if record.left && !record.instance.is_empty() {
-            event!(BackendRecalled, instance = record.instance, born_ms = record.born_ms);
+            event!(
+                BackendRecalled,
+                instance = record.instance,
+                born_ms = record.born_ms
+            );
             daemon.backend.recall(&record.instance, record.born_ms);
         }
     }
@@ -209,7 +217,9 @@
                 Swap::Stale(revision) => self.revision = revision,
             }
         }
-        Err(PlatformError::Unavailable("entry is written by others too".into()))
+        Err(PlatformError::Unavailable(
+            "entry is written by others too".into(),
+        ))
     }
 }
 
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -5,7 +5,7 @@
 use crate::call::attempt::{Attempt, AttemptId};
 use crate::call::body::Guarded;
 use crate::call::budget::{Failure, backoff};
-use crate::call::choose::{Choice, Group, Health, Index, Upstream};
+use crate::call::choose::{Choice, Health, Index, Upstream};
 use crate::call::idempotency::{KEY_TIME, KeyId};
 use crate::call::upstream::{Link, UpstreamError};
 use crate::call::view::{ServiceView, ViewCell, Viewer};
@@ -150,7 +150,9 @@
         flight: Flight,
     ) -> Result<Response<Body>, Refusal> {
         let tuned = **daemon.tuned.load();
-        let view = self.views.get(daemon.config.table(), daemon.fleet.load(), tuned);
+        let view = self
+            .views
+            .get(daemon.config.table(), daemon.fleet.load(), tuned);
         let entry = request::find_route(&view.table, &request)?;
         let service = entry.service(self.place());
         let call = Call::new(daemon, &view, entry, service, request, id)?;
@@ -177,12 +179,13 @@
         loop {
             let index = match call.key {
                 Some(key) => key_holder(call, key).await,
-                None => self.choose(group, &tried, made),
+                None => self.choose(call, &tried, made),
             };
             let Some(index) = index else {
                 return told.map(|failed| *failed.answer).ok_or_else(no_upstream);
             };
-            let patience = call.patience(busy, group.upstreams().len() - tried.len());
+            let untried = group.upstreams().len().saturating_sub(tried.len());
+            let patience = call.patience(busy, untried);
             let attempt = self.attempt(call, index, patience, &mut flight);
             let failed = match attempt.await {
                 Ok(answer) => return Ok(answer),
@@ -225,12 +228,13 @@
 
     /// Chooses an upstream that was not tried; any of those when all were, unless it is known of
     /// each that the call was not even offered to its backend server.
-    fn choose(&self, group: &Group, tried: &[Index], made: u32) -> Option<Index> {
+    fn choose(&self, call: &Call<'_>, tried: &[Index], made: u32) -> Option<Index> {
+        let (group, bulk) = (&call.service.group, call.bulk());
         let now = Instant::now();
-        let untried = group.choose(now, self.choice, rand::random(), tried);
+        let untried = group.choose_for(now, self.choice, rand::random(), tried, bulk);
         untried.or_else(|| {
             (made > 0)
-                .then(|| group.choose(now, self.choice, rand::random(), &[]))
+                .then(|| group.choose_for(now, self.choice, rand::random(), &[], bulk))
                 .flatten()
         })
     }
@@ -348,7 +352,12 @@
     fn end(&mut self, status: StatusCode) {
         self.ended = true;
         let ms = self.started.elapsed().as_millis();
-        event!(CallAnswered, request = self.id, status = status.as_u16(), ms = ms);
+        event!(
+            CallAnswered,
+            request = self.id,
+            status = status.as_u16(),
+            ms = ms
+        );
     }
 }
 
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -3,7 +3,7 @@
 use crate::call::attempt::{Attempt, Load};
 use crate::call::body::Replay;
 use crate::call::budget::{Failure, Terms};
-use crate::call::choose::Upstream;
+use crate::call::choose::{Bulk, Upstream};
 use crate::call::fence::Fate;
 use crate::call::idempotency::{KEY, KeyId};
 use crate::call::upstream::{Link, UpstreamError};
@@ -147,6 +147,11 @@
         offered.then_some(FIRST_PATIENCE)
     }
 
+    /// Returns how much the call costs to carry.
+    pub(super) fn bulk(&self) -> Bulk {
+        if self.short { Bulk::Light } else { Bulk::Heavy }
+    }
+
     /// Tests whether a backend server's own failure is worth another attempt.
     fn retries_faults(&self) -> bool {
         let idempotent = self.daemon.names.seal.is_some() && self.terms.idempotent;
--- a/src/role/reports.rs
+++ b/src/role/reports.rs
@@ -1,13 +1,13 @@
 //! The role that takes reports of the backend server beside this daemon.
 
 use super::inbound::health;
+use crate::backend::Report;
 use crate::backend::{Stage, Taken};
 use crate::daemon::{Daemon, Phase};
 use crate::event;
 use crate::kernel::{Plugin, Work};
 use crate::serve::{Body, full, serve};
 use crate::site::{Leave, ReportCall, Reports};
-use crate::backend::Report;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -55,11 +55,7 @@
 
 fn metrics(_: &Daemon, _: &mut Registry) {}
 
-async fn answer(
-    daemon: &Daemon,
-    reports: &Reports,
-    request: Request<Incoming>,
-) -> Response<Body> {
+async fn answer(daemon: &Daemon, reports: &Reports, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
     let body = Limited::new(body, MAX_REPORT_LEN).collect();
     let body = match tokio::time::timeout(READ_TIMEOUT, body).await {
@@ -109,7 +105,9 @@
 fn taken_in() -> Response<Body> {
     let mut answer = Response::new(full("{}"));
     let json = http::HeaderValue::from_static("application/json");
-    answer.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    answer
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, json);
     answer
 }
 
--- a/src/start.rs
+++ b/src/start.rs
@@ -148,7 +148,9 @@
             Ok(read) if known.as_ref() == Some(&read) => {}
             Ok(read) => {
                 let old = known.replace(read.clone()).unwrap_or_default();
-                let differ = read.iter().filter(|(name, value)| old.get(*name) != Some(value));
+                let differ = read
+                    .iter()
+                    .filter(|(name, value)| old.get(*name) != Some(value));
                 let names: Vec<&str> = differ.map(|(name, _)| name.as_str()).collect();
                 event!(SettingsRead, changed = names.join(","));
                 match Settings::new(&Flags::default(), &over(&read)) {
--- a/src/table.rs
+++ b/src/table.rs
@@ -210,8 +210,7 @@
             route: route.clone(),
             parts,
             timeout: Duration::from_millis(route.timeout_ms),
-            objective: (route.objective_ms > 0)
-                .then(|| Duration::from_millis(route.objective_ms)),
+            objective: (route.objective_ms > 0).then(|| Duration::from_millis(route.objective_ms)),
             weight: weight.ok_or_else(|| dangling(key))?,
             class: xxh32(key.name.as_bytes(), 0),
         });
--- a/standin/src/bench/calls/mesh.rs
+++ b/standin/src/bench/calls/mesh.rs
@@ -6,12 +6,13 @@
 use crate::fleet::{Launcher, Process};
 use crate::platform::{Limits, Platform};
 use anyhow::ensure;
-use baobabstage::platform::{Client, ClientSettings, Platform as _, Swap};
+use baobabstage::platform::{Client, ClientSettings, Plain, Platform as _, Swap};
 use http::{Method, Request};
 use http_body_util::Full;
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -123,10 +124,11 @@
     ///
     /// Fails when the platform does not answer.
     pub async fn write_time(&self) -> anyhow::Result<Duration> {
-        let client = Client::new(&ClientSettings {
-            address: self.platform.address().to_string(),
+        let settings = ClientSettings {
+            address: self.platform.address(),
             timeout: TIMEOUT,
-        })?;
+        };
+        let client = Client::new(&settings, Arc::new(Plain))?;
         let mut times = Vec::new();
         for number in 0..WRITES {
             let key = format!("bench/{number}");
--- a/standin/src/bench/converge/model.rs
+++ b/standin/src/bench/converge/model.rs
@@ -41,6 +41,7 @@
         inbound: format!("10.{}.{}.{}:7001", domain, index / 250, index % 250),
         mesh: format!("10.{}.{}.{}:7002", domain, index / 250, index % 250),
         slots: 12,
+        ..wire::Member::default()
     }
 }
 
--- a/tests/call_choice.rs
+++ b/tests/call_choice.rs
@@ -27,6 +27,7 @@
             near,
             suspect: false,
             joined: None,
+            slots: None,
         },
         health: Arc::new(Health::new(now)),
     }
--- a/tests/call_fence.rs
+++ b/tests/call_fence.rs
@@ -120,6 +120,9 @@
         sent_ms: 8,
         weight: 9,
         idempotent: true,
+        class: 77,
+        objective_ms: 300,
+        patience_ms: Some(0),
     };
     assert_eq!(attempt.to_string().parse(), Ok(attempt));
 }
--- a/tests/call_link.rs
+++ b/tests/call_link.rs
@@ -39,6 +39,9 @@
         sent_ms,
         weight: 1,
         idempotent: false,
+        class: 0,
+        objective_ms: 0,
+        patience_ms: None,
     }
 }
 
--- a/tests/fuzz_members.rs
+++ b/tests/fuzz_members.rs
@@ -115,6 +115,7 @@
             inbound: format!("10.0.0.{place}:7001"),
             mesh: format!("10.0.0.{place}:7002"),
             slots: 9,
+            ..wire::Member::default()
         };
         let relay = domain * RELAYS + place / DOMAINS % RELAYS;
         self.daemons.insert(place, Daemon { record, relay });
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -20,6 +20,7 @@
         inbound: format!("{name}:7001"),
         mesh: format!("{name}:7002"),
         slots: 12,
+        ..wire::Member::default()
     }
 }
 
