--- a/src/event.rs
+++ b/src/event.rs
@@ -83,7 +83,7 @@
     MemberUnreadable = 413, Warn, "An entry of a daemon cannot be read.";
     ExchangeFailed = 414, Debug, "An exchange with another daemon failed.";
 
-    CallRefused = 500, Debug, "A call was refused as not run.";
+    CallRefused = 500, Info, "A call was refused as not run.";
     CallUnknown = 501, Warn, "A call ended without a known outcome.";
     UpstreamEjected = 502, Warn, "An upstream gets no calls for a while.";
     UpstreamRestored = 503, Info, "An upstream gets calls again.";
@@ -91,10 +91,11 @@
     ConnectionFailed = 505, Debug, "A connection ended with an error.";
     CallAnswered = 506, Debug, "A call was answered.";
     AttemptFailed = 507, Info, "An attempt failed; another may follow.";
-    AttemptRefused = 508, Debug, "An attempt was refused before it reached the backend server.";
+    AttemptRefused = 508, Info, "An attempt was refused before it reached the backend server.";
     AttemptFenced = 509, Info, "The inbound side was asked what became of an attempt.";
-    AttemptCancelled = 510, Debug, "A call ended before its answer: its caller went away.";
+    AttemptCancelled = 510, Info, "A call ended before its answer: its caller went away.";
     AnswerUnsealed = 511, Warn, "A success of a backend server bore no seal.";
+    AttemptRan = 512, Debug, "The backend server beside this daemon has answered.";
 
     OperatorRefused = 600, Warn, "An operator's request was refused.";
 }
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -178,15 +178,18 @@
             let id = id.as_ref().and_then(|id| id.to_str().ok());
             let id = id.unwrap_or_default();
             let load = self.gate.load();
-            event!(
-                AttemptRefused,
-                request = id,
-                why = refusal.why.as_str(),
-                outcome = refusal.outcome.as_str(),
-                load = load,
-                stage = format_args!("{:?}", daemon.backend.load().stage),
-                reason = refusal.reason,
-            );
+            // Its sender looks elsewhere first, so that nothing is decided yet.
+            if refusal.why != Why::Busy {
+                event!(
+                    AttemptRefused,
+                    request = id,
+                    why = refusal.why.as_str(),
+                    outcome = refusal.outcome.as_str(),
+                    load = load,
+                    stage = format_args!("{:?}", daemon.backend.load().stage),
+                    reason = refusal.reason,
+                );
+            }
             let why = refusal.why.as_str();
             let mut answer = refusal.into_answer(id, &daemon.names);
             let headers = answer.headers_mut();
@@ -245,6 +248,7 @@
         self.refresh_limits(daemon)?;
         let arrival = self.arrive(&attempt)?;
         let deadline = deadline(request.headers());
+        let came = Instant::now();
         let permit = self.gate.admit(&demand(&attempt, deadline)).await;
         let permit = permit.map_err(refused)?;
         // It may have left while the call waited.
@@ -252,6 +256,7 @@
         let run = Run {
             permit,
             arrival,
+            waited: came.elapsed(),
             _flight: flight,
         };
         let answer = self.run(daemon, run, &attempt, request, deadline);
@@ -321,6 +326,18 @@
             }
         })?;
         *lock(&self.down) = None;
+        event!(
+            AttemptRan,
+            request = id
+                .as_ref()
+                .and_then(|id| id.to_str().ok())
+                .unwrap_or_default(),
+            instance = instance.unwrap_or("-"),
+            waited_ms = run.waited.as_millis(),
+            ran_ms = run.permit.ran().as_millis(),
+            status = answer.status().as_u16(),
+            load = self.gate.load(),
+        );
         if answer.headers().contains_key(call::DRAIN) {
             daemon.drain.advance(Phase::Draining);
         }
@@ -399,6 +416,8 @@
 struct Run {
     permit: Permit,
     arrival: Arrival,
+    /// The time spent in the queue.
+    waited: Duration,
     _flight: Flight,
 }
 
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -351,14 +351,16 @@
     } else if matches!(failure, Failure::NotRun | Failure::MayHaveRun) {
         health.rate(now, false);
     }
-    event!(
-        AttemptRefused,
-        request = call.id,
-        upstream = upstream.facts.name,
-        failure = format_args!("{failure:?}"),
-        why = why.as_str(),
-        status = answer.status().as_u16(),
-    );
+    if why != Why::Busy {
+        event!(
+            AttemptRefused,
+            request = call.id,
+            upstream = upstream.facts.name,
+            failure = format_args!("{failure:?}"),
+            why = why.as_str(),
+            status = answer.status().as_u16(),
+        );
+    }
     let answer = Box::new(answer);
     Err(Failed {
         failure,
--- a/src/start.rs
+++ b/src/start.rs
@@ -64,6 +64,7 @@
 }
 
 fn finish(ended: anyhow::Result<()>) -> ExitCode {
+    logging::flush();
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
@@ -90,6 +91,7 @@
     for fault in faults.lines() {
         event!(SettingsRefused, fault = fault);
     }
+    logging::flush();
 }
 
 /// Runs the daemon on as many threads as the settings say.
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -67,12 +67,12 @@
             .args(&self.arguments)
             .args(flags)
             .stdin(Stdio::null())
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
             .with_context(|| format!("start {}", self.program.display()))?;
-        let stderr = child.stderr.take().context("no standard error")?;
-        let mut lines = BufReader::new(stderr).lines();
+        let stdout = child.stdout.take().context("no standard output")?;
+        let mut lines = BufReader::new(stdout).lines();
         let mut process = Process::new(child);
         let deadline = Instant::now() + START_TIMEOUT;
         let mut said = Vec::new();
--- a/tests/drain_calls.rs
+++ b/tests/drain_calls.rs
@@ -136,12 +136,12 @@
     let mut child = tokio::process::Command::new(env!("CARGO_BIN_EXE_baobabd"))
         .args(["--domain", "espoo", "--region", "fi-south"])
         .args(["--platform", "127.0.0.1:1"])
-        .stderr(std::process::Stdio::piped())
+        .stdout(std::process::Stdio::piped())
         .kill_on_drop(true)
         .spawn()
         .unwrap();
-    let stderr = child.stderr.take().unwrap();
-    let mut lines = tokio::io::AsyncBufReadExt::lines(tokio::io::BufReader::new(stderr));
+    let stdout = child.stdout.take().unwrap();
+    let mut lines = tokio::io::AsyncBufReadExt::lines(tokio::io::BufReader::new(stdout));
     while let Some(line) = lines.next_line().await.unwrap() {
         if line.contains("name=Started") || line.contains("Started") {
             break;
