--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -34,9 +34,12 @@
 /// Data of one connection that may be under way between daemons, in bytes.
 const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
 
-/// Time between probes of a connection between daemons that carries calls, and for the answer to
-/// one. Bounds the time for which calls wait on a connection that went silent.
-const PROBE_INTERVAL: Duration = Duration::from_millis(800);
+/// Time between probes of a connection between daemons that carries calls.
+const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time for the answer to a probe. A daemon on a tenth of a core may be held up for more than a
+/// second; calls on a connection that went silent wait for this long at most.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -340,6 +343,9 @@
     opening: tokio::sync::Mutex<()>,
     /// Connections that could not be opened.
     failures: AtomicU64,
+    /// When the link was last used, in milliseconds since it was made.
+    used_ms: AtomicU64,
+    made: Instant,
 }
 
 /// An open connection with the inbound side's clock as it was when the connection was opened.
@@ -359,6 +365,16 @@
             open: ArcSwapOption::empty(),
             opening: tokio::sync::Mutex::default(),
             failures: AtomicU64::new(0),
+            used_ms: AtomicU64::new(0),
+            made: Instant::now(),
+        }
+    }
+
+    /// Closes the connection if it has not been used for a time. Calls under way are not cut off.
+    pub fn close_idle(&self, time: Duration) {
+        let used = Duration::from_millis(self.used_ms.load(Ordering::Relaxed));
+        if self.made.elapsed().saturating_sub(used) > time {
+            self.reset();
         }
     }
 
@@ -374,6 +390,8 @@
     ///
     /// Fails with [`UpstreamError::NotSent`].
     pub async fn ready(&self) -> Result<Ready, UpstreamError> {
+        let used = u64::try_from(self.made.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.used_ms.store(used, Ordering::Relaxed);
         let open = self.open().await?;
         let passed = u64::try_from(open.at.elapsed().as_millis()).unwrap_or(u64::MAX);
         let mut sender = open.sender.clone();
@@ -459,7 +477,7 @@
             .initial_stream_window_size(STREAM_WINDOW)
             .initial_connection_window_size(CONNECTION_WINDOW)
             .keep_alive_interval(PROBE_INTERVAL)
-            .keep_alive_timeout(PROBE_INTERVAL)
+            .keep_alive_timeout(PROBE_TIMEOUT)
             .handshake(io)
             .await
             .map_err(|err| self.not_sent(&err.to_string()))?;
--- a/src/call/view.rs
+++ b/src/call/view.rs
@@ -44,6 +44,11 @@
 }
 
 impl ServiceView {
+    /// Returns the links to other daemons.
+    pub fn links(&self) -> impl Iterator<Item = &Arc<Link>> {
+        self.links.iter().flatten()
+    }
+
     /// Returns the link to an upstream; `None` when it is beside this daemon.
     #[must_use]
     pub fn link(&self, index: Index) -> Option<&Arc<Link>> {
--- a/src/change.rs
+++ b/src/change.rs
@@ -288,8 +288,8 @@
             effects.push(wire::Effect {
                 kind: op.key.kind.to_string(),
                 name: op.key.name.clone(),
-                before: before.map(|res| res.body),
-                after: after.as_ref().map(|res| res.body.clone()),
+                before: before.map(|res| res.body()),
+                after: after.as_ref().map(Resource::body),
             });
             if let Some(after) = after {
                 resources.insert(op.key.clone(), after);
@@ -297,6 +297,7 @@
         }
         let snapshot = Snapshot::new(version, self.id.as_str(), resources);
         check::snapshot(&snapshot)?;
+        check::length(&snapshot)?;
         let record = wire::ChangeRecord {
             change: self.id.clone(),
             title: self.title.clone(),
@@ -324,7 +325,7 @@
             let kind: Kind = effect.kind.parse()?;
             let key = ResourceKey::new(kind, effect.name.as_str());
             let current = now.resources().get(&key);
-            if current.map(|res| &res.body) != effect.after.as_ref() {
+            if current.map(Resource::body) != effect.after {
                 let revision = current.map_or(0, |res| res.revision);
                 let message = format!(
                     "change {} cannot be reverted: {key} has changed since (revision {revision})",
--- a/src/check.rs
+++ b/src/check.rs
@@ -46,6 +46,7 @@
 /// Fails with [`Category::Input`]; the message lists each fault with its resource and field.
 pub fn snapshot(snapshot: &Snapshot) -> Result<()> {
     let mut faults = Faults::default();
+    let policies = policies(snapshot);
     for (key, res) in snapshot.resources() {
         if let Some(problem) = name_problem(&key.name) {
             faults.add(key, "name", &problem);
@@ -53,9 +54,17 @@
         match res.spec.as_ref() {
             Spec::Policy(policy) => check_policy(&mut faults, key, policy),
             Spec::Pool(pool) => check_pool(&mut faults, key, pool),
-            Spec::Route(route) => check_route(&mut faults, key, route, snapshot),
+            Spec::Route(route) => check_route(&mut faults, key, route, &policies),
             Spec::Service(Service { .. }) => {}
         }
+        // Most routes lead to services that are known to be there.
+        if let Spec::Route(route) = res.spec.as_ref()
+            && std::iter::once(&route.service)
+                .chain(route.split.keys())
+                .all(|service| policies.contains_key(service.as_str()))
+        {
+            continue;
+        }
         for (field, target) in res.spec.references() {
             if !snapshot.resources().contains_key(&target) {
                 faults.add(key, field, &format!("{target} does not exist"));
@@ -63,13 +72,21 @@
         }
     }
     check_overlaps(&mut faults, snapshot);
+    faults.into_result()
+}
+
+/// Checks the length of a version's encoding.
+///
+/// # Errors
+///
+/// Fails with [`Category::Input`] when it is too long.
+pub fn length(snapshot: &Snapshot) -> Result<()> {
     let len = snapshot.encode().len();
-    if len > MAX_SNAPSHOT_LEN {
-        faults.list.push(format!(
-            "snapshot: {len} bytes; at most {MAX_SNAPSHOT_LEN} are allowed"
-        ));
+    if len <= MAX_SNAPSHOT_LEN {
+        return Ok(());
     }
-    faults.into_result()
+    let message = format!("snapshot: {len} bytes; at most {MAX_SNAPSHOT_LEN} are allowed");
+    Err(Error::new(Category::Input, message))
 }
 
 #[derive(Default)]
@@ -148,7 +165,12 @@
     }
 }
 
-fn check_route(faults: &mut Faults, key: &ResourceKey, route: &Route, all: &Snapshot) {
+fn check_route(
+    faults: &mut Faults,
+    key: &ResourceKey,
+    route: &Route,
+    policies: &BTreeMap<&str, &Policy>,
+) {
     if let Some(problem) = prefix_problem(&route.prefix) {
         faults.add(key, "prefix", &problem);
     }
@@ -173,7 +195,7 @@
         faults.add(key, "split", "every weight is zero");
     }
     for service in std::iter::once(&route.service).chain(route.split.keys()) {
-        if let Some(policy) = policy_of(service, all)
+        if let Some(policy) = policies.get(service.as_str())
             && !policy.kinds.contains_key(&route.request_kind)
         {
             let problem = format!(
@@ -185,16 +207,20 @@
     }
 }
 
-fn policy_of<'a>(service: &str, all: &'a Snapshot) -> Option<&'a Policy> {
-    let key = ResourceKey::new(Kind::Service, service);
-    let Spec::Service(service) = all.resources().get(&key)?.spec.as_ref() else {
-        return None;
-    };
-    let key = ResourceKey::new(Kind::Policy, service.policy.as_str());
-    match all.resources().get(&key)?.spec.as_ref() {
-        Spec::Policy(policy) => Some(policy),
-        _ => None,
-    }
+/// Returns the policy of each service that has one.
+fn policies(all: &Snapshot) -> BTreeMap<&str, &Policy> {
+    let services = all.resources().iter();
+    let services = services.filter_map(|(key, res)| {
+        let Spec::Service(service) = res.spec.as_ref() else {
+            return None;
+        };
+        let policy = ResourceKey::new(Kind::Policy, service.policy.as_str());
+        match all.resources().get(&policy)?.spec.as_ref() {
+            Spec::Policy(policy) => Some((key.name.as_str(), policy)),
+            _ => None,
+        }
+    });
+    services.collect()
 }
 
 /// Finds routes that match exactly the same requests.
@@ -204,10 +230,8 @@
         let Spec::Route(route) = res.spec.as_ref() else {
             continue;
         };
-        let mut methods: Vec<&str> = route.methods.iter().map(String::as_str).collect();
-        if methods.is_empty() {
-            methods.push("");
-        }
+        let any = route.methods.is_empty().then_some("");
+        let methods = route.methods.iter().map(String::as_str).chain(any);
         for method in methods {
             let place = (route.host.as_deref(), route.prefix.as_str(), method);
             if let Some(other) = seen.insert(place, key) {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -7,14 +7,17 @@
 use crate::call::upstream::{BackendPool, Reuse, UpstreamError};
 use crate::call::{EXCHANGE, number};
 use crate::daemon::Daemon;
+use crate::error::{Category, Error, Result};
 use crate::event;
 use crate::generated::mesh as wire;
 use crate::member::book::Book;
 use crate::serve::{Body, full};
-use crate::snapshot::{Snapshot, Stamp};
+use crate::site::{Given, Source};
+use crate::snapshot::{MAX_SNAPSHOT_LEN, Snapshot, Stamp};
 use crate::sync::lock;
 use crate::tree::session::MAX_FRAME_LEN;
-use bytes::BytesMut;
+use crate::zlib;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use prost::Message;
@@ -56,6 +59,8 @@
 #[derive(Default)]
 pub struct Knowledge {
     book: Mutex<Book>,
+    /// The value of the configuration in force, where others write it.
+    given: Mutex<Bytes>,
     hint: watch::Sender<Hint>,
 }
 
@@ -110,7 +115,7 @@
             answer.members = lock(&self.book).records();
         }
         let mine = daemon.config.stamp();
-        answer.config = config_after(daemon, other);
+        answer.config = self.config_after(daemon, other);
         answer.wants = differs && !told || other.version > mine.version;
         answer
     }
@@ -126,17 +131,60 @@
             }
             changed
         });
-        let Some(packed) = said.config else {
-            return;
-        };
-        match Snapshot::unpack(&packed) {
-            Ok(snapshot) => {
-                // A refusal is logged where the version is compiled.
-                if daemon.config.apply(Arc::new(snapshot)).is_ok() {
-                    daemon.caught_up.store(true, Ordering::Relaxed);
-                }
+        if let Some(packed) = said.config
+            && let Err(err) = self.take_config(daemon, &packed)
+        {
+            event!(SnapshotUnreadable, error = err);
+        }
+    }
+
+    fn take_config(&self, daemon: &Daemon, packed: &wire::Packed) -> Result<()> {
+        match &daemon.source {
+            Source::Own => {
+                let snapshot = Snapshot::unpack(packed)?;
+                daemon.config.apply(Arc::new(snapshot)).map(drop)
+            }
+            Source::Given(given) => {
+                let value = zlib::expand(&packed.data, MAX_SNAPSHOT_LEN);
+                let value = value.map_err(|err| Error::new(Category::Input, err))?;
+                self.take_given(daemon, given, &value.into())
+            }
+        }
+    }
+
+    /// Puts a version in force that others wrote, unless it is older than the one in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it cannot be read; nothing is changed then. A version that is read but not valid
+    /// is logged where it is refused.
+    pub fn take_given(&self, daemon: &Daemon, given: &Given, value: &Bytes) -> Result<()> {
+        let before = daemon.config.snapshot();
+        let snapshot = (given.decode)(value, &before)?;
+        if let Ok(applied) = daemon.config.apply(Arc::new(snapshot)) {
+            if applied {
+                *lock(&self.given) = value.clone();
+            }
+            daemon.caught_up.store(true, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    /// Returns the configuration in force when it is newer than a stamp.
+    fn config_after(&self, daemon: &Daemon, other: Stamp) -> Option<wire::Packed> {
+        if daemon.config.stamp().version <= other.version {
+            return None;
+        }
+        match &daemon.source {
+            Source::Own => Some(daemon.config.snapshot().pack()),
+            Source::Given(_) => {
+                let value = lock(&self.given).clone();
+                Some(wire::Packed {
+                    stamp: Some(daemon.config.stamp().to_wire()),
+                    data: zlib::compress(&value).into(),
+                    length: value.len() as u64,
+                })
             }
-            Err(err) => event!(SnapshotUnreadable, error = err),
         }
     }
 
@@ -155,12 +203,6 @@
     }
 }
 
-/// Returns the configuration in force when it is newer than a stamp.
-fn config_after(daemon: &Daemon, other: Stamp) -> Option<wire::Packed> {
-    let newer = daemon.config.stamp().version > other.version;
-    newer.then(|| daemon.config.snapshot().pack())
-}
-
 /// Exchanges with the daemon whose inbound side listens at an address.
 ///
 /// # Errors
@@ -175,7 +217,7 @@
     if wants {
         let mut more = knowledge.greet(daemon);
         more.members = lock(&knowledge.book).records();
-        more.config = config_after(daemon, other);
+        more.config = knowledge.config_after(daemon, other);
         let answer = ask(peer, more).await?;
         knowledge.take(daemon, answer);
     }
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -3,6 +3,7 @@
 use crate::daemon::Daemon;
 use crate::error::{Category, Result};
 use crate::event;
+use crate::exchange::Knowledge;
 use crate::kernel::{Plugin, Work};
 use crate::platform::{self, Entry, Follower, News, PlatformError};
 use crate::settings::Distribution;
@@ -20,10 +21,10 @@
 
 /// Time for which a watch on a given configuration waits. A connection that goes silent is found
 /// by its end; until then peers tell of newer versions.
-const GIVEN_WAIT: Duration = Duration::from_secs(10);
+const GIVEN_WAIT: Duration = Duration::from_secs(30);
 /// Time after a version in which further ones are gathered, so that a quick succession of versions
 /// costs few calls.
-const GATHER_TIME: Duration = Duration::from_millis(600);
+const GATHER_TIME: Duration = Duration::from_millis(1_000);
 
 /// Greatest delay before a platform that does not answer is asked again for the configuration.
 const GIVEN_RETRY_MAX: Duration = Duration::from_millis(500);
@@ -139,13 +140,9 @@
 /// Puts a version in force that was read from the platform. One that cannot be read changes
 /// nothing.
 fn take_given(daemon: &Daemon, given: &Given, entry: &Entry) {
-    match (given.decode)(&entry.value) {
-        Ok(snapshot) => {
-            if daemon.config.apply(Arc::new(snapshot)).is_ok() {
-                daemon.caught_up.store(true, Ordering::Relaxed);
-            }
-        }
-        Err(err) => event!(SnapshotUnreadable, revision = entry.revision, error = err),
+    let knowledge = Knowledge::of(daemon);
+    if let Err(err) = knowledge.take_given(daemon, given, &entry.value) {
+        event!(SnapshotUnreadable, revision = entry.revision, error = err);
     }
 }
 
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -30,10 +30,10 @@
 const RENEW_EVERY: Duration = Duration::from_millis(1_800);
 
 /// Time for which a watch on the entries waits; also the longest that one stays silent unseen.
-const LIST_WAIT: Duration = Duration::from_secs(10);
+const LIST_WAIT: Duration = Duration::from_secs(30);
 
 /// Time after a change in which further ones are gathered.
-const GATHER_TIME: Duration = Duration::from_millis(800);
+const GATHER_TIME: Duration = Duration::from_millis(2_000);
 
 /// Delays before a platform that does not answer is asked again. Entries that lapsed while it was
 /// away shall be back within two seconds of its return.
--- a/src/role/operator/resources.rs
+++ b/src/role/operator/resources.rs
@@ -21,7 +21,7 @@
 
 /// Writes a resource as operators see it.
 pub fn resource_json(key: &ResourceKey, resource: &Resource) -> Value {
-    let spec = serde_json::from_slice::<Value>(&resource.body);
+    let spec = serde_json::from_slice::<Value>(&resource.body());
     json!({
         "kind": key.kind,
         "name": key.name,
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -20,8 +20,8 @@
 use hyper::body::Incoming;
 use prometheus_client::registry::Registry;
 use serde_json::{Value, json};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -29,6 +29,9 @@
     Plugin { name: "outbound", run, state, metrics }
 }
 
+/// Time after which a connection to a daemon that gets no calls is closed.
+const LINK_IDLE: Duration = Duration::from_secs(4);
+
 /// Upstreams that may refuse one call before it is given up.
 const MAX_HOPS: u32 = 4;
 
@@ -50,11 +53,26 @@
             let (daemon, side) = (Arc::clone(&shared), Arc::clone(&side));
             async move { side.answer(&daemon, request).await }
         };
+        tokio::spawn(close_idle_links(Arc::downgrade(&of(&daemon))));
         let drain = daemon.drain.clone();
         serve_calls(&daemon.sockets.outbound, drain, Phase::Draining, handler).await
     })
 }
 
+/// Closes the connections to daemons that get no calls: most of a large fleet.
+async fn close_idle_links(side: Weak<Outbound>) {
+    loop {
+        tokio::time::sleep(LINK_IDLE / 2).await;
+        let Some(side) = side.upgrade() else {
+            return;
+        };
+        let view = side.views.last();
+        for (_, service) in view.iter().flat_map(|view| view.services()) {
+            service.links().for_each(|link| link.close_idle(LINK_IDLE));
+        }
+    }
+}
+
 fn of(daemon: &Daemon) -> Arc<Outbound> {
     daemon.part(|| Outbound::new(daemon))
 }
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -90,10 +90,10 @@
         });
         service.budget.earn(policy.retry_percent);
         let terms = Terms {
-            idempotent: entry.route.idempotent,
+            idempotent: entry.route().idempotent,
             owned_above: request.headers().contains_key(call::RETRY),
             replayable: true,
-            attempts: entry.route.attempts,
+            attempts: entry.route().attempts,
             deadline: now + left,
         };
         let key = request.headers().get(KEY);
@@ -233,9 +233,6 @@
             return self.unknown(upstream, StatusCode::PAYLOAD_TOO_LARGE, reason);
         }
         note_failure(upstream);
-        if self.terms.idempotent && !late {
-            return self.unknown(upstream, StatusCode::BAD_GATEWAY, reason);
-        }
         let time = if late { LATE_FENCE_TIME } else { FENCE_TIME };
         let fate = tokio::time::timeout(time, link.fence(attempt)).await;
         let fate = fate.ok().flatten();
--- a/src/site.rs
+++ b/src/site.rs
@@ -27,9 +27,12 @@
     /// The key of the newest version.
     pub key: String,
     /// Reads a version from the key's value.
-    pub decode: Arc<dyn Fn(&[u8]) -> Result<Snapshot> + Send + Sync>,
+    pub decode: Decode,
 }
 
+/// Reads a version from a value. What is the same in the version before is shared with it.
+pub type Decode = Arc<dyn Fn(&[u8], &Snapshot) -> Result<Snapshot> + Send + Sync>;
+
 /// Reads the settings of the daemon again, as environment variables.
 pub type Reload = Arc<dyn Fn() -> Result<BTreeMap<String, String>> + Send + Sync>;
 
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_128};
 
 /// The greatest length of a snapshot's encoding, in bytes.
 pub const MAX_SNAPSHOT_LEN: usize = 16 * 1024 * 1024;
@@ -70,21 +70,20 @@
     pub revision: u64,
     /// What the resource says.
     pub spec: Arc<Spec>,
-    /// The specification as canonical JSON.
-    pub body: Bytes,
 }
 
 impl Resource {
     /// Makes a resource from its specification.
     #[must_use]
     pub fn new(revision: u64, spec: Spec) -> Self {
-        let body = Bytes::from(spec.to_json());
         let spec = Arc::new(spec);
-        Resource {
-            revision,
-            spec,
-            body,
-        }
+        Resource { revision, spec }
+    }
+
+    /// Returns the specification as canonical JSON.
+    #[must_use]
+    pub fn body(&self) -> Bytes {
+        self.spec.to_json().into()
     }
 
     fn to_wire(&self, key: &ResourceKey) -> wire::Resource {
@@ -92,7 +91,7 @@
             kind: key.kind.to_string(),
             name: key.name.clone(),
             revision: self.revision,
-            body: self.body.clone(),
+            body: self.body(),
         }
     }
 
@@ -104,7 +103,6 @@
         let resource = Resource {
             revision: resource.revision,
             spec: Arc::new(spec),
-            body: resource.body,
         };
         Ok((key, resource))
     }
@@ -135,6 +133,22 @@
         }
     }
 
+    /// Makes a version from resources that were read from a value, which stands for the content.
+    #[must_use]
+    pub fn of_value(
+        version: u64,
+        change: impl Into<String>,
+        resources: BTreeMap<ResourceKey, Resource>,
+        value: &[u8],
+    ) -> Self {
+        let hash = xxh3_128(value);
+        Snapshot {
+            stamp: Stamp { version, hash },
+            change: change.into(),
+            resources,
+        }
+    }
+
     /// Returns the version and the hash of the content.
     #[must_use]
     pub fn stamp(&self) -> Stamp {
@@ -286,7 +300,7 @@
         update_field(&mut hasher, key.kind.as_str().as_bytes());
         update_field(&mut hasher, key.name.as_bytes());
         hasher.update(&res.revision.to_be_bytes());
-        update_field(&mut hasher, &res.body);
+        update_field(&mut hasher, &res.body());
     }
     hasher.digest128()
 }
--- a/src/table.rs
+++ b/src/table.rs
@@ -5,7 +5,6 @@
 use crate::resource::{Kind, Policy, Pool, ResourceKey, Route, Service, Spec};
 use crate::snapshot::{Snapshot, Stamp};
 use slotmap::{SlotMap, new_key_type};
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,7 +32,7 @@
     /// The route's name.
     pub name: String,
     /// What the route matches.
-    pub route: Route,
+    spec: Arc<Spec>,
     /// The services that share the calls, by weight.
     pub parts: Vec<(ServiceId, u32)>,
     /// Time for a whole call.
@@ -47,6 +46,19 @@
 }
 
 impl RouteEntry {
+    /// Returns what the route matches.
+    ///
+    /// # Panics
+    ///
+    /// Does not panic: an entry is made of a route alone.
+    #[must_use]
+    pub fn route(&self) -> &Route {
+        match self.spec.as_ref() {
+            Spec::Route(route) => route,
+            _ => unreachable!("an entry is made of a route"),
+        }
+    }
+
     /// Returns the service that takes a call, given a number in 0 to 1 that is spread evenly.
     #[must_use]
     pub fn service(&self, place: f64) -> ServiceId {
@@ -89,23 +101,21 @@
         }
         for (key, res) in snapshot.resources() {
             if let Spec::Route(route) = res.spec.as_ref() {
-                table.add_route(key, route)?;
+                table.add_route(key, &res.spec, route)?;
             }
         }
-        table.routes.sort_by_cached_key(|entry| {
-            let Route {
-                host,
-                prefix,
-                methods,
-                ..
-            } = &entry.route;
-            let specific = (host.is_some(), prefix.len(), !methods.is_empty());
-            (Reverse(specific), entry.name.clone())
-        });
+        // Those without methods come after those with some that match the same paths; all are in
+        // the order of their names otherwise.
+        table
+            .routes
+            .sort_by_key(|entry| entry.route().methods.is_empty());
         for (index, entry) in table.routes.iter().enumerate() {
-            let host = table.places.entry(entry.route.host.clone()).or_default();
-            let place = host.entry(entry.route.prefix.clone()).or_default();
-            place.push(index);
+            let Route { host, prefix, .. } = entry.route();
+            if !table.places.contains_key(host) {
+                table.places.insert(host.clone(), BTreeMap::new());
+            }
+            let places = table.places.get_mut(host).expect("it has just been added");
+            places.entry(prefix.clone()).or_default().push(index);
         }
         table.snapshot = snapshot;
         Ok(table)
@@ -148,7 +158,7 @@
             let mut found = prefixes(path).filter_map(|prefix| places.get(prefix));
             let entry = found.find_map(|place| {
                 let mut entries = place.iter().map(|index| &self.routes[*index]);
-                entries.find(|entry| allows(&entry.route, method))
+                entries.find(|entry| allows(entry.route(), method))
             });
             if entry.is_some() {
                 return entry;
@@ -195,7 +205,7 @@
         Ok(())
     }
 
-    fn add_route(&mut self, key: &ResourceKey, route: &Route) -> Result<()> {
+    fn add_route(&mut self, key: &ResourceKey, spec: &Arc<Spec>, route: &Route) -> Result<()> {
         let mut parts = Vec::new();
         let whole = BTreeMap::from([(route.service.clone(), 1)]);
         let split = Some(&route.split).filter(|split| !split.is_empty());
@@ -207,7 +217,7 @@
         let weight = kinds.get(&route.request_kind).copied();
         self.routes.push(RouteEntry {
             name: key.name.clone(),
-            route: route.clone(),
+            spec: Arc::clone(spec),
             parts,
             timeout: Duration::from_millis(route.timeout_ms),
             objective: (route.objective_ms > 0).then(|| Duration::from_millis(route.objective_ms)),
--- a/standin/src/bench/soak/monitor.rs
+++ b/standin/src/bench/soak/monitor.rs
@@ -114,7 +114,7 @@
                 "kind": key.kind,
                 "name": key.name,
                 "revision": res.revision,
-                "spec": serde_json::from_slice::<Value>(&res.body).unwrap_or_default(),
+                "spec": serde_json::from_slice::<Value>(&res.body()).unwrap_or_default(),
             })
         });
         Some(resources.collect())
