Make a daemon an upstream of its own callers at once

Change: the record is noted in the one place that puts members in force; tests/exchange.rs fails without it.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -164,7 +164,7 @@
         if self.service.as_ref() != Some(&report.service) || self.address != Some(report.address) {
             return Taken::Foreign;
         }
-        let mut state = lock(&self.state);
+        let mut memory = lock(&self.state);
         let known = self.load();
         let same = known.instance.as_deref() == Some(&report.instance);
         let same = same && known.born_ms == report.born_ms;
@@ -175,16 +175,16 @@
             return Taken::Old;
         }
         let left = |(id, born): &(String, u64)| *id == report.instance && *born >= report.born_ms;
-        let leaving = report.word == Word::Draining || state.left.iter().any(left);
+        let leaving = report.word == Word::Draining || memory.left.iter().any(left);
         let again = same && known.sequence > 0;
-        state.proven = state.proven || healthy || again;
-        let stage = match (leaving, state.proven) {
+        memory.proven = memory.proven || healthy || again;
+        let stage = match (leaving, memory.proven) {
             (true, _) => Stage::Leaving,
             (false, true) => Stage::Ready,
             (false, false) => Stage::Unknown,
         };
         if leaving {
-            state.leave(&report.instance, report.born_ms);
+            memory.leave(&report.instance, report.born_ms);
         }
         self.put(Backend {
             stage,
--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -35,7 +35,7 @@
 const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
 
 /// Time between probes of a connection between daemons that carries calls.
-const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time for the answer to a probe. A daemon on a tenth of a core may be held up for more than a
 /// second; calls on a connection that went silent wait for this long at most.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -39,10 +39,10 @@
 const LINGER_TIME: Duration = Duration::from_millis(2_500);
 
 /// The share of the time until the process is killed in which calls in flight may end.
-const GRACE_SHARE: f64 = 0.92;
+const GRACE_SHARE: f64 = 0.88;
 
 /// The share of that time in which connections may end.
-const CLOSE_SHARE: f64 = 0.96;
+const CLOSE_SHARE: f64 = 0.92;
 
 /// Time for connections to end once no call is in flight.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -190,12 +190,11 @@
 
     fn greet(&self, daemon: &Daemon) -> wire::Exchange {
         let own = daemon.record();
-        let mut book = lock(&self.book);
-        book.hear(own.clone(), Instant::now());
+        self.change(daemon, |book, now| book.hear(own.clone(), now));
         wire::Exchange {
             sender: Some(own),
             stamp: Some(daemon.config.stamp().to_wire()),
-            digest: book.digest(),
+            digest: lock(&self.book).digest(),
             members: Vec::new(),
             config: None,
             wants: false,
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -24,7 +24,7 @@
 const GIVEN_WAIT: Duration = Duration::from_secs(30);
 /// Time after a version in which further ones are gathered, so that a quick succession of versions
 /// costs few calls.
-const GATHER_TIME: Duration = Duration::from_millis(1_000);
+const GATHER_TIME: Duration = Duration::from_secs(1);
 
 /// Greatest delay before a platform that does not answer is asked again for the configuration.
 const GIVEN_RETRY_MAX: Duration = Duration::from_millis(500);
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -197,7 +197,7 @@
             answer
         });
         let headers = answer.headers_mut();
-        if self.leaves(daemon) {
+        if leaves(daemon) {
             headers.insert(call::DRAIN, HeaderValue::from_static("1"));
         }
         if let Ok(load) = HeaderValue::from_str(&self.gate.load().to_string()) {
@@ -207,11 +207,6 @@
         answer
     }
 
-    /// Tests whether the backend server or this daemon takes no new calls for good.
-    fn leaves(&self, daemon: &Daemon) -> bool {
-        daemon.drain.phase() != Phase::Running || daemon.backend.load().stage == Stage::Leaving
-    }
-
     /// Bars an attempt of this daemon itself from running if it has not, and says what became of
     /// it.
     pub fn bar(&self, attempt: &Attempt) -> Option<fence::Fate> {
@@ -421,6 +416,11 @@
     _flight: Flight,
 }
 
+/// Tests whether the backend server or this daemon takes no new calls for good.
+fn leaves(daemon: &Daemon) -> bool {
+    daemon.drain.phase() != Phase::Running || daemon.backend.load().stage == Stage::Leaving
+}
+
 fn unavailable(reason: impl std::fmt::Display, why: Why) -> Refusal {
     let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
     refusal.retry_after(ELSEWHERE_RETRY).why(why)
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -33,7 +33,7 @@
 const LIST_WAIT: Duration = Duration::from_secs(30);
 
 /// Time after a change in which further ones are gathered.
-const GATHER_TIME: Duration = Duration::from_millis(2_000);
+const GATHER_TIME: Duration = Duration::from_secs(2);
 
 /// Delays before a platform that does not answer is asked again. Entries that lapsed while it was
 /// away shall be back within two seconds of its return.
--- a/src/table.rs
+++ b/src/table.rs
@@ -111,10 +111,7 @@
             .sort_by_key(|entry| entry.route().methods.is_empty());
         for (index, entry) in table.routes.iter().enumerate() {
             let Route { host, prefix, .. } = entry.route();
-            if !table.places.contains_key(host) {
-                table.places.insert(host.clone(), BTreeMap::new());
-            }
-            let places = table.places.get_mut(host).expect("it has just been added");
+            let places = table.places.entry(host.clone()).or_default();
             places.entry(prefix.clone()).or_default().push(index);
         }
         table.snapshot = snapshot;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -331,7 +331,7 @@
                 self.watch(&prefix, after, Duration::from_millis(wait_ms))
                     .await
             }
-            Call::Swap { .. } => return self.swap(call).await,
+            Call::Swap { .. } => return self.swap(call),
             Call::Grant { ttl_ms } => {
                 let reply = self.lock().grant(Duration::from_millis(ttl_ms));
                 self.lose_answer()?;
@@ -347,7 +347,7 @@
         Ok(Ok(reply))
     }
 
-    async fn swap(self: &Arc<Self>, call: Call) -> Result<Result<Reply, Refused>, Lost> {
+    fn swap(self: &Arc<Self>, call: Call) -> Result<Result<Reply, Refused>, Lost> {
         if let Some(after) = self.lateness() {
             let shared = Arc::clone(self);
             tokio::spawn(async move {
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -57,22 +57,22 @@
     assert_eq!(backend.instance.as_deref(), Some("a"));
 }
 
-#[test_case(Report { service: "benchlab".into(), ..report("b", 2, 1) }; "another service")]
-#[test_case(Report { address: ([10, 0, 0, 2], 8_000).into(), ..report("b", 2, 1) }; "another address")]
-fn report_foreign(other: Report) {
+#[test_case(&Report { service: "benchlab".into(), ..report("b", 2, 1) }; "another service")]
+#[test_case(&Report { address: ([10, 0, 0, 2], 8_000).into(), ..report("b", 2, 1) }; "another address")]
+fn report_foreign(other: &Report) {
     let cell = cell();
     take(&cell, &report("a", 1, 1));
-    assert_eq!(take(&cell, &other), Taken::Foreign);
+    assert_eq!(take(&cell, other), Taken::Foreign);
     assert_eq!(cell.load().instance.as_deref(), Some("a"));
 }
 
-#[test_case(report("a", 5, 3); "sent before")]
-#[test_case(report("a", 4, 9); "earlier start under the same name")]
-#[test_case(report("old", 4, 9); "earlier instance")]
-fn report_old(late: Report) {
+#[test_case(&report("a", 5, 3); "sent before")]
+#[test_case(&report("a", 4, 9); "earlier start under the same name")]
+#[test_case(&report("old", 4, 9); "earlier instance")]
+fn report_old(late: &Report) {
     let cell = cell();
     take(&cell, &draining(report("a", 5, 3)));
-    assert_eq!(take(&cell, &late), Taken::Old);
+    assert_eq!(take(&cell, late), Taken::Old);
     assert_eq!(cell.load().stage, Stage::Leaving);
 }
 
--- /dev/null
+++ b/tests/exchange.rs
@@ -0,0 +1,141 @@
+//! What two daemons tell each other.
+
+#[path = "support/fake.rs"]
+#[allow(dead_code, reason = "other tests use more of it")]
+mod fake;
+
+use baobabstage::backend::{Report, Word};
+use baobabstage::daemon::Daemon;
+use baobabstage::exchange::Knowledge;
+use baobabstage::generated::mesh as wire;
+use baobabstage::generated::mesh::MemberState;
+use baobabstage::resource::{Kind, Policy, ResourceKey, Spec};
+use baobabstage::settings::{Flags, Settings};
+use baobabstage::site::{Given, Reports, Site, Source};
+use baobabstage::snapshot::{Resource, Snapshot};
+use baobabstage::{Category, Error, Result};
+use fake::Fake;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn address() -> SocketAddr {
+    ([127, 0, 0, 1], 9).into()
+}
+
+/// Reads a version of one policy from its number.
+fn decode(value: &[u8], _: &Snapshot) -> Result<Snapshot> {
+    let text = String::from_utf8_lossy(value);
+    let version = text
+        .parse()
+        .map_err(|err| Error::new(Category::Input, err))?;
+    let policy: Result<Spec> = Spec::from_json(Kind::Policy, br#"{"kinds":{"a":1}}"#);
+    let policy = policy?;
+    assert!(matches!(policy, Spec::Policy(Policy { .. })));
+    let key = ResourceKey::new(Kind::Policy, "p");
+    let resources = BTreeMap::from([(key, Resource::new(version, policy))]);
+    Ok(Snapshot::of_value(version, "given", resources, value))
+}
+
+fn daemon(name: &str) -> Arc<Daemon> {
+    let pairs = [
+        ("BAOBAB_NAME", name),
+        ("BAOBAB_DOMAIN", "espoo"),
+        ("BAOBAB_REGION", "fi-south"),
+        ("BAOBAB_PLATFORM", "127.0.0.1:1"),
+        ("BAOBAB_DISTRIBUTION", "direct"),
+        ("BAOBAB_SERVICE", "certs"),
+        ("BAOBAB_BACKEND", "127.0.0.1:9"),
+    ];
+    let pairs = pairs.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    let settings = Settings::new(&Flags::default(), &BTreeMap::from(pairs)).unwrap();
+    let mut site = Site::new(Arc::new(Fake::new(1)));
+    site.source = Source::Given(Given {
+        key: "config".into(),
+        decode: Arc::new(decode),
+    });
+    site.reports = Some(Reports {
+        listen: ([127, 0, 0, 1], 0).into(),
+        decode: |_, _, _| None,
+    });
+    Daemon::at(settings, site).unwrap()
+}
+
+fn report(daemon: &Daemon, word: Word) {
+    let sequence = daemon.backend.load().sequence + 1;
+    let report = Report {
+        instance: "i-1".into(),
+        born_ms: 1,
+        sequence,
+        word,
+        service: "certs".into(),
+        address: address(),
+        slots: 4,
+        warm: Duration::ZERO,
+    };
+    daemon.backend.report(Instant::now(), &report, true);
+}
+
+fn take(daemon: &Daemon, version: &'static str) {
+    let Source::Given(given) = &daemon.source else {
+        panic!("configuration is not given");
+    };
+    let knowledge = Knowledge::of(daemon);
+    knowledge
+        .take_given(daemon, given, &version.into())
+        .unwrap();
+}
+
+/// A daemon is an upstream of its own callers, though it knows of itself before the platform
+/// lists it.
+#[tokio::test]
+async fn answer_makes_the_daemon_its_own_member() {
+    let one = daemon("one");
+    report(&one, Word::Ready);
+    Knowledge::of(&one).answer(&one, wire::Exchange::default());
+    assert_eq!(one.fleet.load().upstreams("certs").len(), 1);
+    report(&one, Word::Draining);
+    Knowledge::of(&one).answer(&one, wire::Exchange::default());
+    assert_eq!(one.fleet.load().upstreams("certs").len(), 0);
+}
+
+#[tokio::test]
+async fn answer_brings_a_newer_version() {
+    let (one, two) = (daemon("one"), daemon("two"));
+    take(&one, "7");
+    let asked = Knowledge::of(&two).answer(&two, wire::Exchange::default());
+    let answer = Knowledge::of(&one).answer(&one, asked);
+    assert!(answer.config.is_some());
+    Knowledge::of(&two).answer(&two, answer);
+    assert_eq!(two.config.stamp(), one.config.stamp());
+    let asked = Knowledge::of(&two).answer(&two, wire::Exchange::default());
+    assert!(Knowledge::of(&one).answer(&one, asked).config.is_none());
+}
+
+#[tokio::test]
+async fn answer_never_brings_an_older_version() {
+    let (one, two) = (daemon("one"), daemon("two"));
+    take(&one, "7");
+    take(&two, "9");
+    let old = Knowledge::of(&one).answer(&one, wire::Exchange::default());
+    let answer = Knowledge::of(&two).answer(&two, old);
+    assert_eq!(two.config.stamp().version, 9);
+    Knowledge::of(&one).answer(&one, answer);
+    assert_eq!(one.config.stamp().version, 9);
+    take(&one, "8");
+    assert_eq!(one.config.stamp().version, 9);
+}
+
+#[tokio::test]
+async fn answer_spreads_members() {
+    let (one, two) = (daemon("one"), daemon("two"));
+    report(&one, Word::Ready);
+    let told = Knowledge::of(&one).answer(&one, wire::Exchange::default());
+    Knowledge::of(&two).answer(&two, told);
+    let fleet = two.fleet.load();
+    let known = &fleet.members()["one"];
+    assert_eq!(known.state(), MemberState::Ready);
+    assert_eq!((known.slots, known.instance.as_str()), (4, "i-1"));
+}
