--- a/src/role/operator.rs
+++ b/src/role/operator.rs
@@ -11,6 +11,7 @@
 use crate::event;
 use crate::kernel::{Plugin, Work};
 use crate::serve::{Body, serve};
+use crate::site::Source;
 use http::request::Parts;
 use http::{Method, Request, Response, header};
 use hyper::body::Incoming;
@@ -81,6 +82,11 @@
     if !endpoint.allows(&head.method) {
         return Err(Fault::method(&head.method, endpoint.allow()));
     }
+    if let Source::Given(given) = &daemon.source
+        && head.method != Method::GET
+    {
+        return Err(Fault::given(&given.key));
+    }
     let query = Query::new(head.uri.query().unwrap_or_default(), endpoint.parameters())?;
     match endpoint {
         Endpoint::Version => Ok(reply::json(&daemon.config.state())),
--- a/src/role/operator/reply.rs
+++ b/src/role/operator/reply.rs
@@ -57,6 +57,20 @@
         fault
     }
 
+    /// Makes the answer to a change where others write the configuration.
+    pub fn given(key: &str) -> Self {
+        let message = format!(
+            "the configuration is given from outside, in the platform's key {key}: changes are \
+             not accepted here"
+        );
+        let error = Error::new(Category::Input, message);
+        let mut fault = Fault::new(StatusCode::METHOD_NOT_ALLOWED, error);
+        fault.outcome = Some("not-accepted");
+        let allow = HeaderValue::from_static("GET");
+        fault.headers.push((header::ALLOW, allow));
+        fault
+    }
+
     /// Makes the answer to a change that is not accepted.
     pub fn not_accepted(error: Error) -> Self {
         let mut fault = Fault::from(error);
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -21,9 +21,13 @@
 /// The body of a request or answer that passes through.
 pub type Body = UnsyncBoxBody<Bytes, BodyError>;
 
-/// Time for a client to send the head of a request.
+/// Time for a client to send the head of a request, from the end of the one before.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The same on connections that carry calls. It bounds how long they may stay idle too, so it is
+/// longer than callers are ever told that they may.
+const CALL_HEAD_TIMEOUT: Duration = Duration::from_mins(2);
+
 /// Greatest size of the head of a request, in bytes.
 const MAX_HEAD_LEN: usize = 64 * 1024;
 
@@ -155,11 +159,16 @@
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
+    let head_timeout = if guard.is_some() {
+        CALL_HEAD_TIMEOUT
+    } else {
+        HEAD_TIMEOUT
+    };
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
+        .header_read_timeout(head_timeout)
         .max_buf_size(MAX_HEAD_LEN);
     builder
         .http2()
