--- /dev/null
+++ b/tests/site.rs
@@ -0,0 +1,262 @@
+//! A daemon at a site where others write the configuration and the backend server reports, inside
+//! the test's process.
+
+use baobabstage::backend::{Report, Stage, Word};
+use baobabstage::daemon::{Daemon, Phase};
+use baobabstage::kernel;
+use baobabstage::names::Names;
+use baobabstage::platform::{Client, ClientSettings, Plain, Platform as _, Swap};
+use baobabstage::resource::{Kind, ResourceKey, Spec};
+use baobabstage::settings::{Flags, Settings};
+use baobabstage::site::{Given, Leave, Readiness, ReportCall, Reports, Site, Source};
+use baobabstage::snapshot::{Resource, Snapshot};
+use baobabstage::{Category, Error, Result};
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use standin::backend::{Backend, Behaviour, Ledger};
+use standin::caller;
+use standin::platform::{Limits, Platform};
+use standin::scene::{ANY, TIMEOUT};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const KEY: &str = "given/config";
+
+/// Reads a version with one route from its number.
+fn decode(value: &[u8], _: &Snapshot) -> Result<Snapshot> {
+    let text = String::from_utf8_lossy(value);
+    let version = text
+        .parse()
+        .map_err(|err| Error::new(Category::Input, err))?;
+    let specs = [
+        (Kind::Policy, "p", r#"{"kinds":{"issue":1}}"#),
+        (Kind::Pool, "certs", r#"{"slots":4,"connections":20}"#),
+        (Kind::Service, "certs", r#"{"pool":"certs","policy":"p"}"#),
+        (
+            Kind::Route,
+            "issue",
+            r#"{"prefix":"/certs","service":"certs","request_kind":"issue","idempotent":false}"#,
+        ),
+    ];
+    let mut resources = BTreeMap::new();
+    for (kind, name, body) in specs {
+        let spec = Spec::from_json(kind, body.as_bytes())?;
+        resources.insert(ResourceKey::new(kind, name), Resource::new(version, spec));
+    }
+    Ok(Snapshot::of_value(version, "given", resources, value))
+}
+
+/// Reads a report from the path: `/ready/N`, `/draining/N` with the number N, or `/leave`.
+fn read_report(_: &Method, path: &str, body: &[u8]) -> Option<Result<ReportCall>> {
+    let address = String::from_utf8_lossy(body).parse().ok()?;
+    let report = |word, sequence: &str| {
+        ReportCall::Report(Report {
+            instance: "i-1".into(),
+            born_ms: 1,
+            sequence: sequence.parse().unwrap(),
+            word,
+            service: "certs".into(),
+            address,
+            slots: 4,
+            warm: Duration::ZERO,
+        })
+    };
+    let mut parts = path.trim_start_matches('/').split('/');
+    Some(Ok(match (parts.next()?, parts.next()) {
+        ("ready", Some(sequence)) => report(Word::Ready, sequence),
+        ("draining", Some(sequence)) => report(Word::Draining, sequence),
+        _ => ReportCall::Leave(Leave {
+            instance: "i-1".into(),
+            born_ms: Some(1),
+        }),
+    }))
+}
+
+struct Scene {
+    daemon: Arc<Daemon>,
+    client: Client,
+    backend: Backend,
+    ledger: Ledger,
+}
+
+impl Scene {
+    async fn start() -> Self {
+        let platform = Platform::start(ANY, Limits::default()).await.unwrap();
+        let ledger = Ledger::default();
+        let backend = Backend::start("certs-0", ANY, Behaviour::default(), ledger.clone());
+        let backend = backend.await.unwrap();
+        let settings = settings(&platform, backend.address());
+        let client = ClientSettings {
+            address: platform.address(),
+            timeout: Duration::from_secs(1),
+        };
+        let client = Client::new(&client, Arc::new(Plain)).unwrap();
+        let site = Site {
+            names: Names::default(),
+            source: Source::Given(Given {
+                key: KEY.into(),
+                decode: Arc::new(decode),
+            }),
+            reports: Some(Reports {
+                listen: ANY,
+                decode: read_report,
+            }),
+            readiness: Some(Readiness {
+                listen: ANY,
+                path: "/ready".into(),
+            }),
+            ..Site::new(Arc::new(client.clone()))
+        };
+        let daemon = Daemon::at(settings, site).unwrap();
+        tokio::spawn(kernel::run(Arc::clone(&daemon)));
+        Scene {
+            daemon,
+            client,
+            backend,
+            ledger,
+        }
+    }
+
+    async fn report(&self, path: &str) -> StatusCode {
+        let address = self.daemon.sockets.reports.as_ref().unwrap().address();
+        let body = Full::from(self.backend.address().to_string());
+        let request = Request::post(path).header("host", "daemon").body(body);
+        let answer = caller::call(address, request.unwrap()).await.unwrap();
+        answer.status()
+    }
+
+    async fn ready(&self) -> StatusCode {
+        let address = self.daemon.sockets.ready.as_ref().unwrap().address();
+        caller::get(address, "/ready").await.unwrap().status()
+    }
+
+    async fn issue(&self, id: &str) -> (StatusCode, u32) {
+        let request = Request::post("/certs/7").header("host", "certs");
+        let request = request
+            .header("x-request-id", id)
+            .body(Full::from("serial"));
+        let answer = caller::call(self.daemon.addresses().outbound, request.unwrap()).await;
+        (answer.unwrap().status(), self.ledger.runs(id))
+    }
+
+    async fn configure(&self, version: &'static str) {
+        let entry = self.client.get(KEY).await.unwrap();
+        let revision = entry.map_or(0, |entry| entry.revision);
+        let swap = self.client.swap(KEY, revision, Some(version.into()), 0);
+        assert!(matches!(swap.await.unwrap(), Swap::Done(_)));
+        let version: u64 = version.parse().unwrap();
+        self.until(|| self.daemon.config.stamp().version == version)
+            .await;
+    }
+
+    async fn until(&self, condition: impl Fn() -> bool) {
+        let reached = async {
+            while !condition() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(TIMEOUT, reached).await.unwrap();
+    }
+
+    async fn serve(&self) {
+        self.configure("3").await;
+        self.report("/ready/1").await;
+        self.report("/ready/2").await;
+        let known = || self.daemon.fleet.load().upstreams("certs").len() == 1;
+        self.until(known).await;
+    }
+}
+
+impl Drop for Scene {
+    fn drop(&mut self) {
+        self.daemon.drain.advance(Phase::Stopped);
+    }
+}
+
+fn settings(platform: &Platform, backend: SocketAddr) -> Settings {
+    let pairs = [
+        ("BAOBAB_NAME", "certs-0".to_owned()),
+        ("BAOBAB_DOMAIN", "espoo".to_owned()),
+        ("BAOBAB_REGION", "fi-south".to_owned()),
+        ("BAOBAB_PLATFORM", platform.address().to_string()),
+        ("BAOBAB_DISTRIBUTION", "direct".to_owned()),
+        ("BAOBAB_SERVICE", "certs".to_owned()),
+        ("BAOBAB_BACKEND", backend.to_string()),
+    ];
+    let pairs = pairs.map(|(name, value)| (name.to_owned(), value));
+    Settings::new(&Flags::default(), &BTreeMap::from(pairs)).unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_before_any_configuration_is_not_run() {
+    let scene = Scene::start().await;
+    assert_eq!(scene.ready().await, StatusCode::SERVICE_UNAVAILABLE);
+    let told = scene.issue("one").await;
+    assert_eq!(told, (StatusCode::SERVICE_UNAVAILABLE, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_is_served_by_the_reported_backend_server() {
+    let scene = Scene::start().await;
+    scene.serve().await;
+    assert_eq!(scene.ready().await, StatusCode::OK);
+    assert_eq!(scene.issue("one").await, (StatusCode::OK, 1));
+}
+
+/// The acknowledgement of a drain binds at once, whatever others believe.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_after_a_drain_was_acknowledged_is_not_run() {
+    let scene = Scene::start().await;
+    scene.serve().await;
+    assert_eq!(scene.report("/draining/3").await, StatusCode::OK);
+    let told = scene.issue("one").await;
+    assert_eq!(told, (StatusCode::SERVICE_UNAVAILABLE, 0));
+    assert_eq!(scene.report("/ready/2").await, StatusCode::OK);
+    assert_eq!(scene.daemon.backend.load().stage, Stage::Leaving);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_after_a_leave_is_not_run() {
+    let scene = Scene::start().await;
+    scene.serve().await;
+    scene.report("/leave").await;
+    scene.report("/ready/9").await;
+    let told = scene.issue("one").await;
+    assert_eq!(told, (StatusCode::SERVICE_UNAVAILABLE, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn version_that_cannot_be_read_changes_nothing() {
+    let scene = Scene::start().await;
+    scene.serve().await;
+    let entry = scene.client.get(KEY).await.unwrap().unwrap();
+    let swap = scene
+        .client
+        .swap(KEY, entry.revision, Some("garbage".into()), 0);
+    swap.await.unwrap();
+    scene.configure("5").await;
+    assert_eq!(scene.issue("one").await, (StatusCode::OK, 1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operator_is_told_that_changes_are_not_accepted() {
+    let scene = Scene::start().await;
+    scene.serve().await;
+    let operator = scene.daemon.addresses().operator;
+    let request = Request::post("/v1/changes").header("host", "daemon");
+    let body: Full<Bytes> = Full::from(r#"{"id":"x","put":[]}"#);
+    let answer = caller::call(operator, request.body(body).unwrap())
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), StatusCode::METHOD_NOT_ALLOWED);
+    let text = String::from_utf8_lossy(answer.body()).into_owned();
+    assert!(
+        text.contains(KEY) && text.contains("not-accepted"),
+        "{text}"
+    );
+    let list = caller::get(operator, "/v1/resources").await.unwrap();
+    assert_eq!(list.status(), StatusCode::OK);
+}
