Refuse calls that still wait when the process ends

They waited for a slot at another daemon; the shutdown waits for calls in flight and closes connections when its time is up, but tells nobody who waits. Ruled out: calls that wait at the own backend server, which are refused as soon as the daemon leaves; calls that came late, which are refused by their expected time. Change: a phase 'ending', 250 ms before calls are cut off. An attempt under way is asked about then; if it has not run it is barred and its caller gets 503, otherwise it is waited for as before. Calls without a connection are refused at once, and no further attempt is made. Test: shutdown_refuses_calls_that_wait; fails before with a closed connection.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -44,6 +44,10 @@
 /// The share of that time in which connections may end.
 const CLOSE_SHARE: f64 = 0.92;
 
+/// Time for the calls that still wait to be refused before the process cuts calls off: an upstream is
+/// asked about each, which takes a round trip.
+const RECALL_TIME: Duration = Duration::from_millis(250);
+
 /// Time for connections to end once no call is in flight.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -234,8 +238,13 @@
         if tuned.grace.is_none() {
             sleep(ANNOUNCE_TIME).await;
         }
+        let recall = ends.checked_sub(RECALL_TIME).unwrap_or(ends);
+        let mut landed = timeout_at(recall, self.drain.landed()).await;
+        if landed.is_err() {
+            self.drain.advance(Phase::Ending);
+            landed = timeout_at(ends, self.drain.landed()).await;
+        }
         // Calls that outlast the timeout are cut off.
-        let landed = timeout_at(ends, self.drain.landed()).await;
         if landed.is_err() {
             event!(CallsCutOff, in_flight = self.drain.in_flight());
         }
--- a/src/daemon/drain.rs
+++ b/src/daemon/drain.rs
@@ -15,6 +15,8 @@
     Leaving,
     /// New calls are refused; those in flight run on.
     Draining,
+    /// The process ends soon: calls that no backend server works on are refused.
+    Ending,
     /// No call is in flight; connections of callers and daemons are ended.
     Closing,
     /// The process ends.
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -15,7 +15,7 @@
 use crate::kernel::{Plugin, Work};
 use crate::role::inbound;
 use crate::serve::{Body, incoming, serve_calls};
-use attempt::{Call, Failed, judge, no_upstream};
+use attempt::{Call, Failed, Stop, judge, no_upstream};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use prometheus_client::registry::Registry;
@@ -229,7 +229,8 @@
             terms.replayable = call.body.is_replayable();
             let failure = failed.failure;
             let failed = outweigh(told.take(), failed);
-            if hops > MAX_HOPS
+            if call.daemon.drain.phase() >= Phase::Ending
+                || hops > MAX_HOPS
                 || full >= MAX_FULL
                 || !terms.allow(now, made, failure)
                 || !call.service.budget.pay(failure)
@@ -267,10 +268,9 @@
         let upstream = &call.service.group.upstreams()[index.0];
         let busy = Busy::new(&upstream.health);
         let started = Instant::now();
-        let until = call.terms.deadline;
         let answer = match call.service.link(index) {
-            Some(link) => self.send_far(call, upstream, link, until, patience).await?,
-            None => self.send_near(call, upstream, until, patience).await?,
+            Some(link) => self.send_far(call, upstream, link, patience).await?,
+            None => self.send_near(call, upstream, patience).await?,
         };
         let answer = judge(call, upstream, answer, started)?;
         let guard = (busy, flight.take());
@@ -285,28 +285,29 @@
         call: &Call<'_>,
         upstream: &Upstream,
         link: &Link,
-        until: Instant,
         patience: Option<Duration>,
     ) -> Result<Response<Body>, Failed> {
-        let ready = tokio::time::timeout_at(until, link.ready()).await;
-        let ready = match ready {
+        let ready = match call.await_unsent(link.ready()).await {
             Ok(Ok(ready)) => ready,
             Ok(Err(err)) => return Err(call.not_sent(upstream, &err)),
-            Err(_) => return Err(call.late(upstream)),
+            Err(Stop::Late) => return Err(call.late(upstream)),
+            Err(Stop::Ending) => return Err(call.ending(upstream)),
         };
         let attempt = self.new_attempt(call, upstream, ready.sent_ms, patience);
         let request = call.request(&attempt);
         let request = request.map_err(|refusal| call.refused(refusal))?;
-        match tokio::time::timeout_at(until, ready.send(request)).await {
+        let fence = async || call.fence(link, &attempt).await;
+        match call.await_answer(ready.send(request), fence).await {
             Ok(Ok(answer)) => Ok(answer.map(incoming)),
             Ok(Err(err @ UpstreamError::NotSent(..))) => Err(call.not_sent(upstream, &err)),
             Ok(Err(err @ UpstreamError::Lost(..))) => {
                 let reason = err.to_string();
                 Err(call.lost(upstream, link, &attempt, &reason).await)
             }
-            Err(_) => Err(call
+            Err(Stop::Late) => Err(call
                 .lost(upstream, link, &attempt, "no answer in time")
                 .await),
+            Err(Stop::Ending) => Err(call.ending(upstream)),
         }
     }
 
@@ -315,7 +316,6 @@
         &self,
         call: &Call<'_>,
         upstream: &Upstream,
-        until: Instant,
         patience: Option<Duration>,
     ) -> Result<Response<Body>, Failed> {
         let side = inbound::of(call.daemon);
@@ -323,9 +323,10 @@
         let request = call.request(&attempt);
         let request = request.map_err(|refusal| call.refused(refusal))?;
         let answer = side.answer(call.daemon, request);
-        match tokio::time::timeout_at(until, answer).await {
+        match call.await_answer(answer, async || side.bar(&attempt)).await {
             Ok(answer) => Ok(answer),
-            Err(_) => Err(call.overdue(upstream, side.bar(&attempt))),
+            Err(Stop::Late) => Err(call.overdue(upstream, side.bar(&attempt))),
+            Err(Stop::Ending) => Err(call.ending(upstream)),
         }
     }
 
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -9,7 +9,7 @@
 use crate::call::upstream::{Link, UpstreamError};
 use crate::call::view::{ServiceView, View};
 use crate::call::{self, Outcome, Refusal, Why, request};
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, Phase};
 use crate::event;
 use crate::exchange::Knowledge;
 use crate::resource::KeyRecord;
@@ -31,7 +31,7 @@
 const SAFETY_FACTOR: u32 = 3;
 
 /// Time for an inbound side to say what became of an attempt, while the caller waits and once its
-/// time is up.
+/// time or that of this process is up.
 const FENCE_TIME: Duration = Duration::from_millis(800);
 const LATE_FENCE_TIME: Duration = Duration::from_millis(150);
 
@@ -69,6 +69,15 @@
     pub(super) answer: Box<Response<Body>>,
 }
 
+/// Why an attempt is no longer waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stop {
+    /// Its deadline has passed.
+    Late,
+    /// This process ends, and the attempt has not run and never will.
+    Ending,
+}
+
 impl<'a> Call<'a> {
     pub(super) fn new(
         daemon: &'a Arc<Daemon>,
@@ -140,6 +149,36 @@
         Err(refusal.retry_after(Duration::ZERO).why(Why::Leaving))
     }
 
+    /// Waits for something that is needed before the attempt is sent.
+    pub(super) async fn await_unsent<F: Future>(&self, wait: F) -> Result<F::Output, Stop> {
+        tokio::select! {
+            done = wait => Ok(done),
+            () = tokio::time::sleep_until(self.terms.deadline) => Err(Stop::Late),
+            () = self.daemon.drain.reached(Phase::Ending) => Err(Stop::Ending),
+        }
+    }
+
+    /// Waits for the answer to an attempt. Near the end of this process `fence` bars the attempt from
+    /// running if it has not, as its caller would be cut off before it is answered.
+    pub(super) async fn await_answer<F: Future>(
+        &self,
+        answer: F,
+        fence: impl AsyncFnOnce() -> Option<Fate>,
+    ) -> Result<F::Output, Stop> {
+        let mut answer = std::pin::pin!(answer);
+        let deadline = self.terms.deadline;
+        tokio::select! {
+            answer = &mut answer => return Ok(answer),
+            () = tokio::time::sleep_until(deadline) => return Err(Stop::Late),
+            () = self.daemon.drain.reached(Phase::Ending) => {}
+        }
+        if fence().await == Some(Fate::NeverRuns) {
+            return Err(Stop::Ending);
+        }
+        let answer = tokio::time::timeout_at(deadline, answer).await;
+        answer.map_err(|_| Stop::Late)
+    }
+
     /// Returns the longest wait that an attempt accepts, after so many upstreams were busy.
     pub(super) fn patience(&self, busy: u32, untried: usize) -> Option<Duration> {
         let elsewhere = busy < MAX_BUSY && untried > 1;
@@ -212,6 +251,23 @@
         self.refused(refusal.retry_after(UNREACHED_RETRY))
     }
 
+    /// Says that the call has not run and that this process ends.
+    pub(super) fn ending(&self, upstream: &Upstream) -> Failed {
+        let reason = "daemon ends";
+        self.log_failed(upstream, "not run", reason);
+        let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+        self.refused(refusal.retry_after(Duration::ZERO).why(Why::Leaving))
+    }
+
+    /// Asks the inbound side what became of an attempt, and bars it from running if it has not.
+    pub(super) async fn fence(&self, link: &Link, attempt: &Attempt) -> Option<Fate> {
+        let late = Instant::now() >= self.terms.deadline;
+        let hurried = late || self.daemon.drain.phase() >= Phase::Ending;
+        let time = if hurried { LATE_FENCE_TIME } else { FENCE_TIME };
+        let fate = tokio::time::timeout(time, link.fence(attempt)).await;
+        fate.ok().flatten()
+    }
+
     pub(super) fn unknown(&self, upstream: &Upstream, status: StatusCode, reason: &str) -> Failed {
         self.log_failed(upstream, "unknown", reason);
         event!(CallUnknown, request = self.id, reason = reason);
@@ -233,9 +289,7 @@
             return self.unknown(upstream, StatusCode::PAYLOAD_TOO_LARGE, reason);
         }
         note_failure(upstream);
-        let time = if late { LATE_FENCE_TIME } else { FENCE_TIME };
-        let fate = tokio::time::timeout(time, link.fence(attempt)).await;
-        let fate = fate.ok().flatten();
+        let fate = self.fence(link, attempt).await;
         event!(
             AttemptFenced,
             request = self.id,
--- a/tests/drain_calls.rs
+++ b/tests/drain_calls.rs
@@ -109,6 +109,39 @@
     assert_eq!(mesh.entries[0].ended().await.unwrap(), Some(0));
 }
 
+/// A call that still waits for a slot when the process ends is refused, as it never ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_refuses_calls_that_wait() {
+    let mut profile = Profile::named("certs").unwrap();
+    profile.upstreams = 1;
+    profile.slots = 1;
+    profile.domains = ["espoo"; 3];
+    let mut launcher = Launcher::new(env!("CARGO_BIN_EXE_baobabd"));
+    launcher.arguments = vec!["--grace-ms".into(), "1200".into()];
+    let behaviour = Behaviour {
+        work: Duration::from_secs(8),
+        ..Behaviour::default()
+    };
+    let mesh = Mesh::start(launcher, &profile, behaviour);
+    let mut mesh = mesh.await.unwrap();
+    let address = mesh.entries[0].outbound;
+    let runs = tokio::spawn(call(address, "runs".into()));
+    let running = |state: &Value| state["inbound"]["running"] == 1;
+    let state = mesh.daemons[0].wait_state("call runs", TIMEOUT, running);
+    state.await.unwrap();
+    let waits = tokio::spawn(call(address, "waits".into()));
+    let queued = |state: &Value| state["inbound"]["queued"] == 1;
+    let state = mesh.daemons[0].wait_state("call waits", TIMEOUT, queued);
+    state.await.unwrap();
+    mesh.entries[0].signal("TERM").await.unwrap();
+    let answer = waits.await.unwrap().unwrap();
+    assert_eq!(answer.status(), 503);
+    assert_eq!(answer.headers()["x-baobab-outcome"], "not-run");
+    assert_eq!(mesh.ledger.runs("waits"), 0);
+    assert_eq!(mesh.entries[0].ended().await.unwrap(), Some(0));
+    assert!(runs.await.unwrap().is_err());
+}
+
 /// A backend server that says it drains gets no new calls, and its daemon announces it.
 #[tokio::test(flavor = "multi_thread")]
 async fn drain_of_the_backend_server() {
