Count calls that fail together as one failure of their upstream

Ruled out: failures in a row that come one after the other; the log shows one time stamp. Change: an upstream that is ejected counts no further failures until it gets calls again. Test: fail_calls_that_were_under_way_together; fails before. The gain is in the time for which an upstream that is well again gets nothing.

--- a/src/call/choose.rs
+++ b/src/call/choose.rs
@@ -237,7 +237,13 @@
     }
 
     /// Notes that no answer came. Returns the time of the ejection that follows, if one does.
+    ///
+    /// Calls that were under way together fail together, which is one failure and not many: once
+    /// the upstream is ejected, further ones count only when it gets calls again.
     pub fn fail(&self, now: Instant) -> Option<Duration> {
+        if self.is_ejected(now) {
+            return None;
+        }
         let failures = self.failures.fetch_add(1, Ordering::Relaxed) + 1;
         let over = failures.checked_sub(MAX_FAILURES)?;
         let time = (EJECTION_MIN_MS << over.min(8)).min(EJECTION_MAX_MS);
--- a/tests/call_choice.rs
+++ b/tests/call_choice.rs
@@ -173,6 +173,20 @@
 }
 
 /// A backend server that sheds calls itself is loaded, not broken.
+/// A connection that breaks with nine calls on it is one failure of the upstream, not nine.
+#[test]
+fn fail_calls_that_were_under_way_together() {
+    let now = Instant::now();
+    let health = Health::new(now);
+    for _ in 0..12 {
+        health.fail(now);
+    }
+    assert!(health.is_ejected(now));
+    let later = now + Duration::from_millis(1_100);
+    assert!(!health.is_ejected(later));
+    assert_eq!(health.fail(later), Some(Duration::from_secs(2)));
+}
+
 #[test]
 fn choose_avoids_one_that_sheds_but_does_not_eject_it() {
     let now = Instant::now();
