--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -28,8 +28,9 @@
 /// Time for an inbound side to answer a question.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Data of one stream that may be under way between daemons, in bytes.
-const STREAM_WINDOW: u32 = 16 * 1024;
+/// Data of one stream that may be under way between daemons, in bytes; small for the reason given at
+/// the server's.
+const STREAM_WINDOW: u32 = 8 * 1024;
 
 /// Data of one connection that may be under way between daemons, in bytes.
 const CONNECTION_WINDOW: u32 = 64 * 1024;
