Let peers bring the configuration to most daemons of a large failure domain

Cause: on the grown sites a configuration has 242 KB, 323 KB as the key-value service writes it: half a second of a link of 5 Mbit/s for each version and each start. Ruled out: processor time; the service's limits (no answer 429). Change: the first four daemons by name of each failure domain read the configuration; the others get it from peers, compressed once by whoever is asked first, as soon as a call or an answer names a newer version. A daemon that hears from no peer for three seconds reads it itself. A reader that has heard of a newer version when its time for gathering is up lists the newest. Tests: is_reader_large_domain, answer_passes_on_what_a_peer_brought.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -60,8 +60,39 @@
 pub struct Knowledge {
     book: Mutex<Book>,
     /// The value of the configuration in force, where others write it.
-    given: Mutex<Bytes>,
+    given: Mutex<Held>,
     hint: watch::Sender<Hint>,
+    /// When a peer last answered.
+    heard: Mutex<Option<Instant>>,
+}
+
+/// A value that peers ask for, compressed once it has been asked for.
+enum Held {
+    Plain(Bytes),
+    Packed(wire::Packed),
+}
+
+impl Held {
+    /// Compresses the value, which is that of a version.
+    fn pack(&mut self, stamp: Stamp) -> wire::Packed {
+        if let Held::Plain(value) = self {
+            *self = Held::Packed(wire::Packed {
+                stamp: Some(stamp.to_wire()),
+                data: zlib::compress(value).into(),
+                length: value.len() as u64,
+            });
+        }
+        match self {
+            Held::Packed(packed) => packed.clone(),
+            Held::Plain(_) => wire::Packed::default(),
+        }
+    }
+}
+
+impl Default for Held {
+    fn default() -> Self {
+        Held::Plain(Bytes::new())
+    }
 }
 
 impl Knowledge {
@@ -77,6 +108,19 @@
         self.hint.subscribe()
     }
 
+    /// Returns the newest version that is in force here or that was heard of.
+    #[must_use]
+    pub fn newest_heard(&self, daemon: &Daemon) -> u64 {
+        let heard = self.hint.borrow().version;
+        heard.max(daemon.config.stamp().version)
+    }
+
+    /// Tests whether a peer has answered within a time.
+    #[must_use]
+    pub fn heard_within(&self, time: Duration) -> bool {
+        lock(&self.heard).is_some_and(|at| at.elapsed() <= time)
+    }
+
     /// Changes the members, and puts the fleet in force when something has changed.
     pub fn change(&self, daemon: &Daemon, change: impl FnOnce(&mut Book, Instant) -> bool) {
         let mut book = lock(&self.book);
@@ -147,7 +191,10 @@
             Source::Given(given) => {
                 let value = zlib::expand(&packed.data, MAX_SNAPSHOT_LEN);
                 let value = value.map_err(|err| Error::new(Category::Input, err))?;
-                self.take_given(daemon, given, &value.into())
+                if put_in_force(daemon, given, &value)? {
+                    *lock(&self.given) = Held::Packed(packed.clone());
+                }
+                Ok(())
             }
         }
     }
@@ -159,13 +206,8 @@
     /// Fails when it cannot be read; nothing is changed then. A version that is read but not valid
     /// is logged where it is refused.
     pub fn take_given(&self, daemon: &Daemon, given: &Given, value: &Bytes) -> Result<()> {
-        let before = daemon.config.snapshot();
-        let snapshot = (given.decode)(value, &before)?;
-        if let Ok(applied) = daemon.config.apply(Arc::new(snapshot)) {
-            if applied {
-                *lock(&self.given) = value.clone();
-            }
-            daemon.caught_up.store(true, Ordering::Relaxed);
+        if put_in_force(daemon, given, value)? {
+            *lock(&self.given) = Held::Plain(value.clone());
         }
         Ok(())
     }
@@ -177,14 +219,7 @@
         }
         match &daemon.source {
             Source::Own => Some(daemon.config.snapshot().pack()),
-            Source::Given(_) => {
-                let value = lock(&self.given).clone();
-                Some(wire::Packed {
-                    stamp: Some(daemon.config.stamp().to_wire()),
-                    data: zlib::compress(&value).into(),
-                    length: value.len() as u64,
-                })
-            }
+            Source::Given(_) => Some(lock(&self.given).pack(daemon.config.stamp())),
         }
     }
 
@@ -202,6 +237,17 @@
     }
 }
 
+/// Puts a version in force; returns false when it is not newer or not valid, which is logged.
+fn put_in_force(daemon: &Daemon, given: &Given, value: &[u8]) -> Result<bool> {
+    let before = daemon.config.snapshot();
+    let snapshot = (given.decode)(value, &before)?;
+    let Ok(applied) = daemon.config.apply(Arc::new(snapshot)) else {
+        return Ok(false);
+    };
+    daemon.caught_up.store(true, Ordering::Relaxed);
+    Ok(applied)
+}
+
 /// Exchanges with the daemon whose inbound side listens at an address.
 ///
 /// # Errors
@@ -210,6 +256,7 @@
 pub async fn with_peer(daemon: &Daemon, peer: SocketAddr) -> Result<(), ExchangeError> {
     let knowledge = Knowledge::of(daemon);
     let answer = ask(peer, knowledge.greet(daemon)).await?;
+    *lock(&knowledge.heard) = Some(Instant::now());
     let other = Stamp::from_wire(answer.stamp.as_ref());
     let wants = answer.wants;
     knowledge.take(daemon, answer);
--- a/src/member.rs
+++ b/src/member.rs
@@ -13,6 +13,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// Daemons of a failure domain that read the configuration from the platform themselves. More than
+/// one, so that the loss of some of them at once goes unnoticed; few enough that large failure
+/// domains save most of the bytes.
+pub const READERS: usize = 4;
+
 /// An ordering of records of one daemon: incarnation, sequence, state.
 pub type Rank = (u64, u64, i32);
 
@@ -73,6 +78,17 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Tests whether a daemon is one of the few of its failure domain that read the configuration
+    /// from the platform themselves: the first by name of those that are not about to end.
+    #[must_use]
+    pub fn is_reader(&self, name: &str, domain: &str) -> bool {
+        let staying = |member: &wire::Member| member.state() != MemberState::Draining;
+        let before = self.members.values().filter(|member| {
+            member.domain == domain && member.name.as_str() < name && staying(member)
+        });
+        before.count() < READERS
+    }
+
     /// Describes the fleet for the state dump.
     #[must_use]
     pub fn state(&self) -> Value {
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -3,9 +3,10 @@
 use crate::daemon::Daemon;
 use crate::error::{Category, Result};
 use crate::event;
-use crate::exchange::Knowledge;
+use crate::exchange::{self, Knowledge};
 use crate::kernel::{Plugin, Work};
 use crate::platform::{self, Entry, Follower, News, PlatformError};
+use crate::role::members::random_peer;
 use crate::settings::Distribution;
 use crate::site::{Given, Source};
 use crate::tree::backoff::Backoff;
@@ -15,7 +16,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -26,6 +27,16 @@
 /// costs few calls.
 const GATHER_TIME: Duration = Duration::from_secs(1);
 
+/// Time between looks at whether a daemon reads the configuration itself.
+const ROLE_CHECK: Duration = Duration::from_millis(500);
+
+/// Time without an answer from any peer after which a daemon reads the configuration itself: three
+/// exchanges.
+const PEER_SILENCE: Duration = Duration::from_secs(3);
+
+/// Time at the start for the members to be known.
+const MEETING_TIME: Duration = Duration::from_millis(500);
+
 /// Greatest delay before a platform that does not answer is asked again for the configuration.
 const GIVEN_RETRY_MAX: Duration = Duration::from_millis(500);
 
@@ -89,10 +100,20 @@
 }
 
 /// Follows a configuration that others write.
+///
+/// In a large failure domain some daemons read it from the platform, and the others get it from
+/// their peers in a fraction of the bytes.
 async fn follow_given(daemon: &Daemon, given: &Given) -> anyhow::Result<()> {
     let mut follower = Follower::new(&given.key);
     let mut backoff = Backoff::new(RETRY_MIN, GIVEN_RETRY_MAX);
+    meet_peers(daemon).await;
     loop {
+        if is_served_by_peers(daemon) {
+            sleep(ROLE_CHECK).await;
+            // What was passed over in the meantime need not be read one by one.
+            follower = Follower::new(&given.key);
+            continue;
+        }
         let values = match follow(daemon, &mut follower, GIVEN_WAIT).await {
             Ok(News::All(entries)) => entries,
             Ok(News::Some(events)) => events.into_iter().filter_map(put).collect(),
@@ -107,11 +128,47 @@
         let newest = values.iter().rev().find(|entry| entry.key == given.key);
         if let Some(entry) = newest {
             take_given(daemon, given, entry);
+            let taken = daemon.config.stamp().version;
             sleep(GATHER_TIME).await;
+            if Knowledge::of(daemon).newest_heard(daemon) > taken {
+                // A watch would bring each version in between in full; a listing brings the newest.
+                follower = Follower::new(&given.key);
+            }
+        }
+    }
+}
+
+/// Waits a moment for the members to be known, and asks one of them for the configuration.
+async fn meet_peers(daemon: &Daemon) {
+    let mut members = daemon.fleet.subscribe();
+    let met = async {
+        while daemon.fleet.load().members().len() < 2 {
+            if members.changed().await.is_err() {
+                return;
+            }
         }
+    };
+    if timeout(MEETING_TIME, met).await.is_err() || is_reader(daemon) {
+        return;
+    }
+    if let Some(peer) = random_peer(daemon)
+        && let Err(err) = exchange::with_peer(daemon, peer).await
+    {
+        event!(ExchangeFailed, peer = peer, error = err);
     }
 }
 
+/// Tests whether peers bring the configuration to this daemon.
+pub(super) fn is_served_by_peers(daemon: &Daemon) -> bool {
+    let known = daemon.config.stamp().version > 0;
+    known && !is_reader(daemon) && Knowledge::of(daemon).heard_within(PEER_SILENCE)
+}
+
+fn is_reader(daemon: &Daemon) -> bool {
+    let own = &daemon.identity;
+    daemon.fleet.load().is_reader(&own.name, &own.domain)
+}
+
 /// Waits for what is new below a prefix. A watch that waits is given up when the platform answers
 /// again after it had not, since its connection may have gone silent.
 pub(super) async fn follow(
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -286,8 +286,10 @@
             () = sleep(about(EXCHANGE_EVERY)) => None,
             changed = hints.changed() => {
                 changed?;
-                // The version mostly comes from the platform by itself.
-                sleep(HINT_GRACE).await;
+                // The version mostly comes from the platform by itself, where it is read from there.
+                if !config::is_served_by_peers(daemon) {
+                    sleep(HINT_GRACE).await;
+                }
                 Some(*hints.borrow_and_update())
             }
         };
@@ -305,7 +307,7 @@
     }
 }
 
-fn random_peer(daemon: &Daemon) -> Option<SocketAddr> {
+pub(super) fn random_peer(daemon: &Daemon) -> Option<SocketAddr> {
     let fleet = daemon.fleet.load();
     let others = fleet.members().values();
     let others = others.filter(|member| member.name != daemon.identity.name);
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -114,6 +114,19 @@
     assert!(Knowledge::of(&one).answer(&one, asked).config.is_none());
 }
 
+/// A version goes on from daemon to daemon, though only the first has read it from the platform.
+#[tokio::test]
+async fn answer_passes_on_what_a_peer_brought() {
+    let daemons = ["one", "two", "three"].map(daemon);
+    take(&daemons[0], "7");
+    for pair in daemons.windows(2) {
+        let asked = Knowledge::of(&pair[1]).answer(&pair[1], wire::Exchange::default());
+        let answer = Knowledge::of(&pair[0]).answer(&pair[0], asked);
+        Knowledge::of(&pair[1]).answer(&pair[1], answer);
+        assert_eq!(pair[1].config.stamp(), daemons[0].config.stamp());
+    }
+}
+
 #[tokio::test]
 async fn answer_never_brings_an_older_version() {
     let (one, two) = (daemon("one"), daemon("two"));
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -2,7 +2,7 @@
 
 use baobabstage::generated::mesh as wire;
 use baobabstage::generated::mesh::MemberState::{self, Draining, Gone, Ready, Suspect};
-use baobabstage::member::{MemberSet, SetSettings};
+use baobabstage::member::{Fleet, MemberSet, SetSettings};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use test_case::test_case;
@@ -55,6 +55,29 @@
     now
 }
 
+/// Of a large failure domain a few daemons read the configuration; when one of them is about to end
+/// another takes its place.
+#[test]
+fn is_reader_large_domain() {
+    let fleet = |draining: &str| {
+        Fleet::new((0..20).map(|index| {
+            let name = format!("vm-{index:02}");
+            let state = if name == draining { Draining } else { Ready };
+            member(&name, 1, 1, state)
+        }))
+    };
+    let readers = |fleet: &Fleet| -> Vec<String> {
+        let names = fleet.members().keys();
+        let readers = names.filter(|name| fleet.is_reader(name, "espoo"));
+        readers.cloned().collect()
+    };
+    assert_eq!(readers(&fleet("")), ["vm-00", "vm-01", "vm-02", "vm-03"]);
+    let readers = readers(&fleet("vm-01"));
+    assert_eq!(readers, ["vm-00", "vm-01", "vm-02", "vm-03", "vm-04"]);
+    assert!(Fleet::default().is_reader("vm-09", "espoo"));
+    assert!(fleet("").is_reader("vm-09", "lahti"));
+}
+
 #[test_case((1, 1, Ready), (1, 1, Suspect); "suspicion beats the announcement")]
 #[test_case((1, 1, Suspect), (1, 1, Gone); "removal beats suspicion")]
 #[test_case((1, 1, Gone), (1, 2, Ready); "next announcement beats removal")]
