--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -10,6 +10,7 @@
 use crate::call::fence::{self, ArrivalError, Record};
 use crate::call::gate::{Gate, Permit, Rejected};
 use crate::call::idempotency::{KeyId, Keys};
+use crate::call::measures::Incoming;
 use crate::call::upstream::{BackendPool, Returning, Reuse, UpstreamError, hello};
 use crate::call::{self, Refusal, Why, request};
 use crate::daemon::{Daemon, Flight, Phase};
@@ -121,10 +122,13 @@
     })
 }
 
-fn metrics(_: &Daemon, _: &mut Registry) {}
+fn metrics(daemon: &Daemon, registry: &mut Registry) {
+    of(daemon).measures.register(registry);
+}
 
 /// What guards the way to the backend server.
 pub struct Inbound {
+    measures: Incoming,
     service: Option<String>,
     pool: BackendPool,
     gate: Gate,
@@ -141,6 +145,7 @@
         let backend = daemon.settings.backend.as_ref();
         let nowhere = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
         Inbound {
+            measures: Incoming::default(),
             service: backend.map(|backend| backend.service.clone()),
             pool: BackendPool::new(backend.map_or(nowhere, |backend| backend.address)),
             gate: Gate::default(),
@@ -189,6 +194,7 @@
             let id = id.as_ref().and_then(|id| id.to_str().ok());
             let id = id.unwrap_or_default();
             let load = self.gate.load();
+            self.measures.note_refusal(refusal.why);
             // Its sender looks elsewhere first, so that nothing is decided yet.
             if refusal.why != Why::Busy {
                 event!(
@@ -356,6 +362,8 @@
             }
         })?;
         *lock(&self.down) = None;
+        let failed = answer.status().is_server_error();
+        self.measures.note_run(run.waited, run.permit.ran(), failed);
         event!(
             AttemptRan,
             request = id
