Refuse or tell every call that the end of the process would cut off

Typical times were kept low by failures, which come sooner than answers. Change: 900 ms for the questions; what is still unknown when calls are cut off is told with status 502; a call is taken near the end only if six times its typical time fits; failures count no longer in typical times and paces.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -45,8 +45,8 @@
 const CLOSE_SHARE: f64 = 0.92;
 
 /// Time for the calls that still wait to be refused before the process cuts calls off: an upstream is
-/// asked about each, which takes a round trip.
-const RECALL_TIME: Duration = Duration::from_millis(250);
+/// asked about each, which may take most of a second on a busy link.
+const RECALL_TIME: Duration = Duration::from_millis(900);
 
 /// Time for connections to end once no call is in flight.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -7,9 +7,10 @@
 use crate::call::budget::{Failure, backoff};
 use crate::call::choose::{Choice, Health, Index, Upstream};
 use crate::call::idempotency::{KEY_TIME, KeyId};
+use crate::call::measures::Outgoing;
 use crate::call::upstream::{Link, UpstreamError};
 use crate::call::view::{ServiceView, ViewCell, Viewer};
-use crate::call::{Refusal, Why, request};
+use crate::call::{Outcome, Refusal, Why, request};
 use crate::daemon::{Daemon, Flight, Phase};
 use crate::event;
 use crate::kernel::{Plugin, Work};
@@ -107,9 +108,12 @@
     json!({ "retries_left": service.budget.left(), "upstreams": upstreams })
 }
 
-fn metrics(_: &Daemon, _: &mut Registry) {}
+fn metrics(daemon: &Daemon, registry: &mut Registry) {
+    of(daemon).measures.register(registry);
+}
 
 struct Outbound {
+    measures: Outgoing,
     views: ViewCell,
     choice: Choice,
     attempts: AtomicU64,
@@ -125,6 +129,7 @@
             domain: daemon.identity.domain.clone(),
         };
         Outbound {
+            measures: Outgoing::default(),
             views: ViewCell::new(viewer),
             choice: read_choice(),
             attempts: AtomicU64::new(0),
@@ -150,6 +155,8 @@
             );
             refusal.into_answer(&id, names)
         });
+        let outcome = Outcome::of(answer.headers()).map_or("answered", Outcome::as_str);
+        self.measures.note_call(outcome, watch.started.elapsed());
         watch.end(answer.status());
         *answer.version_mut() = version;
         let draining = daemon.drain.phase() != Phase::Running;
@@ -209,6 +216,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
+            self.measures.note_failure(failed.failure);
             match failed.failure {
                 Failure::Refused if failed.why == Why::Busy => busy += 1,
                 Failure::Refused if failed.why == Why::Full => {
@@ -291,7 +299,7 @@
             Ok(Ok(ready)) => ready,
             Ok(Err(err)) => return Err(call.not_sent(upstream, &err)),
             Err(Stop::Late) => return Err(call.late(upstream)),
-            Err(Stop::Ending) => return Err(call.ending(upstream)),
+            Err(Stop::Ending | Stop::CutOff) => return Err(call.ending(upstream)),
         };
         let attempt = self.new_attempt(call, upstream, ready.sent_ms, patience);
         let request = call.request(&attempt);
@@ -308,6 +316,7 @@
                 .lost(upstream, link, &attempt, "no answer in time")
                 .await),
             Err(Stop::Ending) => Err(call.ending(upstream)),
+            Err(Stop::CutOff) => Err(call.cut_off(upstream)),
         }
     }
 
@@ -327,6 +336,7 @@
             Ok(answer) => Ok(answer),
             Err(Stop::Late) => Err(call.overdue(upstream, side.bar(&attempt))),
             Err(Stop::Ending) => Err(call.ending(upstream)),
+            Err(Stop::CutOff) => Err(call.cut_off(upstream)),
         }
     }
 
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -27,11 +27,12 @@
 /// The time after which a caller may come back when an upstream could not be reached.
 const UNREACHED_RETRY: Duration = Duration::from_millis(200);
 
-/// How many times its typical time a call may take before the end of the process cuts it off.
-const SAFETY_FACTOR: u32 = 3;
+/// How many times its typical time a call may take before the end of the process cuts it off. Times
+/// of work vary, and this side knows the way to the upstream only in part.
+const SAFETY_FACTOR: u32 = 6;
 
 /// Time for an inbound side to say what became of an attempt, while the caller waits and once its
-/// time or that of this process is up.
+/// time is up.
 const FENCE_TIME: Duration = Duration::from_millis(800);
 const LATE_FENCE_TIME: Duration = Duration::from_millis(150);
 
@@ -76,6 +77,8 @@
     Late,
     /// This process ends, and the attempt has not run and never will.
     Ending,
+    /// This process ends, and nobody says what became of the attempt.
+    CutOff,
 }
 
 impl<'a> Call<'a> {
@@ -175,8 +178,11 @@
         if fence().await == Some(Fate::NeverRuns) {
             return Err(Stop::Ending);
         }
-        let answer = tokio::time::timeout_at(deadline, answer).await;
-        answer.map_err(|_| Stop::Late)
+        tokio::select! {
+            answer = answer => Ok(answer),
+            () = tokio::time::sleep_until(deadline) => Err(Stop::Late),
+            () = self.daemon.drain.reached(Phase::Closing) => Err(Stop::CutOff),
+        }
     }
 
     /// Returns the longest wait that an attempt accepts, after so many upstreams were busy.
@@ -259,11 +265,15 @@
         self.refused(refusal.retry_after(Duration::ZERO).why(Why::Leaving))
     }
 
+    /// Says that this process ends before the answer has come.
+    pub(super) fn cut_off(&self, upstream: &Upstream) -> Failed {
+        self.unknown(upstream, StatusCode::BAD_GATEWAY, "daemon ends")
+    }
+
     /// Asks the inbound side what became of an attempt, and bars it from running if it has not.
     pub(super) async fn fence(&self, link: &Link, attempt: &Attempt) -> Option<Fate> {
         let late = Instant::now() >= self.terms.deadline;
-        let hurried = late || self.daemon.drain.phase() >= Phase::Ending;
-        let time = if hurried { LATE_FENCE_TIME } else { FENCE_TIME };
+        let time = if late { LATE_FENCE_TIME } else { FENCE_TIME };
         let fate = tokio::time::timeout(time, link.fence(attempt)).await;
         fate.ok().flatten()
     }
@@ -348,7 +358,9 @@
     if let Some(load) = load.and_then(|load| load.parse::<Load>().ok()) {
         health.report(now, load);
     }
-    if let Some(us) = call::number(headers, &call::RAN) {
+    // A failure may come sooner than an answer would.
+    let served = !answer.status().is_server_error();
+    if let Some(us) = call::number(headers, &call::RAN).filter(|_| served) {
         let ran = Duration::from_micros(us);
         health.compare(call.service.times.note(call.class, ran));
     }
