Wait for the members at a start no longer than for one answer

Change: the wait ends with the first answer of the platform about the members, or its failure, and a peer has 500 ms to answer.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -64,6 +64,8 @@
     hint: watch::Sender<Hint>,
     /// When a peer last answered.
     heard: Mutex<Option<Instant>>,
+    /// Whether the platform has been asked for the members once.
+    asked: watch::Sender<bool>,
 }
 
 /// A value that peers ask for, compressed once it has been asked for.
@@ -115,6 +117,17 @@
         heard.max(daemon.config.stamp().version)
     }
 
+    /// Notes that the platform has been asked for the members, whether it answered or not.
+    pub fn note_asked(&self) {
+        self.asked.send_replace(true);
+    }
+
+    /// Waits until the platform has been asked for the members.
+    pub async fn asked(&self) {
+        // The sender lives as long as `self`.
+        let _ = self.asked.subscribe().wait_for(|asked| *asked).await;
+    }
+
     /// Tests whether a peer has answered within a time.
     #[must_use]
     pub fn heard_within(&self, time: Duration) -> bool {
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -34,7 +34,7 @@
 /// exchanges.
 const PEER_SILENCE: Duration = Duration::from_secs(3);
 
-/// Time at the start for the members to be known.
+/// Time at the start for the platform to name the members, and for one of them to answer.
 const MEETING_TIME: Duration = Duration::from_millis(500);
 
 /// Greatest delay before a platform that does not answer is asked again for the configuration.
@@ -138,23 +138,19 @@
     }
 }
 
-/// Waits a moment for the members to be known, and asks one of them for the configuration.
+/// Asks a peer for the configuration, if the members are known by then and others read it.
 async fn meet_peers(daemon: &Daemon) {
-    let mut members = daemon.fleet.subscribe();
-    let met = async {
-        while daemon.fleet.load().members().len() < 2 {
-            if members.changed().await.is_err() {
-                return;
-            }
-        }
-    };
-    if timeout(MEETING_TIME, met).await.is_err() || is_reader(daemon) {
+    let asked = timeout(MEETING_TIME, Knowledge::of(daemon).asked()).await;
+    if asked.is_err() || is_reader(daemon) {
         return;
     }
-    if let Some(peer) = random_peer(daemon)
-        && let Err(err) = exchange::with_peer(daemon, peer).await
-    {
-        event!(ExchangeFailed, peer = peer, error = err);
+    let Some(peer) = random_peer(daemon) else {
+        return;
+    };
+    match timeout(MEETING_TIME, exchange::with_peer(daemon, peer)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(err)) => event!(ExchangeFailed, peer = peer, error = err),
+        Err(_) => event!(ExchangeFailed, peer = peer, error = "no answer in time"),
     }
 }
 
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -150,11 +150,18 @@
     /// on.
     async fn recall(&mut self, daemon: &Daemon) {
         let key = format!("{PREFIX}{}", daemon.identity.name);
-        let Ok(Some(entry)) = daemon.store.platform().get(&key).await else {
-            return;
+        let entry = match daemon.store.platform().get(&key).await {
+            Ok(Some(entry)) => entry,
+            Ok(None) => return,
+            Err(err) => {
+                // Its health and its next report say the same, later.
+                event!(MembersUnread, key = key, error = err);
+                return;
+            }
         };
         self.revision = entry.revision;
         let Ok(record) = wire::Member::decode(entry.value) else {
+            event!(MemberUnreadable, key = key, revision = entry.revision);
             return;
         };
         if record.left && !record.instance.is_empty() {
@@ -229,17 +236,20 @@
     let mut follower = Follower::new(PREFIX);
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
     loop {
-        match config::follow(daemon, &mut follower, LIST_WAIT).await {
+        let news = config::follow(daemon, &mut follower, LIST_WAIT).await;
+        match news {
             Ok(news) => {
                 backoff.reset();
                 let some = !matches!(&news, News::Some(events) if events.is_empty());
                 knowledge.change(daemon, |book, now| take(book, news, now));
+                knowledge.note_asked();
                 if some {
                     sleep(GATHER_TIME).await;
                 }
             }
             Err(err) => {
                 event!(MembersUnread, error = err);
+                knowledge.note_asked();
                 let delay = backoff.delay(&mut rand::rng());
                 sleep(delay).await;
             }
