Register the signals to stop before saying that the daemon has started

Cause: shutdown_with_a_closed_log failed once in a run of the whole workspace beside three builds (exit by signal in place of code 0): the test sends TERM as soon as the log says Started, and the handlers were registered by a task spawned after that line. Change: handlers first. The first read of the settings to compare with is logged when it fails.

--- a/src/start.rs
+++ b/src/start.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Builder;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// The exit code for settings that are not valid.
 pub const EXIT_SETTINGS: u8 = 2;
@@ -119,13 +119,16 @@
     let name = settings.name.clone().unwrap_or_else(|| "baobabd".into());
     logging::init(settings.log_level, settings.log_format, &name)?;
     let daemon = make(settings)?;
+    // Whoever reads that the daemon has started may tell it to stop at once.
+    let terminate = signal(SignalKind::terminate()).context("signal handler")?;
+    let interrupt = signal(SignalKind::interrupt()).context("signal handler")?;
     event!(
         Started,
         domain = daemon.identity.domain,
         region = daemon.identity.region,
         incarnation = daemon.identity.incarnation,
     );
-    tokio::spawn(stop_on_signal(Arc::clone(&daemon)));
+    tokio::spawn(stop_on_signal(Arc::clone(&daemon), terminate, interrupt));
     tokio::spawn(reload_on_change(Arc::clone(&daemon)));
     kernel::run(daemon).await?;
     event!(Stopped);
@@ -140,7 +143,9 @@
         return Ok(());
     };
     let mut hangup = signal(SignalKind::hangup()).context("signal handler")?;
-    let mut known = reload().ok();
+    let mut known = reload()
+        .inspect_err(|err| event!(SettingsRefused, fault = err))
+        .ok();
     loop {
         tokio::select! {
             _ = hangup.recv() => {}
@@ -166,13 +171,10 @@
 }
 
 /// Lets calls in flight end once the process is told to terminate.
-async fn stop_on_signal(daemon: Arc<daemon::Daemon>) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("signal handler")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("signal handler")?;
+async fn stop_on_signal(daemon: Arc<daemon::Daemon>, mut terminate: Signal, mut interrupt: Signal) {
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
     daemon.shut_down().await;
-    Ok(())
 }
