--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -30,7 +30,7 @@
 
 /// Data of one stream that may be under way between daemons, in bytes; small for the reason given at
 /// the server's.
-const STREAM_WINDOW: u32 = 8 * 1024;
+const STREAM_WINDOW: u32 = 16 * 1024;
 
 /// Data of one connection that may be under way between daemons, in bytes.
 const CONNECTION_WINDOW: u32 = 64 * 1024;
@@ -87,7 +87,6 @@
     /// The connections that may still be opened.
     room: Arc<Semaphore>,
     most: Arc<Mutex<usize>>,
-    opened: Arc<AtomicU64>,
 }
 
 /// A connection on which nothing is under way.
@@ -119,7 +118,6 @@
             idle: Arc::default(),
             room: Arc::new(Semaphore::new(0)),
             most: Arc::default(),
-            opened: Arc::default(),
         }
     }
 
@@ -129,12 +127,6 @@
         self.address
     }
 
-    /// Returns the number of connections opened so far.
-    #[must_use]
-    pub fn opened(&self) -> u64 {
-        self.opened.load(Ordering::Relaxed)
-    }
-
     /// Changes how many connections may be open at once.
     pub fn set_limit(&self, limit: usize) {
         let mut most = lock(&self.most);
@@ -195,7 +187,6 @@
 
     async fn connect(&self) -> Result<Connection, UpstreamError> {
         let not_sent = |err: String| UpstreamError::NotSent(self.address, err);
-        self.opened.fetch_add(1, Ordering::Relaxed);
         let room = Arc::clone(&self.room).acquire_owned();
         let room = tokio::time::timeout(CONNECT_TIMEOUT, room).await;
         let room = room.map_err(|_| not_sent("too many connections".into()))?;
@@ -292,11 +283,6 @@
             }
         });
     }
-
-    /// Closes the connection once the answer has ended, in place of using it again.
-    pub fn retire(&mut self) {
-        self.until = Some(Instant::now());
-    }
 }
 
 /// Returns when a server closes an idle connection, less a margin for what is under way then.
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -182,7 +182,8 @@
         let service = entry.service(self.place());
         let call = Call::new(daemon, &view, entry, service, request, id)?;
         call.check_time_left()?;
-        self.run(&call, flight).await
+        // Most of it is needed only while a call is under way, and idle connections keep its place.
+        Box::pin(self.run(&call, flight)).await
     }
 
     /// Returns numbers in 0 to 1 that are spread evenly whatever their count.
