--- a/src/role/inbound/health.rs
+++ b/src/role/inbound/health.rs
@@ -21,6 +21,9 @@
 /// Time for the endpoint to confirm an instance; its report waits for that.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for a configuration that names the endpoint to come; a report waits for that too.
+const CONFIG_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Greatest length of the endpoint's answer, in bytes.
 const MAX_ANSWER_LEN: usize = 64 * 1024;
 
@@ -62,6 +65,11 @@
     let Some(backend) = &daemon.settings.backend else {
         return false;
     };
+    // A backend server that runs on reports to a restarted daemon before it has a configuration.
+    let known = tokio::time::timeout(CONFIG_TIMEOUT, configured(daemon, &backend.service)).await;
+    if known.is_err() {
+        return false;
+    }
     let table = daemon.config.table();
     let service = table.service_named(&backend.service);
     let Some(path) = service.and_then(|service| service.pool.health.as_ref()) else {
@@ -85,6 +93,16 @@
     answer.status().is_success() && said == Some(instance)
 }
 
+/// Waits until a service is configured.
+async fn configured(daemon: &Daemon, service: &str) {
+    let mut versions = daemon.config.subscribe();
+    while daemon.config.table().service_named(service).is_none() {
+        if versions.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 fn tell(daemon: &Daemon, health: Health) {
     match health {
         Health::Healthy => event!(BackendHealthy),
