Let one call probe a backend server that refused a connection

Cause: a call checked three times whether its backend server was reachable. The first check after DOWN_TIME moved the mark on so that this call could probe, and the second check of the same call then refused it because of that mark. A backend server that had refused one connection got no call until its daemon restarted (80 of 80 calls refused in 20 s).

Change: reachability is decided once for a call; the later checks only ask for a drain. A healthy answer of the health endpoint and an accepted report clear the mark as well.

--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -270,7 +270,8 @@
                 RefusalReason::Other,
             ));
         }
-        self.check_backend(daemon)?;
+        check_accepting(daemon)?;
+        self.check_reachable()?;
         self.update_limits(daemon)?;
         let recorded = self.record_attempt(&attempt)?;
         let deadline = deadline(request.headers());
@@ -280,7 +281,7 @@
         let permit = self.gate.admit(&admission).await;
         let permit = permit.map_err(admission_refusal)?;
         // The backend server may have started to drain while the call waited.
-        self.check_backend(daemon)?;
+        check_accepting(daemon)?;
         let run = RunningCall {
             permit,
             recorded,
@@ -319,43 +320,29 @@
         Ok((Request::from_parts(head, body), Some(permit)))
     }
 
-    /// Checks that the daemon is running and the backend server accepts calls.
-    fn check_backend(&self, daemon: &Daemon) -> Result<(), Refusal> {
-        if daemon.drain.phase() != Phase::Running {
-            return Err(unavailable(
-                "daemon is shutting down",
-                RefusalReason::Leaving,
-            ));
-        }
-        match daemon.backend.load().stage {
-            Stage::Ready => {}
-            Stage::Leaving => {
-                return Err(unavailable(
-                    "backend server is draining",
-                    RefusalReason::Leaving,
-                ));
-            }
-            Stage::Unknown => {
-                return Err(unavailable(
-                    "backend server has not reported that it is ready",
-                    RefusalReason::Down,
-                ));
-            }
-        }
+    /// Checks that the backend server is not marked as unreachable.
+    ///
+    /// Checked once for each call: the first call after [`DOWN_TIME`] probes whether the backend
+    /// server is reachable again, and further ones are refused meanwhile.
+    fn check_reachable(&self) -> Result<(), Refusal> {
         let mut down_until = lock(&self.down_until);
-        match *down_until {
-            Some(until) if Instant::now() < until => Err(unavailable(
+        let Some(until) = *down_until else {
+            return Ok(());
+        };
+        let now = Instant::now();
+        if now < until {
+            return Err(unavailable(
                 "backend server is unreachable",
                 RefusalReason::Down,
-            )),
-            Some(_) => {
-                // This call probes whether the backend server is reachable again; others are still
-                // refused meanwhile.
-                *down_until = Some(Instant::now() + DOWN_TIME);
-                Ok(())
-            }
-            None => Ok(()),
+            ));
         }
+        *down_until = Some(now + DOWN_TIME);
+        Ok(())
+    }
+
+    /// Records that the backend server has responded or has reported that it is ready.
+    pub(super) fn mark_reachable(&self) {
+        *lock(&self.down_until) = None;
     }
 
     /// Sends a call that has a slot to the backend server.
@@ -377,7 +364,7 @@
         let connection = self.pool.connection(reuse).await;
         let lease = connection.map_err(|err| self.mark_unreachable(&err))?;
         // A drain may have been reported while the connection was opened.
-        self.check_backend(daemon)?;
+        check_accepting(daemon)?;
         if !run.recorded.dispatch() {
             let reason = "attempt was cancelled by its sender";
             return Err(unavailable(reason, RefusalReason::Other));
@@ -393,7 +380,7 @@
                 UpstreamError::Lost(..) => Refusal::unknown(StatusCode::BAD_GATEWAY, err),
             }
         })?;
-        *lock(&self.down_until) = None;
+        self.mark_reachable();
         let failed = response.status().is_server_error();
         self.metrics
             .note_run(run.waited, run.permit.service_time(), failed);
@@ -505,6 +492,27 @@
     daemon.drain.phase() != Phase::Running || daemon.backend.load().stage == Stage::Leaving
 }
 
+/// Checks that the daemon is running and the backend server has reported that it is ready.
+fn check_accepting(daemon: &Daemon) -> Result<(), Refusal> {
+    if daemon.drain.phase() != Phase::Running {
+        return Err(unavailable(
+            "daemon is shutting down",
+            RefusalReason::Leaving,
+        ));
+    }
+    match daemon.backend.load().stage {
+        Stage::Ready => Ok(()),
+        Stage::Leaving => Err(unavailable(
+            "backend server is draining",
+            RefusalReason::Leaving,
+        )),
+        Stage::Unknown => Err(unavailable(
+            "backend server has not reported that it is ready",
+            RefusalReason::Down,
+        )),
+    }
+}
+
 /// Refuses a call that did not run, with a short `Retry-After`.
 fn unavailable(message: impl std::fmt::Display, reason: RefusalReason) -> Refusal {
     let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message);
--- a/src/role/inbound/health.rs
+++ b/src/role/inbound/health.rs
@@ -51,6 +51,9 @@
         let health = health.map_or(Health::Unhealthy, |probed| {
             probed.unwrap_or(Health::Unhealthy)
         });
+        if health == Health::Healthy {
+            super::component(daemon).mark_reachable();
+        }
         if health != previous {
             handle_change(daemon, health);
         }
--- a/src/role/reports.rs
+++ b/src/role/reports.rs
@@ -1,8 +1,7 @@
 //! The role that receives reports from this daemon's backend server.
 
-use super::inbound::health;
-use crate::backend::Report;
-use crate::backend::{ReportOutcome, Stage};
+use super::inbound::{self, health};
+use crate::backend::{Report, ReportOutcome, ReportedState, Stage};
 use crate::daemon::{Daemon, Phase};
 use crate::event;
 use crate::kernel::{Plugin, RoleFuture};
@@ -78,7 +77,12 @@
     let healthy = unknown && health::confirms_instance(daemon, &report.instance).await;
     let outcome = daemon.backend.report(Instant::now(), report, healthy);
     match outcome {
-        ReportOutcome::New => empty_response(),
+        ReportOutcome::New => {
+            if report.state == ReportedState::Ready {
+                inbound::component(daemon).mark_reachable();
+            }
+            empty_response()
+        }
         ReportOutcome::Unproven | ReportOutcome::Old => {
             event!(
                 ReportIgnored,
