Repeat a query on a new connection when the old one was just lost

Cause: just after a connection was lost its session still passes for open, so that a fence sent on it failed and a call was reported as unknown although its status could be learned.

Change: a query, which is idempotent, is made once more on a new connection within the same limit.

--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -422,14 +422,17 @@
     }
 
     /// Sends a query in a header and returns the same header of the response.
+    ///
+    /// Queries are idempotent. One that fails is sent once more on a new connection: a connection
+    /// that was just lost still counts as open until its task has noticed.
     async fn query(&self, name: HeaderName, value: &str) -> Option<String> {
         let value = HeaderValue::from_str(value).ok()?;
         let query = async {
-            let mut request = Request::new(full_body(Bytes::new()));
-            *request.uri_mut() = http::Uri::from_static("http://inbound/");
-            request.headers_mut().insert(&name, value);
-            let response = self.ready().await.ok()?.send(request).await.ok()?;
-            super::text(response.headers(), &name).map(ToOwned::to_owned)
+            if let Some(response) = self.query_once(&name, &value).await {
+                return Some(response);
+            }
+            self.reset();
+            self.query_once(&name, &value).await
         };
         let response = tokio::time::timeout(QUERY_TIMEOUT, query).await;
         if response.is_err() {
@@ -439,6 +442,14 @@
         response.ok()?
     }
 
+    async fn query_once(&self, name: &HeaderName, value: &HeaderValue) -> Option<String> {
+        let mut request = Request::new(full_body(Bytes::new()));
+        *request.uri_mut() = http::Uri::from_static("http://inbound/");
+        request.headers_mut().insert(name, value.clone());
+        let response = self.ready().await.ok()?.send(request).await.ok()?;
+        super::text(response.headers(), name).map(ToOwned::to_owned)
+    }
+
     /// Discards the connection, so that the next call opens a new one.
     pub fn reset(&self) {
         self.session.store(None);
