Read the route kind download, and pass over kinds that are not known

Cause: one route of an unknown kind made the daemons refuse the whole configuration, with every other route in it; the kind download, which may be repeated, was unknown.

Change: download is idempotent. A kind that is not known gets the strictest treatment for that route alone (never repeated), is logged when the route is new, and is counted as event 210. The test that demanded a refusal of the whole configuration is replaced by one that checks each kind, the other routes beside it, and the report.

--- a/src/event.rs
+++ b/src/event.rs
@@ -55,6 +55,7 @@
     SnapshotUnreadable = 207, Warn, "A snapshot could not be read from the platform.";
     Pruned = 208, Debug, "Old values were deleted from the platform.";
     ConfigUnread = 209, Warn, "The configuration could not be read from the platform.";
+    RouteKindUnknown = 210, Warn, "A route has an unknown kind; its calls are never repeated.";
 
     Attached = 300, Info, "This daemon has attached to a relay.";
     Detached = 301, Warn, "The stream to a relay has ended.";
