Follow the members in the platform on a few daemons only, and exchange what differs

Cause: every daemon watched the entries of all daemons. The cost for each daemon grew with the fleet's changes.

Change: the daemons that read the configuration from the platform (four of each failure domain) follow the members as well; the others learn of them in exchanges, half of which are with such a reader. A reader that removes a member keeps its rank as a removal and passes it on; who has been removed by mistake outranks the removal. Exchanges carry 32 digests by buckets of names, and only the records of the buckets that differ. Four of five exchanges stay in the failure domain.

Tests: registry and exchange (networkless), among them a removal that spreads, one that the listing refutes, and one that its subject refutes.

--- a/src/event.rs
+++ b/src/event.rs
@@ -83,6 +83,7 @@
     MembersUnread = 412, Warn, "The entries of daemons could not be read from the platform.";
     MemberUnreadable = 413, Warn, "An entry of a daemon cannot be read.";
     ExchangeFailed = 414, Debug, "An exchange with another daemon failed.";
+    RemovalRefuted = 415, Info, "A peer had removed this daemon's record; the next one outranks the removal.";
 
     CallRefused = 500, Info, "A call was refused; it was not run.";
     CallUnknown = 501, Warn, "A call ended without a known outcome.";
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -10,6 +10,8 @@
 use crate::error::{Category, Error, Result};
 use crate::event;
 use crate::generated::mesh as wire;
+use crate::generated::mesh::MemberState;
+use crate::member::rank;
 use crate::member::registry::MemberRegistry;
 use crate::serve::{Body, full_body};
 use crate::site::{ExternalConfig, Source};
@@ -147,6 +149,11 @@
         }
     }
 
+    /// Records that this daemon no longer follows the platform's listing of the members.
+    pub fn stop_following(&self) {
+        lock(&self.registry).stop_following();
+    }
+
     /// Reads the version in force at another daemon from headers, and publishes a hint if newer.
     pub fn note_version(&self, daemon: &Daemon, headers: &HeaderMap, holder: Option<SocketAddr>) {
         let Some(version) = number(headers, &crate::call::VERSION) else {
@@ -165,16 +172,16 @@
     }
 
     /// Merges another daemon's request, and returns the response.
-    pub fn respond(&self, daemon: &Daemon, request: wire::Exchange) -> wire::Exchange {
+    pub fn respond(&self, daemon: &Daemon, mut request: wire::Exchange) -> wire::Exchange {
         let wants = request.wants;
         let other = Stamp::from_wire(request.stamp.as_ref());
-        let digest = request.digest;
+        let buckets = std::mem::take(&mut request.buckets);
         let has_members = !request.members.is_empty();
         self.merge(daemon, request);
         let mut response = self.summary(daemon);
-        let differs = response.digest != digest;
+        let differs = response.buckets != buckets;
         if differs || wants {
-            response.members = lock(&self.registry).records();
+            response.members = lock(&self.registry).records_for(&buckets);
         }
         let own = daemon.config.stamp();
         response.config = self.config_after(daemon, other);
@@ -190,7 +197,9 @@
         self.update_members(daemon, |registry, now| {
             let mut changed = false;
             for record in message.members.into_iter().chain(message.sender) {
-                if record.name != daemon.identity.name && !record.name.is_empty() {
+                if record.name == daemon.identity.name {
+                    refute_removal(daemon, &record);
+                } else if !record.name.is_empty() {
                     changed |= registry.merge_reported(record, now);
                 }
             }
@@ -259,7 +268,7 @@
         wire::Exchange {
             sender: Some(own),
             stamp: Some(daemon.config.stamp().to_wire()),
-            digest: lock(&self.registry).digest(),
+            buckets: lock(&self.registry).buckets(),
             members: Vec::new(),
             config: None,
             wants: false,
@@ -267,6 +276,15 @@
     }
 }
 
+/// Increments the sequence of this daemon's record if a peer has removed it, so that its next record
+/// outranks the removal.
+fn refute_removal(daemon: &Daemon, record: &wire::Member) {
+    if record.state() == MemberState::Gone && rank(record) >= rank(&daemon.record()) {
+        event!(RemovalRefuted, sequence = record.sequence);
+        daemon.increment_sequence();
+    }
+}
+
 /// Decodes and applies a version of an externally managed configuration.
 ///
 /// Returns false when it is not newer, or when it is refused; an invalid one is logged.
@@ -292,10 +310,11 @@
     let response = send(peer, state.summary(daemon)).await?;
     let other = Stamp::from_wire(response.stamp.as_ref());
     let wants = response.wants;
+    let buckets = response.buckets.clone();
     state.merge(daemon, response);
     if wants {
         let mut more = state.summary(daemon);
-        more.members = lock(&state.registry).records();
+        more.members = lock(&state.registry).records_for(&buckets);
         more.config = state.config_after(daemon, other);
         let response = send(peer, more).await?;
         state.merge(daemon, response);
--- a/src/member/registry.rs
+++ b/src/member/registry.rs
@@ -1,10 +1,11 @@
 //! The registry of members, merged from the platform's listing and from peers' records.
 //!
-//! The platform's listing is the primary source. A daemon that the platform refuses to register
-//! sends its record to its peers, with a higher sequence each second, and so stays a member. A
-//! record that neither source has renewed for [`MISSING_TIME`] is removed; its rank (incarnation,
-//! sequence, state) is kept, so that an older copy still circulating among peers does not restore
-//! it.
+//! Some daemons follow the platform's listing, the primary source; the others learn from their
+//! peers. A daemon that the platform refuses to register sends its record to its peers, with a higher
+//! sequence each second, and so stays a member. A daemon that follows the listing removes a record
+//! that neither source has renewed for [`MISSING_TIME`]. The rank (incarnation, sequence, state) of a
+//! removed record is kept and sent to peers, so that they remove it as well and an older copy still
+//! circulating among them does not restore it.
 
 use super::{Fleet, Rank, rank};
 use crate::generated::mesh as wire;
@@ -13,7 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 /// Time without renewal after which a member that the platform does not list is removed.
 ///
@@ -24,6 +25,10 @@
 /// Time for which the ranks of removed members are kept, to reject older copies of their records.
 const TOMBSTONE_TIME: Duration = Duration::from_mins(2);
 
+/// Number of buckets into which members are divided by a hash of their names. Two daemons exchange
+/// the records of those buckets only whose digests differ.
+pub const BUCKETS: usize = 32;
+
 #[derive(Clone, Debug)]
 struct Entry {
     record: Arc<wire::Member>,
@@ -36,6 +41,8 @@
 /// The registry of members, merged from the platform's listing and from peers' records.
 #[derive(Clone, Debug, Default)]
 pub struct MemberRegistry {
+    /// Whether this daemon follows the platform's listing.
+    following: bool,
     entries: BTreeMap<String, Entry>,
     /// The ranks of removed members, and when they were removed.
     removed: BTreeMap<String, (Rank, Instant)>,
@@ -47,6 +54,7 @@
     /// Returns whether the members have changed; unlike in [`MemberRegistry::merge_reported`], a
     /// higher sequence alone counts as a change.
     pub fn merge_listed(&mut self, record: wire::Member, now: Instant) -> bool {
+        self.following = true;
         // The platform is the primary source: its listing overrides a tombstone of any rank.
         self.removed.remove(&record.name);
         let name = record.name.clone();
@@ -66,19 +74,31 @@
     /// Returns whether the members have changed, as [`MemberRegistry::merge_listed`] does.
     pub fn merge_listing(&mut self, records: Vec<wire::Member>, now: Instant) -> bool {
         let names: BTreeSet<String> = records.iter().map(|r| r.name.clone()).collect();
+        let is_first = !self.following;
         let mut changed = false;
         for record in records {
             changed |= self.merge_listed(record, now);
         }
         for (name, entry) in &mut self.entries {
-            if entry.listed && !names.contains(name) {
+            // A first listing starts the time for members that only peers have reported.
+            if (entry.listed || is_first) && !names.contains(name) {
                 entry.listed = false;
                 entry.updated = now;
             }
         }
+        self.following = true;
         changed
     }
 
+    /// Records that this daemon no longer follows the platform's listing. Until the next listing,
+    /// members are removed only when peers report their removal.
+    pub fn stop_following(&mut self) {
+        self.following = false;
+        for entry in self.entries.values_mut() {
+            entry.listed = false;
+        }
+    }
+
     /// Records that the platform no longer lists a member; it is kept for [`MISSING_TIME`].
     pub fn mark_unlisted(&mut self, name: &str, now: Instant) {
         if let Some(entry) = self.entries.get_mut(name) {
@@ -89,9 +109,14 @@
 
     /// Merges a record that another daemon sent.
     ///
-    /// Returns whether the members have changed; a higher sequence alone is not a change.
+    /// Returns whether the members have changed; a higher sequence alone is not a change. The removal
+    /// of a member that the platform lists is ignored.
     pub fn merge_reported(&mut self, record: wire::Member, now: Instant) -> bool {
         let new = rank(&record);
+        let known = self.entries.get(&record.name);
+        if record.state() == MemberState::Gone && known.is_some_and(|entry| entry.listed) {
+            return false;
+        }
         if let Some((old, _)) = self.removed.get(&record.name)
             && *old >= new
         {
@@ -108,15 +133,16 @@
         }
     }
 
-    /// Removes the members that no source has renewed for [`MISSING_TIME`].
+    /// Removes the members that no source has renewed for [`MISSING_TIME`], if this daemon follows
+    /// the platform's listing.
     ///
     /// Returns whether any was removed.
     pub fn expire(&mut self, now: Instant) -> bool {
         let age = |at: Instant| now.saturating_duration_since(at);
         let before = self.entries.len();
-        let removed = &mut self.removed;
+        let (removed, following) = (&mut self.removed, self.following);
         self.entries.retain(|name, entry| {
-            let keep = entry.listed || age(entry.updated) < MISSING_TIME;
+            let keep = !following || entry.listed || age(entry.updated) < MISSING_TIME;
             if !keep {
                 removed.insert(name.clone(), (rank(&entry.record), now));
             }
@@ -137,25 +163,43 @@
         )
     }
 
-    /// Returns the records to send to another daemon.
+    /// Returns the records to send to another daemon, given the bucket digests that it sent, and the
+    /// ranks of removed members as records with the state `Gone`. Without digests, all are returned.
     #[must_use]
-    pub fn records(&self) -> Vec<wire::Member> {
-        let records = self.entries.values();
-        records.map(|entry| (*entry.record).clone()).collect()
+    pub fn records_for(&self, other: &[u64]) -> Vec<wire::Member> {
+        let own = self.buckets();
+        let differs = |name: &str| {
+            let bucket = bucket_of(name);
+            other.len() != BUCKETS || other[bucket] != own[bucket]
+        };
+        let entries = self.entries.iter().filter(|(name, _)| differs(name));
+        let records = entries.map(|(_, entry)| (*entry.record).clone());
+        let removed = self.removed.iter().filter(|(name, _)| differs(name));
+        let removed = removed.map(|(name, ((incarnation, sequence, _), _))| wire::Member {
+            name: name.clone(),
+            incarnation: *incarnation,
+            sequence: *sequence,
+            state: MemberState::Gone.into(),
+            ..wire::Member::default()
+        });
+        records.chain(removed).collect()
     }
 
-    /// Returns a hash of the names and ranks, equal for registries with the same records.
+    /// Returns a digest of the names and ranks of the members in each bucket. Two registries have the
+    /// same digests if they have the same records.
     #[must_use]
-    pub fn digest(&self) -> u64 {
-        let mut hasher = Xxh3::new();
+    pub fn buckets(&self) -> Vec<u64> {
+        let mut buckets = vec![0; BUCKETS];
         for (name, entry) in &self.entries {
             let (incarnation, sequence, state) = rank(&entry.record);
+            let mut hasher = Xxh3::new();
             hasher.update(name.as_bytes());
             hasher.update(&incarnation.to_be_bytes());
             hasher.update(&sequence.to_be_bytes());
             hasher.update(&state.to_be_bytes());
+            buckets[bucket_of(name)] ^= hasher.digest();
         }
-        hasher.digest()
+        buckets
     }
 
     /// Stores a record, or removes the member if its state is `Gone`.
@@ -177,6 +221,12 @@
     }
 }
 
+/// Returns the bucket of a member.
+fn bucket_of(name: &str) -> usize {
+    let hash = xxh3_64(name.as_bytes()) % BUCKETS as u64;
+    usize::try_from(hash).unwrap_or(0)
+}
+
 fn equal_except_sequence(a: &wire::Member, b: &wire::Member) -> bool {
     let mut a = a.clone();
     a.sequence = b.sequence;
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -31,7 +31,7 @@
 const BATCH_TIME: Duration = Duration::from_secs(1);
 
 /// Time between checks whether this daemon has to read the configuration from the platform itself.
-const READER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+pub(super) const READER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time without an exchange with any peer after which a daemon reads the configuration itself. It
 /// covers two exchanges: one may fail, and a daemon cut off from its peers falls behind only
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -52,6 +52,11 @@
 /// Time between exchanges with a random peer.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Cumulative shares of the regular exchanges that are with a reader of the own failure domain and
+/// with any of its daemons; the rest are with any daemon.
+const READER_SHARE: f64 = 0.5;
+const DOMAIN_SHARE: f64 = 0.8;
+
 /// Time for which a daemon that reads the configuration from the platform waits for a version that
 /// a peer reported, before it requests that version from a peer.
 const HINT_GRACE: Duration = Duration::from_millis(200);
@@ -198,7 +203,10 @@
             }
             event!(LeaseLapsed, lease = lease);
             self.lease = None;
+            // Peers may have removed the record, which the same one would not restore.
+            daemon.increment_sequence();
         }
+        let record = daemon.record();
         let lease = match self.lease {
             Some(lease) => lease,
             None => platform.grant(LEASE_TTL).await?,
@@ -242,12 +250,19 @@
     }
 }
 
-/// Follows the entries of all members in the platform.
+/// Follows the entries of all members in the platform, on the daemons that read from it. The others
+/// learn of the members in exchanges.
 async fn follow_members(daemon: &Daemon) -> anyhow::Result<()> {
     let state = ExchangeState::of(daemon);
     let mut watcher = PrefixWatcher::new(PREFIX);
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
     loop {
+        if config::is_served_by_peers(daemon) {
+            state.stop_following();
+            watcher = PrefixWatcher::new(PREFIX);
+            sleep(config::READER_CHECK_INTERVAL).await;
+            continue;
+        }
         let update = config::follow_prefix(daemon, &mut watcher, WATCH_TIMEOUT).await;
         match update {
             Ok(update) => {
@@ -323,7 +338,7 @@
         let peer = match hint {
             Some(hint) if hint.version <= daemon.config.stamp().version => continue,
             Some(hint) => hint.holder.or_else(|| random_peer(daemon)),
-            None => random_peer(daemon),
+            None => exchange_peer(daemon),
         };
         if let Some(peer) = peer
             && let Err(err) = exchange::with_peer(daemon, peer).await
@@ -333,11 +348,36 @@
     }
 }
 
+/// Returns the inbound address of the peer for the next regular exchange.
+///
+/// Half of the exchanges are with a daemon of the own failure domain that reads from the platform,
+/// and most others stay in the failure domain as well, since traffic between them is expensive.
+fn exchange_peer(daemon: &Daemon) -> Option<SocketAddr> {
+    let fleet = daemon.fleet.load();
+    let own = &daemon.identity;
+    let draw = rand::random::<f64>();
+    let near = |member: &wire::Member| member.domain == own.domain;
+    let peer = if draw < READER_SHARE {
+        random_member(daemon, |member| {
+            near(member) && fleet.is_reader(&member.name, &own.domain)
+        })
+    } else if draw < DOMAIN_SHARE {
+        random_member(daemon, near)
+    } else {
+        None
+    };
+    peer.or_else(|| random_peer(daemon))
+}
+
 /// Returns the inbound address of a random other member; `None` when there is none.
 pub(super) fn random_peer(daemon: &Daemon) -> Option<SocketAddr> {
+    random_member(daemon, |_| true)
+}
+
+fn random_member(daemon: &Daemon, filter: impl Fn(&wire::Member) -> bool) -> Option<SocketAddr> {
     let fleet = daemon.fleet.load();
     let others = fleet.members().values();
-    let others = others.filter(|member| member.name != daemon.identity.name);
+    let others = others.filter(|member| member.name != daemon.identity.name && filter(member));
     let peer = others.choose(&mut rand::rng())?;
     peer.inbound.parse().ok()
 }
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -42,10 +42,10 @@
 #[test]
 fn events_all_used() {
     let mut text = String::new();
-    sources(
-        &Path::new(env!("CARGO_MANIFEST_DIR")).join("src"),
-        &mut text,
-    );
+    for directory in ["src", "platform/src"] {
+        let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+        sources(&root.join(directory), &mut text);
+    }
     let text: String = text.split_whitespace().collect();
     let unused: Vec<&Event> = Event::ALL
         .iter()
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -170,3 +170,29 @@
     assert_eq!(known.state(), MemberState::Ready);
     assert_eq!((known.slots, known.instance.as_str()), (4, "i-1"));
 }
+
+/// A daemon whose record a peer has removed outranks the removal with its next record.
+#[tokio::test]
+async fn answer_own_removal() {
+    let (one, two) = (daemon("one"), daemon("two"));
+    let request = ExchangeState::of(&one).respond(&one, wire::Exchange::default());
+    let own = request.sender.clone().unwrap();
+    ExchangeState::of(&two).respond(&two, request);
+    let gone = wire::Member {
+        state: MemberState::Gone.into(),
+        ..own
+    };
+    let removal = wire::Exchange {
+        members: vec![gone],
+        ..wire::Exchange::default()
+    };
+    ExchangeState::of(&two).respond(&two, removal);
+    assert!(!two.fleet.load().members().contains_key("one"));
+    // The response to the changed buckets carries the removal back to its subject.
+    let request = ExchangeState::of(&one).respond(&one, wire::Exchange::default());
+    let response = ExchangeState::of(&two).respond(&two, request);
+    ExchangeState::of(&one).respond(&one, response);
+    let request = ExchangeState::of(&one).respond(&one, wire::Exchange::default());
+    ExchangeState::of(&two).respond(&two, request);
+    assert!(two.fleet.load().members().contains_key("one"));
+}
--- a/tests/member_registry.rs
+++ b/tests/member_registry.rs
@@ -86,14 +86,83 @@
 }
 
 #[test]
-fn digest_same_records() {
+fn buckets_same_records() {
     let now = Instant::now();
     let (mut one, mut two) = (MemberRegistry::default(), MemberRegistry::default());
     one.merge_listed(member("a", 1, 1), now);
     one.merge_reported(member("b", 1, 1), now);
-    assert_ne!(one.digest(), two.digest());
-    for record in one.records() {
+    assert_ne!(one.buckets(), two.buckets());
+    for record in one.records_for(&two.buckets()) {
         two.merge_reported(record, now);
     }
-    assert_eq!(one.digest(), two.digest());
+    assert_eq!(one.buckets(), two.buckets());
+    assert!(one.records_for(&two.buckets()).is_empty());
+}
+
+/// Of a large fleet, only the records near a changed one are sent.
+#[test]
+fn records_for_one_change() {
+    const MEMBERS: usize = 3_200;
+    let now = Instant::now();
+    let mut one = MemberRegistry::default();
+    for index in 0..MEMBERS {
+        one.merge_reported(member(&format!("vm-{index}"), 1, 1), now);
+    }
+    let mut two = one.clone();
+    one.merge_reported(member("vm-7", 1, 2), now);
+    let records = one.records_for(&two.buckets());
+    assert!(records.len() < MEMBERS / 16, "{}", records.len());
+    for record in records {
+        two.merge_reported(record, now);
+    }
+    assert_eq!(one.buckets(), two.buckets());
+}
+
+/// A daemon that does not follow the listing keeps members until a peer reports their removal.
+#[test]
+fn expire_not_following() {
+    let start = Instant::now();
+    let (mut reader, mut other) = (MemberRegistry::default(), MemberRegistry::default());
+    reader.merge_listing(vec![member("a", 1, 3)], start);
+    other.merge_reported(member("a", 1, 3), start);
+    let later = start + MISSING_TIME * 2;
+    assert!(!other.expire(later));
+    reader.mark_unlisted("a", start);
+    assert!(reader.expire(later));
+    for record in reader.records_for(&other.buckets()) {
+        other.merge_reported(record, later);
+    }
+    assert_eq!(names(&other), Vec::<String>::new());
+    assert!(!other.merge_reported(member("a", 1, 3), later));
+    assert!(other.merge_reported(member("a", 1, 4), later));
+}
+
+/// A peer that wrongly removed a member does not remove it where the platform lists it.
+#[test]
+fn merge_reported_gone_but_listed() {
+    let now = Instant::now();
+    let mut registry = MemberRegistry::default();
+    registry.merge_listing(vec![member("a", 1, 3)], now);
+    let gone = wire::Member {
+        state: MemberState::Gone.into(),
+        ..member("a", 1, 3)
+    };
+    assert!(!registry.merge_reported(gone.clone(), now));
+    assert_eq!(names(&registry), ["a"]);
+    registry.stop_following();
+    assert!(registry.merge_reported(gone, now));
+    assert_eq!(names(&registry), Vec::<String>::new());
+}
+
+/// A daemon that begins to follow the listing gives members that only peers reported the same time
+/// as those that have just lapsed.
+#[test]
+fn merge_listing_first() {
+    let start = Instant::now();
+    let mut registry = MemberRegistry::default();
+    registry.merge_reported(member("a", 1, 1), start);
+    let later = start + Duration::from_mins(1);
+    registry.merge_listing(Vec::new(), later);
+    assert!(!registry.expire(later + SECOND));
+    assert!(registry.expire(later + MISSING_TIME));
 }
