Free a slot when the backend server has sent its response, not when the caller has it

Cause: a response's body was read at the pace of the link to the caller, and the slot of its backend server was in use until then.

Change: a body over 16 KiB, or of unknown length, is read ahead by a task, up to 512 KiB of one body and 16 MiB in a process. The permit is dropped at the end of the backend server's part. A cut body stays cut, a caller that leaves closes the connection to the backend server.

Tests: tests/call_read_ahead.rs, networkless (slow link, slow receiver, caller gone, cut, length).

--- a/src/call.rs
+++ b/src/call.rs
@@ -9,6 +9,7 @@
 pub mod gate;
 pub mod idempotency;
 pub mod metrics;
+pub mod read_ahead;
 pub mod request;
 pub mod upstream;
 pub mod view;
--- a/src/call/body.rs
+++ b/src/call/body.rs
@@ -27,6 +27,9 @@
     /// An earlier attempt consumed the body, or it is too long to be replayed.
     #[error("body cannot be sent again")]
     Spent,
+    /// The task that reads the body has ended early.
+    #[error("reading the body was interrupted")]
+    Interrupted,
 }
 
 /// A body that holds a guard, such as a permit, until its end and is cut off at a deadline.
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -13,6 +13,7 @@
 use crate::call::gate::{Gate, Permit, Rejected};
 use crate::call::idempotency::{KeyId, Keys};
 use crate::call::metrics::InboundMetrics;
+use crate::call::read_ahead::{ReadAhead, ReadAheadLimit};
 use crate::call::upstream::{BackendPool, PooledBody, Reuse, UpstreamError, hello};
 use crate::call::{self, Refusal, RefusalReason};
 use crate::daemon::{Daemon, InFlightGuard, Phase};
@@ -58,6 +59,9 @@
 /// [`MAX_BUFFERED_LEN`] this limits the memory for bodies to 8 MiB.
 const MAX_BUFFERED_BODIES: usize = 16;
 
+/// Longest body of a response, in bytes, that is not read ahead: it is sent at once.
+const READ_AHEAD_MIN_LEN: u64 = 16 * 1024;
+
 /// Greatest time limit of a call; a later deadline is shortened to it.
 const MAX_DEADLINE: Duration = Duration::from_mins(10);
 
@@ -141,6 +145,7 @@
     keys: Mutex<Keys>,
     /// Permits for bodies that are buffered before their calls request a slot.
     body_buffers: Arc<Semaphore>,
+    read_ahead: ReadAheadLimit,
     /// Until when the backend server counts as unreachable.
     down_until: Mutex<Option<Instant>>,
 }
@@ -157,6 +162,7 @@
             record: Arc::new(Mutex::new(Record::new(Instant::now(), fence::CAPACITY))),
             keys: Mutex::default(),
             body_buffers: Arc::new(Semaphore::new(MAX_BUFFERED_BODIES)),
+            read_ahead: ReadAheadLimit::default(),
             down_until: Mutex::default(),
         }
     }
@@ -287,7 +293,7 @@
             recorded,
             waited: queued_at.elapsed(),
             _buffer: buffer,
-            _call_guard: call_guard,
+            call_guard,
         };
         let response = self.run(daemon, run, &attempt, request, deadline);
         let response = timeout_at(deadline, response).await;
@@ -404,7 +410,7 @@
             run.permit.exclude_sample();
             return Err(refusal);
         }
-        Ok(to_outbound(response, run, deadline))
+        Ok(to_outbound(response, run, deadline, &self.read_ahead))
     }
 
     /// Marks the backend server as unreachable for [`DOWN_TIME`], and makes the call's refusal.
@@ -477,14 +483,15 @@
     }
 }
 
-/// The resources that a call holds until the body of its response has ended.
+/// A call that has a slot.
 struct RunningCall {
     permit: Permit,
     recorded: RecordedAttempt,
     /// The time spent in the queue.
     waited: Duration,
     _buffer: Option<OwnedSemaphorePermit>,
-    _call_guard: InFlightGuard,
+    /// Held until the response has been passed on.
+    call_guard: InFlightGuard,
 }
 
 /// Tests whether this daemon or its backend server is draining and accepts no further calls.
@@ -567,12 +574,15 @@
     response
 }
 
-/// Turns a backend server's response into the one to the outbound side. The call's resources are
-/// held until the body has ended.
+/// Turns a backend server's response into the one to the outbound side.
+///
+/// The slot is freed when the backend server has sent the whole body. A body longer than
+/// [`READ_AHEAD_MIN_LEN`], or of unknown length, is read ahead of its receiver for that.
 fn to_outbound(
     response: Response<PooledBody>,
     run: RunningCall,
     deadline: Instant,
+    limit: &ReadAheadLimit,
 ) -> Response<Body> {
     let (mut head, body) = response.into_parts();
     call::drop_hop_headers(&mut head.headers);
@@ -580,5 +590,23 @@
     let ran_us = u64::try_from(run.permit.service_time().as_micros()).unwrap_or(u64::MAX);
     head.headers.insert(call::RAN, ran_us.into());
     head.version = http::Version::HTTP_2;
-    Response::from_parts(head, Body::new(Guarded::new(body, run, deadline)))
+    let RunningCall {
+        permit,
+        recorded,
+        _buffer: buffer,
+        call_guard,
+        ..
+    } = run;
+    let is_short = body
+        .size_hint()
+        .upper()
+        .is_some_and(|len| len <= READ_AHEAD_MIN_LEN);
+    let body = Guarded::new(body, (permit, recorded, buffer), deadline);
+    let body = if is_short {
+        Body::new(Guarded::new(body, call_guard, deadline))
+    } else {
+        let body = ReadAhead::start(body, limit);
+        Body::new(Guarded::new(body, call_guard, deadline))
+    };
+    Response::from_parts(head, body)
 }
--- /dev/null
+++ b/tests/call_read_ahead.rs
@@ -0,0 +1,120 @@
+//! Large responses over slow links: the backend server's slot is freed by its own pace, and memory
+//! is bounded.
+
+use baobabstage::call::body::{CutOffError, Guarded};
+use baobabstage::call::read_ahead::{MAX_BODY_LEN, ReadAhead, ReadAheadLimit};
+use baobabstage::serve::BodyError;
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http_body::{Body as _, Frame};
+use http_body_util::{BodyExt, Full, StreamBody};
+use std::sync::Arc;
+use std::time::Duration;
+use test_case::test_case;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep};
+
+const CHUNK_LEN: usize = 32 * 1024;
+
+type Frames = mpsc::UnboundedSender<Result<Frame<Bytes>, BodyError>>;
+
+/// Returns a body and the sender of its frames.
+fn body() -> (
+    Frames,
+    StreamBody<tokio_stream::wrappers::UnboundedReceiverStream<Result<Frame<Bytes>, BodyError>>>,
+) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let frames = tokio_stream::wrappers::UnboundedReceiverStream::new(receiver);
+    (sender, StreamBody::new(frames))
+}
+
+fn chunk() -> Frame<Bytes> {
+    Frame::data(Bytes::from(vec![7; CHUNK_LEN]))
+}
+
+/// Calls of 69 ms whose responses take a second each on a slow link leave their slots after 69 ms.
+#[tokio::test(start_paused = true)]
+async fn start_slow_link_frees_slot() {
+    let slot = Arc::new(());
+    let (frames, source) = body();
+    let deadline = Instant::now() + Duration::from_mins(1);
+    let guarded = Guarded::new(source, Arc::clone(&slot), deadline);
+    let mut received = ReadAhead::start(guarded, &ReadAheadLimit::default());
+    for _ in 0..3 {
+        frames.send(Ok(chunk())).unwrap();
+    }
+    drop(frames);
+    sleep(Duration::from_millis(1)).await;
+    assert_eq!(Arc::strong_count(&slot), 1, "slot is free");
+    let mut len = 0;
+    while let Some(frame) = received.frame().await {
+        len += frame.unwrap().into_data().unwrap().len();
+        sleep(Duration::from_millis(300)).await;
+    }
+    assert_eq!(len, 3 * CHUNK_LEN);
+}
+
+/// A receiver that does not read holds back the backend server after a bounded number of bytes.
+#[tokio::test(start_paused = true)]
+async fn start_slow_receiver_bounds_memory() {
+    let chunks = stream::iter(0..1_000).map(|_| Ok::<_, BodyError>(chunk()));
+    let produced = Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let counter = Arc::clone(&produced);
+    let chunks = chunks.inspect(move |_| {
+        counter.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    });
+    let mut received = ReadAhead::start(StreamBody::new(chunks), &ReadAheadLimit::default());
+    sleep(Duration::from_secs(1)).await;
+    let read = produced.load(std::sync::atomic::Ordering::Relaxed);
+    assert!(read <= MAX_BODY_LEN / CHUNK_LEN + 1, "{read} chunks");
+    let mut chunks = 0;
+    while let Some(frame) = received.frame().await {
+        frame.unwrap();
+        chunks += 1;
+    }
+    assert_eq!(chunks, 1_000);
+}
+
+/// When the caller leaves, the response is dropped, which closes the connection to the backend
+/// server.
+#[tokio::test(start_paused = true)]
+async fn drop_receiver_drops_source() {
+    let slot = Arc::new(());
+    let (frames, source) = body();
+    let deadline = Instant::now() + Duration::from_mins(1);
+    let guarded = Guarded::new(source, Arc::clone(&slot), deadline);
+    let received = ReadAhead::start(guarded, &ReadAheadLimit::default());
+    frames.send(Ok(chunk())).unwrap();
+    sleep(Duration::from_millis(1)).await;
+    drop(received);
+    sleep(Duration::from_millis(1)).await;
+    assert_eq!(Arc::strong_count(&slot), 1);
+}
+
+#[test_case(true; "failed")]
+#[test_case(false; "past the deadline")]
+#[tokio::test(start_paused = true)]
+async fn frame_cut_body(failed: bool) {
+    let (frames, source) = body();
+    let deadline = Instant::now() + Duration::from_secs(1);
+    let guarded = Guarded::new(source, (), deadline);
+    let mut received = ReadAhead::start(guarded, &ReadAheadLimit::default());
+    frames.send(Ok(chunk())).unwrap();
+    if failed {
+        frames.send(Err(CutOffError::Spent.into())).unwrap();
+    }
+    assert!(received.frame().await.unwrap().is_ok());
+    assert!(received.frame().await.unwrap().is_err(), "not complete");
+    assert!(received.frame().await.is_none());
+}
+
+#[tokio::test]
+async fn size_hint_exact() {
+    let source = Full::new(Bytes::from(vec![7; CHUNK_LEN])).map_err(|never| match never {});
+    let mut received = ReadAhead::start(source, &ReadAheadLimit::default());
+    assert_eq!(received.size_hint().exact(), Some(CHUNK_LEN as u64));
+    received.frame().await.unwrap().unwrap();
+    assert_eq!(received.size_hint().exact(), Some(0));
+    assert!(received.frame().await.is_none());
+    assert!(received.is_end_stream());
+}
