--- a/tests/call_read_ahead.rs
+++ b/tests/call_read_ahead.rs
@@ -13,19 +13,21 @@
 use test_case::test_case;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
+use tokio_stream::wrappers::UnboundedReceiverStream;
 
 const CHUNK_LEN: usize = 32 * 1024;
 
 type Frames = mpsc::UnboundedSender<Result<Frame<Bytes>, BodyError>>;
 
+type Source = StreamBody<UnboundedReceiverStream<Result<Frame<Bytes>, BodyError>>>;
+
 /// Returns a body and the sender of its frames.
-fn body() -> (
-    Frames,
-    StreamBody<tokio_stream::wrappers::UnboundedReceiverStream<Result<Frame<Bytes>, BodyError>>>,
-) {
+fn body() -> (Frames, Source) {
     let (sender, receiver) = mpsc::unbounded_channel();
-    let frames = tokio_stream::wrappers::UnboundedReceiverStream::new(receiver);
-    (sender, StreamBody::new(frames))
+    (
+        sender,
+        StreamBody::new(UnboundedReceiverStream::new(receiver)),
+    )
 }
 
 fn chunk() -> Frame<Bytes> {
