Start a fleet with few calls to the platform, and renew leases less often

When all daemons start together each finds the members incomplete, takes itself for a reader and watches.

Change: a setting first-start (the adapter's bootstrap). Such a daemon has no earlier entry, announces itself with its backend server's first report, and lists the members 2.5 s after the start, when the others are there; so that only readers read the configuration and watch. Any starting daemon asks its readers for the configuration for a second before it reads it itself. Leases last 10 s and are renewed every 3 s (6 and 1.8 before); a failed renewal is retried after 1.5 s at most (0.8), within the two seconds in which lapsed entries must be back.

tests/member_upkeep.rs counts the calls of 16 daemons at a first start and at rest; with the setting off it fails (16 reads of earlier entries).

--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -7,7 +7,7 @@
 use crate::exchange::{self, ExchangeState};
 use crate::kernel::{Plugin, RoleFuture};
 use crate::platform::{self, Entry, KeyUpdate, PlatformError, PrefixWatcher};
-use crate::role::members::random_peer;
+use crate::role::members::reader_or_any;
 use crate::settings::Distribution;
 use crate::site::{ExternalConfig, Source};
 use crate::tree::backoff::Backoff;
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time after which a watch on `head` returns without a change.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
@@ -42,6 +42,14 @@
 /// exchange with one of them.
 const STARTUP_PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time limit at a first start for reading the members.
+const FIRST_START_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Time for which a starting daemon asks peers for the configuration, and the interval. If none has
+/// it by then, the daemon reads it itself.
+const STARTUP_FETCH_TIME: Duration = Duration::from_secs(1);
+const STARTUP_FETCH_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Maximum delay before a failed read of an externally managed configuration is retried.
 const EXTERNAL_RETRY_MAX: Duration = Duration::from_millis(500);
 
@@ -148,21 +156,26 @@
 /// Fetches the configuration from a peer, if the members are known in time and this daemon is not
 /// one of those that read it from the platform.
 async fn fetch_from_peer(daemon: &Daemon) {
-    let queried = timeout(
-        STARTUP_PEER_TIMEOUT,
-        ExchangeState::of(daemon).wait_queried(),
-    )
-    .await;
+    let limit = if daemon.settings.first_start {
+        FIRST_START_TIMEOUT
+    } else {
+        STARTUP_PEER_TIMEOUT
+    };
+    let queried = timeout(limit, ExchangeState::of(daemon).wait_queried()).await;
     if queried.is_err() || is_reader(daemon) {
         return;
     }
-    let Some(peer) = random_peer(daemon) else {
-        return;
-    };
-    match timeout(STARTUP_PEER_TIMEOUT, exchange::with_peer(daemon, peer)).await {
-        Ok(Ok(())) => {}
-        Ok(Err(err)) => event!(ExchangeFailed, peer = peer, error = err),
-        Err(_) => event!(ExchangeFailed, peer = peer, error = "no answer in time"),
+    let until = Instant::now() + STARTUP_FETCH_TIME;
+    while daemon.config.stamp().version == 0 && Instant::now() < until {
+        let Some(peer) = reader_or_any(daemon) else {
+            return;
+        };
+        match timeout(STARTUP_PEER_TIMEOUT, exchange::with_peer(daemon, peer)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(err)) => event!(ExchangeFailed, peer = peer, error = err),
+            Err(_) => event!(ExchangeFailed, peer = peer, error = "no answer in time"),
+        }
+        sleep(STARTUP_FETCH_INTERVAL).await;
     }
 }
 
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -1,6 +1,7 @@
 //! The role that announces this daemon and follows the records of the other members.
 
 use super::config;
+use crate::backend::Stage;
 use crate::daemon::Daemon;
 use crate::event;
 use crate::exchange::{self, ExchangeState};
@@ -19,16 +20,16 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Prefix of the platform keys that hold the members' records.
 const PREFIX: &str = "baobab/member/";
 
 /// Time after which the platform deletes the entry of a daemon that no longer renews its lease.
-const LEASE_TTL: Duration = Duration::from_secs(6);
+const LEASE_TTL: Duration = Duration::from_secs(10);
 
 /// Time between lease renewals; two may fail before the lease expires.
-const RENEW_INTERVAL: Duration = Duration::from_millis(1_800);
+const RENEW_INTERVAL: Duration = Duration::from_secs(3);
 
 /// Time after which a watch on the entries returns without a change. A dead connection is detected
 /// by then at the latest.
@@ -40,12 +41,19 @@
 /// Bounds of the delay before a request to which the platform did not respond is retried. Entries
 /// that expired during an outage must be restored within two seconds of its end.
 const RETRY_MIN: Duration = Duration::from_millis(100);
-const RETRY_MAX: Duration = Duration::from_millis(800);
+const RETRY_MAX: Duration = Duration::from_millis(1_500);
 
 /// Duration of a platform outage after which this daemon increments the sequence of its record
 /// before each retry, so that peers do not remove it.
 const INCREMENT_AFTER: Duration = Duration::from_secs(1);
 
+/// Time for which a daemon that starts together with all others waits for the first report of its
+/// backend server before it announces itself.
+const FIRST_REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time after which such a daemon lists the members: the others have announced themselves by then.
+const FIRST_LISTING_DELAY: Duration = Duration::from_millis(2_500);
+
 /// Maximum number of attempts at a conditional write whose revision was stale.
 const MAX_WRITE_ATTEMPTS: usize = 3;
 
@@ -116,7 +124,11 @@
     let mut phases = daemon.drain.subscribe();
     let mut backend = daemon.backend.subscribe();
     let mut entry = MemberEntry::default();
-    entry.load_previous(daemon).await;
+    if daemon.settings.first_start {
+        wait_reported(daemon).await;
+    } else {
+        entry.load_previous(daemon).await;
+    }
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
     let mut failing_since = None;
     loop {
@@ -150,6 +162,15 @@
     }
 }
 
+/// Waits until the backend server has reported, for at most [`FIRST_REPORT_TIMEOUT`], so that the
+/// first entry is complete.
+async fn wait_reported(daemon: &Daemon) {
+    let mut backend = daemon.backend.subscribe();
+    let reported = backend.wait_for(|backend| backend.stage != Stage::Unknown);
+    // Without a report in time, the entry is written without a backend server.
+    let _ = timeout(FIRST_REPORT_TIMEOUT, reported).await;
+}
+
 /// This daemon's entry in the platform, as last read or written.
 #[derive(Default)]
 struct MemberEntry {
@@ -256,6 +277,9 @@
     let state = ExchangeState::of(daemon);
     let mut watcher = PrefixWatcher::new(PREFIX);
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
+    if daemon.settings.first_start {
+        sleep(jitter_around(FIRST_LISTING_DELAY)).await;
+    }
     loop {
         if config::is_served_by_peers(daemon) {
             state.stop_following();
@@ -353,24 +377,29 @@
 /// Half of the exchanges are with a daemon of the own failure domain that reads from the platform,
 /// and most others stay in the failure domain as well, since traffic between them is expensive.
 fn exchange_peer(daemon: &Daemon) -> Option<SocketAddr> {
-    let fleet = daemon.fleet.load();
-    let own = &daemon.identity;
     let draw = rand::random::<f64>();
-    let near = |member: &wire::Member| member.domain == own.domain;
-    let peer = if draw < READER_SHARE {
-        random_member(daemon, |member| {
-            near(member) && fleet.is_reader(&member.name, &own.domain)
-        })
-    } else if draw < DOMAIN_SHARE {
-        random_member(daemon, near)
-    } else {
-        None
-    };
-    peer.or_else(|| random_peer(daemon))
+    if draw < READER_SHARE {
+        return reader_or_any(daemon);
+    }
+    let near = draw < DOMAIN_SHARE;
+    let domain = &daemon.identity.domain;
+    let peer = near.then(|| random_member(daemon, |member| member.domain == *domain));
+    peer.flatten().or_else(|| random_peer(daemon))
+}
+
+/// Returns the inbound address of a random daemon of the own failure domain that reads from the
+/// platform, or of any other member if there is none.
+pub(super) fn reader_or_any(daemon: &Daemon) -> Option<SocketAddr> {
+    let fleet = daemon.fleet.load();
+    let domain = &daemon.identity.domain;
+    let reader = random_member(daemon, |member| {
+        member.domain == *domain && fleet.is_reader(&member.name, domain)
+    });
+    reader.or_else(|| random_peer(daemon))
 }
 
 /// Returns the inbound address of a random other member; `None` when there is none.
-pub(super) fn random_peer(daemon: &Daemon) -> Option<SocketAddr> {
+fn random_peer(daemon: &Daemon) -> Option<SocketAddr> {
     random_member(daemon, |_| true)
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -116,6 +116,9 @@
     pub retry_extra: u32,
     /// The length of the window of `retry_extra`.
     pub retry_window: Duration,
+    /// Whether all daemons start together for the first time, so that the members are not complete
+    /// at the start.
+    pub first_start: bool,
     /// The number of worker threads.
     pub threads: u32,
     /// The format of log lines.
@@ -210,6 +213,7 @@
             heartbeat: self.millis("heartbeat-ms", 3_000, 100, 60_000),
             retry_extra: self.number("retry-extra", 0, 0, 100_000),
             retry_window: self.millis("retry-window-ms", 10_000, 100, 600_000),
+            first_start: self.choice("first-start", false, &[("true", true), ("false", false)]),
             threads: self.number("threads", 1, 1, 64),
             log_format: self.choice(
                 "log-format",
--- a/src/settings/flags.rs
+++ b/src/settings/flags.rs
@@ -69,6 +69,8 @@
             optional --retry-extra count: String
             /// The length of the window of --retry-extra, in milliseconds.
             optional --retry-window-ms ms: String
+            /// Whether all daemons start together for the first time: true or false.
+            optional --first-start value: String
             /// The number of worker threads.
             optional --threads count: String
             /// The format of log lines: text or json.
@@ -82,7 +84,7 @@
 }
 
 /// The flags that take a value, each with an environment variable.
-pub const FLAGS: [&str; 29] = [
+pub const FLAGS: [&str; 30] = [
     "name",
     "domain",
     "region",
@@ -109,6 +111,7 @@
     "heartbeat-ms",
     "retry-extra",
     "retry-window-ms",
+    "first-start",
     "threads",
     "log-format",
     "log-level",
@@ -180,6 +183,7 @@
             flags.heartbeat_ms,
             flags.retry_extra,
             flags.retry_window_ms,
+            flags.first_start,
             flags.threads,
             flags.log_format,
             flags.log_level,
--- /dev/null
+++ b/tests/member_upkeep.rs
@@ -0,0 +1,107 @@
+//! The platform calls by which a fleet finds and keeps its members: what a first start of all daemons
+//! at once and a quiet time after it cost.
+
+use baobabstage::daemon::{Daemon, Phase};
+use baobabstage::kernel;
+use baobabstage::platform::{Client, ClientSettings, JsonDialect, Platform as _};
+use baobabstage::resource::{Kind, ResourceKey, Spec};
+use baobabstage::settings::{Flags, Settings};
+use baobabstage::site::{ExternalConfig, Site, Source};
+use baobabstage::snapshot::{Resource, Snapshot};
+use baobabstage::{Category, Error, Result};
+use standin::platform::{Limits, Platform};
+use standin::testbed::LOOPBACK;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+const KEY: &str = "external/config";
+const DAEMONS: usize = 16;
+
+/// The daemons of a failure domain that read from the platform.
+const READERS: u64 = baobabstage::member::READERS as u64;
+
+/// Time within which a first start must end on every daemon.
+const START_TIME: Duration = Duration::from_secs(8);
+
+/// Decodes a version with one policy from its number.
+fn decode(value: &[u8], _: &Snapshot) -> Result<Snapshot> {
+    let text = String::from_utf8_lossy(value);
+    let version = text
+        .parse()
+        .map_err(|err| Error::new(Category::Input, err))?;
+    let policy = Spec::from_json(Kind::Policy, br#"{"kinds":{"a":1}}"#)?;
+    let key = ResourceKey::new(Kind::Policy, "p");
+    let resources = BTreeMap::from([(key, Resource::new(version, policy))]);
+    Ok(Snapshot::from_value(version, "given", resources, value))
+}
+
+fn start(platform: &Platform, index: usize) -> Arc<Daemon> {
+    let pairs = [
+        ("BAOBAB_NAME", format!("vm-{index:02}")),
+        ("BAOBAB_DOMAIN", "espoo".into()),
+        ("BAOBAB_REGION", "fi-south".into()),
+        ("BAOBAB_PLATFORM", platform.address().to_string()),
+        ("BAOBAB_DISTRIBUTION", "direct".into()),
+        ("BAOBAB_FIRST_START", "true".into()),
+        ("BAOBAB_OUTBOUND", "127.0.0.1:0".into()),
+        ("BAOBAB_INBOUND", "127.0.0.1:0".into()),
+        ("BAOBAB_MESH", "127.0.0.1:0".into()),
+        ("BAOBAB_OPERATOR", "127.0.0.1:0".into()),
+        ("BAOBAB_ADMIN", "127.0.0.1:0".into()),
+    ];
+    let pairs = pairs.map(|(name, value): (&str, String)| (name.to_owned(), value));
+    let settings = Settings::new(&Flags::default(), &BTreeMap::from(pairs)).unwrap();
+    let site = Site {
+        source: Source::External(ExternalConfig {
+            key: KEY.into(),
+            decode: Arc::new(decode),
+        }),
+        ..Site::new(Arc::new(client(platform)))
+    };
+    let daemon = Daemon::with_site(settings, site).unwrap();
+    tokio::spawn(kernel::run(Arc::clone(&daemon)));
+    daemon
+}
+
+fn client(platform: &Platform) -> Client {
+    let settings = ClientSettings {
+        address: platform.address(),
+        timeout: Duration::from_secs(1),
+    };
+    Client::new(&settings, Arc::new(JsonDialect)).unwrap()
+}
+
+/// Each daemon announces itself and lists the members once; only the readers read the configuration
+/// and follow the members.
+#[tokio::test]
+async fn first_start_calls() {
+    let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
+    let config = client(&platform);
+    config.swap(KEY, 0, Some("3".into()), 0).await.unwrap();
+    let daemons: Vec<_> = (0..DAEMONS).map(|index| start(&platform, index)).collect();
+    let deadline = Instant::now() + START_TIME;
+    let is_started = |daemon: &Arc<Daemon>| {
+        daemon.config.stamp().version == 3 && daemon.fleet.load().members().len() == DAEMONS
+    };
+    while !daemons.iter().all(is_started) {
+        assert!(Instant::now() < deadline, "not started in time");
+        sleep(Duration::from_millis(50)).await;
+    }
+    let all = DAEMONS as u64;
+    let started = platform.calls();
+    assert_eq!(started.gets, 0, "{started:?}");
+    assert!(started.lists <= all + READERS + 2, "{started:?}");
+    assert!(started.watches <= 4 * READERS, "{started:?}");
+    assert!(started.swaps <= all + 1, "{started:?}");
+    // At rest, the platform sees the renewals of the leases and hardly anything else.
+    sleep(Duration::from_secs(6)).await;
+    let after = platform.calls();
+    assert!(after.lists - started.lists <= 1, "{after:?}");
+    assert!(after.watches - started.watches <= 3 * READERS, "{after:?}");
+    assert!(after.leases - started.leases <= 3 * all, "{after:?}");
+    for daemon in daemons {
+        daemon.drain.advance(Phase::Stopped);
+    }
+}
