Let a call keep its service's view and not the whole routing table

Each call held the view that it began with, so its table (some 0.5 MB for 1,200 routes), for up to its deadline of 10 s, in which ten versions may follow.

Change: a call holds its service's view alone. The view is rebuilt also when the limits that can be reloaded change, and a budget whose extra retries are set to zero gets its initial size back; both were known faults beside this place.

tests/site.rs long_call_frees_table: a call of 2 s, a new version, the old table is gone before the call ends.

--- a/src/call/budget.rs
+++ b/src/call/budget.rs
@@ -61,6 +61,13 @@
         tokens.rate = half / window.as_secs_f64().max(1.0);
     }
 
+    /// Restores the initial capacity, which only first attempts fill.
+    pub fn reset(&self) {
+        let mut tokens = lock(&self.state);
+        tokens.capacity = MAX_TOKENS;
+        tokens.rate = 0.0;
+    }
+
     /// Counts a first attempt, which adds `percent` hundredths of a retry to the budget.
     pub fn earn(&self, percent: u32) {
         let mut tokens = lock(&self.state);
--- a/src/call/view.rs
+++ b/src/call/view.rs
@@ -113,20 +113,22 @@
     pub table: Arc<Table>,
     /// The members, to detect a change.
     fleet: Arc<Fleet>,
-    services: SecondaryMap<ServiceId, ServiceView>,
+    /// The limits that the budgets were sized by, to detect a change.
+    limits: RuntimeLimits,
+    services: SecondaryMap<ServiceId, Arc<ServiceView>>,
 }
 
 impl View {
     /// Returns the view of a service of the routing table.
     #[must_use]
-    pub fn service(&self, id: ServiceId) -> Option<&ServiceView> {
+    pub fn service(&self, id: ServiceId) -> Option<&Arc<ServiceView>> {
         self.services.get(id)
     }
 
     /// Iterates over all services with their names.
     pub fn services(&self) -> impl Iterator<Item = (&str, &ServiceView)> {
         let services = self.services.iter();
-        services.map(|(id, view)| (self.table.service(id).name.as_str(), view))
+        services.map(|(id, view)| (self.table.service(id).name.as_str(), view.as_ref()))
     }
 }
 
@@ -142,8 +144,8 @@
 /// Sizes a retry budget to this daemon's equal share of the extra retries that all daemons together
 /// may make.
 fn size_budget(limits: RuntimeLimits, budget: &Budget, fleet: &Fleet) {
-    // Without extra retries, the budget keeps its size and is filled by first attempts only.
     if limits.retry_extra == 0 {
+        budget.reset();
         return;
     }
     let daemons = u32::try_from(fleet.members().len()).unwrap_or(u32::MAX);
@@ -201,11 +203,11 @@
     /// Returns the view of the given configuration and members; builds it if it is not current.
     #[must_use]
     pub fn get(&self, table: Arc<Table>, fleet: Arc<Fleet>, limits: RuntimeLimits) -> Arc<View> {
-        if let Some(view) = self.current(&table, &fleet) {
+        if let Some(view) = self.current(&table, &fleet, limits) {
             return view;
         }
         let mut retained = lock(&self.retained);
-        if let Some(view) = self.current(&table, &fleet) {
+        if let Some(view) = self.current(&table, &fleet, limits) {
             return view;
         }
         let view = Arc::new(retained.build_view(&self.daemon, table, fleet, limits));
@@ -219,10 +221,16 @@
         self.view.load_full()
     }
 
-    fn current(&self, table: &Arc<Table>, fleet: &Arc<Fleet>) -> Option<Arc<View>> {
+    fn current(
+        &self,
+        table: &Arc<Table>,
+        fleet: &Arc<Fleet>,
+        limits: RuntimeLimits,
+    ) -> Option<Arc<View>> {
         let view = self.view.load();
         let view = view.as_ref()?;
         let same = Arc::ptr_eq(&view.table, table) && Arc::ptr_eq(&view.fleet, fleet);
+        let same = same && view.limits == limits;
         same.then(|| Arc::clone(view))
     }
 }
@@ -269,12 +277,13 @@
                 changed,
                 links,
             };
-            services.insert(id, view);
+            services.insert(id, Arc::new(view));
         }
         self.states = by_key;
         View {
             table,
             fleet,
+            limits,
             services,
         }
     }
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -177,17 +177,28 @@
         id: &str,
         call_guard: InFlightGuard,
     ) -> Result<Response<Body>, Refusal> {
+        let call = self.route(daemon, request, id)?;
+        call.check_time_left()?;
+        // Boxed, since each idle connection would otherwise reserve memory for this large future,
+        // which is needed only while a call is in flight.
+        Box::pin(self.run(&call, call_guard)).await
+    }
+
+    /// Routes a request. The call keeps its service's view but not the routing table: calls may last
+    /// longer than many versions of it.
+    fn route<'a>(
+        &self,
+        daemon: &'a Arc<Daemon>,
+        request: Request<Incoming>,
+        id: &'a str,
+    ) -> Result<Call<'a>, Refusal> {
         let limits = **daemon.limits.load();
         let view = self
             .views
             .get(daemon.config.table(), daemon.fleet.load(), limits);
         let entry = request::find_route(&view.table, &request)?;
         let service = entry.service(self.split_point());
-        let call = Call::new(daemon, &view, entry, service, request, id)?;
-        call.check_time_left()?;
-        // Boxed, since each idle connection would otherwise reserve memory for this large future,
-        // which is needed only while a call is in flight.
-        Box::pin(self.run(&call, call_guard)).await
+        Call::new(daemon, &view, entry, service, request, id)
     }
 
     /// Returns the next number of a sequence that covers 0 to 1 evenly at any length.
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -49,7 +49,7 @@
 /// A call in progress, shared by all its attempts.
 pub(super) struct Call<'a> {
     pub(super) daemon: &'a Arc<Daemon>,
-    pub(super) service: &'a ServiceView,
+    pub(super) service: Arc<ServiceView>,
     pub(super) head: http::request::Parts,
     pub(super) body: Replay,
     /// The request id.
@@ -89,7 +89,7 @@
 impl<'a> Call<'a> {
     pub(super) fn new(
         daemon: &'a Arc<Daemon>,
-        view: &'a View,
+        view: &View,
         entry: &RouteEntry,
         service_id: ServiceId,
         request: Request<Incoming>,
@@ -123,7 +123,7 @@
         let caller = caller.map(|backend| backend.service.as_str());
         Ok(Call {
             daemon,
-            service,
+            service: Arc::clone(service),
             head: request::shared_head(head, id, names, caller)?,
             body: Replay::new(streaming_body(body), policy.body_bytes),
             id,
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -90,13 +90,18 @@
 
 impl Fixture {
     async fn start() -> Self {
-        Fixture::start_with(None, HeaderNames::default()).await
+        let behaviour = Behaviour::default();
+        Fixture::start_with(None, HeaderNames::default(), behaviour).await
     }
 
-    async fn start_with(address: Option<SocketAddr>, names: HeaderNames) -> Self {
+    async fn start_with(
+        address: Option<SocketAddr>,
+        names: HeaderNames,
+        behaviour: Behaviour,
+    ) -> Self {
         let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
         let run_log = RunLog::default();
-        let backend = Backend::start("certs-0", LOOPBACK, Behaviour::default(), run_log.clone());
+        let backend = Backend::start("certs-0", LOOPBACK, behaviour, run_log.clone());
         let backend = backend.await.unwrap();
         let settings = settings(&platform, address.unwrap_or(backend.address()));
         let client = ClientSettings {
@@ -242,7 +247,7 @@
         ..HeaderNames::default()
     };
     let address = healthy("i-1").await;
-    let fixture = Fixture::start_with(Some(address), names).await;
+    let fixture = Fixture::start_with(Some(address), names, Behaviour::default()).await;
     let reports = fixture.daemon.sockets.reports.as_ref().unwrap().address();
     let body = Full::from(address.to_string());
     let request = Request::post("/ready/1")
@@ -309,3 +314,29 @@
     let list = caller::get(operator, "/v1/resources").await.unwrap();
     assert_eq!(list.status(), StatusCode::OK);
 }
+
+/// A long call does not keep the routing table of its start in memory while versions follow.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_call_frees_table() {
+    let slow = Behaviour {
+        work: Duration::from_secs(2),
+        ..Behaviour::default()
+    };
+    let fixture = Arc::new(Fixture::start_with(None, HeaderNames::default(), slow).await);
+    fixture.make_ready().await;
+    let table = Arc::downgrade(&fixture.daemon.config.table());
+    let issue = |id: &'static str| {
+        let fixture = Arc::clone(&fixture);
+        tokio::spawn(async move { fixture.issue(id).await })
+    };
+    let long = issue("long");
+    fixture
+        .wait_until(|| fixture.run_log.runs("long") == 1)
+        .await;
+    fixture.configure("4").await;
+    let next = issue("next");
+    fixture.wait_until(|| table.upgrade().is_none()).await;
+    assert!(!long.is_finished(), "the call has ended");
+    assert_eq!(long.await.unwrap(), (StatusCode::OK, 1));
+    assert_eq!(next.await.unwrap(), (StatusCode::OK, 1));
+}
