Send few long responses at once, and shed calls whose nested calls mostly fail

Change, three parts that were traced one after another: bodies read ahead take turns on the link, two at a time, in frames of 16 KiB, and a receiver that does not read holds others up for half a second at most; calls with long responses in progress are limited to the slots and four more, further ones are refused before they run; and a backend server whose calls of a route mostly fail gets half as many again as succeed. A body of unknown length waits for a turn only beyond its first 16 KiB: short chunked confirmations waited behind catalogues in between.

Ruled out: slots of archive (waits 0 ms), processor (14 %). Tried and dropped: more attempts for calls of the own backend server, told by the peer's address; callers come from that address too.

Tests: tests/call_read_ahead.rs, tests/call_throttle.rs, networkless.

--- a/src/call.rs
+++ b/src/call.rs
@@ -5,12 +5,14 @@
 pub mod balance;
 pub mod body;
 pub mod budget;
+pub mod bulk;
 pub mod fence;
 pub mod gate;
 pub mod idempotency;
 pub mod metrics;
 pub mod read_ahead;
 pub mod request;
+pub mod throttle;
 pub mod upstream;
 pub mod view;
 
--- a/src/call/read_ahead.rs
+++ b/src/call/read_ahead.rs
@@ -1,34 +1,69 @@
-//! Reading a response's body ahead of its receiver.
+//! Reading a response's body ahead of its receiver, and sending few of them at once.
 //!
 //! A backend server's slot is in use until its response has been read. A body that is read at the
 //! pace of a slow link would keep the slot for as long as the transfer takes.
+//!
+//! The bodies that are sent at the same time share the link. Sent a few at a time they take no
+//! longer on average, and short responses pass between them instead of queueing behind them all.
 
 use super::body::CutOffError;
+use super::bulk::MIN_LEN;
 use crate::serve::BodyError;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
-use std::pin::Pin;
+use std::collections::VecDeque;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::time::Instant;
 
 /// Longest part of one body that is read ahead, in bytes.
 pub const MAX_BODY_LEN: usize = 512 * 1024;
+const MAX_BODY_PERMITS: u32 = 512 * 1024;
 
 /// Greatest number of bytes read ahead in one process.
 const MAX_TOTAL_LEN: usize = 16 * 1024 * 1024;
 
-/// Bytes that all bodies of one process may read ahead.
+/// Longest frame that is passed on, in bytes. A longer one would be buffered in the connection, where
+/// it no longer counts as waiting.
+const MAX_FRAME_LEN: usize = 16 * 1024;
+
+/// Bodies that are sent to other daemons at once.
+const MAX_SENDING: usize = 2;
+
+/// Longest time for which a body holds up others. A receiver that does not read must not stop them.
+const MAX_SENDING_TIME: Duration = Duration::from_millis(500);
+
+/// The limits that all bodies of one process share.
 #[derive(Clone)]
-pub struct ReadAheadLimit(Arc<Semaphore>);
+pub struct Transfers {
+    /// Bytes that may be read ahead.
+    total: Arc<Semaphore>,
+    /// Bodies that may be sent to other daemons.
+    sending: Arc<Semaphore>,
+}
 
-impl Default for ReadAheadLimit {
+impl Default for Transfers {
     fn default() -> Self {
-        ReadAheadLimit(Arc::new(Semaphore::new(MAX_TOTAL_LEN)))
+        Transfers {
+            total: Arc::new(Semaphore::new(MAX_TOTAL_LEN)),
+            sending: Arc::new(Semaphore::new(MAX_SENDING)),
+        }
     }
 }
 
+/// Where a body is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Receiver {
+    /// To this daemon's own outbound side, without a link.
+    Local,
+    /// To another daemon.
+    Remote,
+}
+
 /// What the reading task sends to the receiver.
 enum Item {
     Frame {
@@ -42,13 +77,23 @@
 
 /// The bytes that a frame occupies, of its body's share and of the process's.
 struct Reservation {
-    _body: OwnedSemaphorePermit,
-    _total: OwnedSemaphorePermit,
+    body: OwnedSemaphorePermit,
+    total: OwnedSemaphorePermit,
+}
+
+impl Reservation {
+    fn release(&mut self, len: u32) {
+        let len = usize::try_from(len).unwrap_or(usize::MAX);
+        drop(self.body.split(len.min(self.body.num_permits())));
+        drop(self.total.split(len.min(self.total.num_permits())));
+    }
 }
 
 /// A body of which a task reads up to [`MAX_BODY_LEN`] bytes ahead.
 pub struct ReadAhead {
     items: mpsc::UnboundedReceiver<Item>,
+    /// The rest of the last frame, passed on in parts of [`MAX_FRAME_LEN`] bytes.
+    rest: Option<(Bytes, Reservation)>,
     hint: SizeHint,
     ended: bool,
 }
@@ -56,61 +101,126 @@
 impl ReadAhead {
     /// Starts to read a body ahead. The body is dropped when it has ended, or soon after the returned
     /// one is dropped.
-    pub fn start<B>(body: B, limit: &ReadAheadLimit) -> Self
+    pub fn start<B>(body: B, transfers: &Transfers, receiver: Receiver) -> Self
     where
         B: HttpBody<Data = Bytes, Error = BodyError> + Send + Unpin + 'static,
     {
         let (sender, items) = mpsc::unbounded_channel();
         let hint = body.size_hint();
-        tokio::spawn(read(body, sender, limit.clone()));
+        let reader = Reader {
+            share: Arc::new(Semaphore::new(MAX_BODY_LEN)),
+            transfers: transfers.clone(),
+            pending: VecDeque::new(),
+        };
+        tokio::spawn(async move {
+            tokio::select! {
+                () = reader.run(body, receiver, &sender) => {}
+                () = sender.closed() => {}
+            }
+        });
         ReadAhead {
             items,
+            rest: None,
             hint,
             ended: false,
         }
     }
 }
 
-/// Reads a body to its end, or until it fails or its receiver is dropped.
-async fn read<B>(body: B, sender: mpsc::UnboundedSender<Item>, limit: ReadAheadLimit)
-where
-    B: HttpBody<Data = Bytes, Error = BodyError> + Send + Unpin,
-{
-    let last = tokio::select! {
-        last = read_frames(body, &sender, limit) => last,
-        () = sender.closed() => return,
-    };
-    // Fails only if the receiver was dropped.
-    let _ = sender.send(last);
+/// The task that reads a body.
+struct Reader {
+    /// Bytes of this body that may be read ahead.
+    share: Arc<Semaphore>,
+    transfers: Transfers,
+    /// What was read before the body may be sent.
+    pending: VecDeque<Item>,
 }
 
-async fn read_frames<B>(
-    mut body: B,
-    sender: &mpsc::UnboundedSender<Item>,
-    limit: ReadAheadLimit,
-) -> Item
-where
-    B: HttpBody<Data = Bytes, Error = BodyError> + Send + Unpin,
-{
-    let share = Arc::new(Semaphore::new(MAX_BODY_LEN));
-    while let Some(frame) = body.frame().await {
-        let frame = match frame {
-            Ok(frame) => frame,
-            Err(err) => return Item::Failed(err),
-        };
-        let len = frame.data_ref().map_or(0, Bytes::len).min(MAX_BODY_LEN);
-        let len = u32::try_from(len).unwrap_or(u32::MAX);
-        let reservation = Reservation {
-            _body: reserve(&share, len).await,
-            _total: reserve(&limit.0, len).await,
+impl Reader {
+    /// Reads a body to its end, and passes it on once it may be sent.
+    async fn run<B>(mut self, mut body: B, receiver: Receiver, sender: &mpsc::UnboundedSender<Item>)
+    where
+        B: HttpBody<Data = Bytes, Error = BodyError> + Send + Unpin,
+    {
+        let mut turn = pin!(Arc::clone(&self.transfers.sending).acquire_owned());
+        // A body of unknown length is mostly short, and waits for its turn only once it is not.
+        let mut free_len = match body.size_hint().exact() {
+            _ if receiver == Receiver::Local => u64::MAX,
+            Some(len) if len > MIN_LEN => 0,
+            _ => MIN_LEN,
         };
-        // Fails only if the receiver was dropped, which ends this task.
-        let _ = sender.send(Item::Frame { frame, reservation });
-        if body.is_end_stream() {
-            break;
+        let mut may_send = receiver == Receiver::Local;
+        let mut permit = None;
+        let mut started = Instant::now();
+        loop {
+            let mut next = pin!(next_item(&mut body, &self.share, &self.transfers.total));
+            let item = loop {
+                tokio::select! {
+                    biased;
+                    granted = &mut turn, if !may_send && free_len == 0 => {
+                        may_send = true;
+                        permit = granted.ok();
+                        started = Instant::now();
+                        pass_on(&mut self.pending, sender);
+                    }
+                    item = &mut next => break item,
+                }
+            };
+            let (ended, len) = match &item {
+                Item::Frame { frame, .. } => (false, frame.data_ref().map_or(0, Bytes::len)),
+                Item::Failed(_) | Item::End => (true, 0),
+            };
+            self.pending.push_back(item);
+            if ended {
+                break;
+            }
+            let was_free = free_len > 0;
+            free_len = free_len.saturating_sub(len as u64);
+            if may_send || was_free {
+                pass_on(&mut self.pending, sender);
+                if started.elapsed() > MAX_SENDING_TIME {
+                    permit = None;
+                }
+            }
         }
+        // Frees the backend server while the body waits to be sent.
+        drop(body);
+        if !may_send && free_len == 0 {
+            permit = turn.await.ok();
+        }
+        pass_on(&mut self.pending, sender);
+        if permit.is_some() {
+            // Others may send after that time whether the receiver has read everything or not.
+            let read = self.share.acquire_many(MAX_BODY_PERMITS);
+            let _ = tokio::time::timeout(MAX_SENDING_TIME, read).await;
+        }
+    }
+}
+
+fn pass_on(pending: &mut VecDeque<Item>, sender: &mpsc::UnboundedSender<Item>) {
+    for item in pending.drain(..) {
+        // Fails only if the receiver was dropped, which ends the task.
+        let _ = sender.send(item);
     }
-    Item::End
+}
+
+/// Reads the next frame of a body, once the limits allow for its bytes.
+async fn next_item<B>(body: &mut B, share: &Arc<Semaphore>, total: &Arc<Semaphore>) -> Item
+where
+    B: HttpBody<Data = Bytes, Error = BodyError> + Send + Unpin,
+{
+    let frame = match body.frame().await {
+        Some(Ok(frame)) => frame,
+        Some(Err(err)) => return Item::Failed(err),
+        None => return Item::End,
+    };
+    let len = frame.data_ref().map_or(0, Bytes::len);
+    let len = u32::try_from(len).unwrap_or(u32::MAX).min(MAX_BODY_PERMITS);
+    let reservation = Reservation {
+        body: reserve(share, len).await,
+        total: reserve(total, len).await,
+    };
+    Item::Frame { frame, reservation }
 }
 
 async fn reserve(bytes: &Arc<Semaphore>, len: u32) -> OwnedSemaphorePermit {
@@ -118,6 +228,23 @@
     permit.expect("the semaphore is never closed")
 }
 
+impl ReadAhead {
+    /// Returns the next part of the last frame.
+    fn next_part(&mut self) -> Option<Frame<Bytes>> {
+        let (data, reservation) = self.rest.as_mut()?;
+        let part = data.split_to(data.len().min(MAX_FRAME_LEN));
+        let len = u32::try_from(part.len()).unwrap_or(u32::MAX);
+        reservation.release(len);
+        if data.is_empty() {
+            self.rest = None;
+        }
+        if let Some(left) = self.hint.exact() {
+            self.hint = SizeHint::with_exact(left.saturating_sub(u64::from(len)));
+        }
+        Some(Frame::data(part))
+    }
+}
+
 impl HttpBody for ReadAhead {
     type Data = Bytes;
     type Error = BodyError;
@@ -129,16 +256,18 @@
         if self.ended {
             return Poll::Ready(None);
         }
+        if let Some(part) = self.next_part() {
+            return Poll::Ready(Some(Ok(part)));
+        }
         let item = std::task::ready!(self.items.poll_recv(cx));
         Poll::Ready(match item {
-            Some(Item::Frame { frame, reservation }) => {
-                drop(reservation);
-                let len = frame.data_ref().map_or(0, Bytes::len) as u64;
-                if let Some(left) = self.hint.exact() {
-                    self.hint = SizeHint::with_exact(left.saturating_sub(len));
+            Some(Item::Frame { frame, reservation }) => Some(Ok(match frame.into_data() {
+                Ok(data) => {
+                    self.rest = Some((data, reservation));
+                    self.next_part().unwrap_or(Frame::data(Bytes::new()))
                 }
-                Some(Ok(frame))
-            }
+                Err(frame) => frame,
+            })),
             Some(Item::End) => {
                 self.ended = true;
                 None
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -9,11 +9,13 @@
 use crate::call::admission::{AdmissionRequest, Limits, Reason};
 use crate::call::attempt::{Attempt, AttemptId};
 use crate::call::body::{CutOffError, Guarded, prefetch};
+use crate::call::bulk::{self, BulkCalls, BulkGuard};
 use crate::call::fence::{self, ArrivalError, Record};
 use crate::call::gate::{Gate, Permit, Rejected};
 use crate::call::idempotency::{KeyId, Keys};
 use crate::call::metrics::InboundMetrics;
-use crate::call::read_ahead::{ReadAhead, ReadAheadLimit};
+use crate::call::read_ahead::{ReadAhead, Receiver, Transfers};
+use crate::call::throttle::Throttle;
 use crate::call::upstream::{BackendPool, PooledBody, Reuse, UpstreamError, hello};
 use crate::call::{self, Refusal, RefusalReason};
 use crate::daemon::{Daemon, InFlightGuard, Phase};
@@ -59,9 +61,6 @@
 /// [`MAX_BUFFERED_LEN`] this limits the memory for bodies to 8 MiB.
 const MAX_BUFFERED_BODIES: usize = 16;
 
-/// Longest body of a response, in bytes, that is not read ahead: it is sent at once.
-const READ_AHEAD_MIN_LEN: u64 = 16 * 1024;
-
 /// Greatest time limit of a call; a later deadline is shortened to it.
 const MAX_DEADLINE: Duration = Duration::from_mins(10);
 
@@ -145,7 +144,9 @@
     keys: Mutex<Keys>,
     /// Permits for bodies that are buffered before their calls request a slot.
     body_buffers: Arc<Semaphore>,
-    read_ahead: ReadAheadLimit,
+    transfers: Transfers,
+    bulk_calls: BulkCalls,
+    throttle: Throttle,
     /// Until when the backend server counts as unreachable.
     down_until: Mutex<Option<Instant>>,
 }
@@ -162,7 +163,9 @@
             record: Arc::new(Mutex::new(Record::new(Instant::now(), fence::CAPACITY))),
             keys: Mutex::default(),
             body_buffers: Arc::new(Semaphore::new(MAX_BUFFERED_BODIES)),
-            read_ahead: ReadAheadLimit::default(),
+            transfers: Transfers::default(),
+            bulk_calls: BulkCalls::default(),
+            throttle: Throttle::default(),
             down_until: Mutex::default(),
         }
     }
@@ -279,6 +282,9 @@
         check_accepting(daemon)?;
         self.check_reachable()?;
         self.update_limits(daemon)?;
+        let receiver = receiver(&request);
+        let bulk_guard = self.admit_bulk(&attempt, receiver)?;
+        self.check_throttle(&attempt)?;
         let recorded = self.record_attempt(&attempt)?;
         let deadline = deadline(request.headers());
         let admission = admission_request(&attempt, deadline);
@@ -293,7 +299,8 @@
             recorded,
             waited: queued_at.elapsed(),
             _buffer: buffer,
-            call_guard,
+            guards: (call_guard, bulk_guard),
+            receiver,
         };
         let response = self.run(daemon, run, &attempt, request, deadline);
         let response = timeout_at(deadline, response).await;
@@ -388,6 +395,8 @@
         })?;
         self.mark_reachable();
         let failed = response.status().is_server_error();
+        self.throttle
+            .record(Instant::now(), attempt.time_class, !failed);
         self.metrics
             .note_run(run.waited, run.permit.service_time(), failed);
         event!(
@@ -410,7 +419,10 @@
             run.permit.exclude_sample();
             return Err(refusal);
         }
-        Ok(to_outbound(response, run, deadline, &self.read_ahead))
+        if let Some(len) = response.body().size_hint().exact() {
+            self.bulk_calls.record_length(attempt.time_class, len);
+        }
+        Ok(to_outbound(response, run, deadline, &self.transfers))
     }
 
     /// Marks the backend server as unreachable for [`DOWN_TIME`], and makes the call's refusal.
@@ -447,6 +459,35 @@
         Ok(())
     }
 
+    /// Admits a call whose response is expected to be long, if another daemon receives it.
+    ///
+    /// Such calls are refused early: their responses wait for the link, and calls with short
+    /// responses need the slots meanwhile.
+    fn admit_bulk(
+        &self,
+        attempt: &Attempt,
+        receiver: Receiver,
+    ) -> Result<Option<BulkGuard>, Refusal> {
+        if receiver == Receiver::Local || !self.bulk_calls.is_bulk(attempt.time_class) {
+            return Ok(None);
+        }
+        let slots = self.gate.load().slots;
+        let guard = self.bulk_calls.admit(slots).ok_or_else(|| {
+            unavailable("too many long responses are waiting", RefusalReason::Full)
+        })?;
+        Ok(Some(guard))
+    }
+
+    /// Sheds a share of the calls of a class that mostly fails at the backend server.
+    fn check_throttle(&self, attempt: &Attempt) -> Result<(), Refusal> {
+        let class = attempt.time_class;
+        if !self.throttle.sheds(Instant::now(), class, rand::random()) {
+            return Ok(());
+        }
+        let reason = "calls of this route mostly fail at the backend server";
+        Err(unavailable(reason, RefusalReason::Full))
+    }
+
     /// Records the arrival of an attempt. A duplicate, or an attempt that is too old, may have run.
     fn record_attempt(&self, attempt: &Attempt) -> Result<RecordedAttempt, Refusal> {
         let now = Instant::now();
@@ -491,7 +532,8 @@
     waited: Duration,
     _buffer: Option<OwnedSemaphorePermit>,
     /// Held until the response has been passed on.
-    call_guard: InFlightGuard,
+    guards: (InFlightGuard, Option<BulkGuard>),
+    receiver: Receiver,
 }
 
 /// Tests whether this daemon or its backend server is draining and accepts no further calls.
@@ -559,6 +601,17 @@
     }
 }
 
+/// Marks a request of this daemon's own outbound side.
+#[derive(Clone, Copy, Debug)]
+pub struct LocalCall;
+
+fn receiver(request: &Request<Body>) -> Receiver {
+    match request.extensions().get::<LocalCall>() {
+        Some(LocalCall) => Receiver::Local,
+        None => Receiver::Remote,
+    }
+}
+
 /// Returns the deadline of a call, from the time left that the header states.
 fn deadline(headers: &HeaderMap) -> Instant {
     let left = call::number(headers, &call::DEADLINE_MS);
@@ -577,12 +630,12 @@
 /// Turns a backend server's response into the one to the outbound side.
 ///
 /// The slot is freed when the backend server has sent the whole body. A body longer than
-/// [`READ_AHEAD_MIN_LEN`], or of unknown length, is read ahead of its receiver for that.
+/// [`bulk::MIN_LEN`], or of unknown length, is read ahead of its receiver for that.
 fn to_outbound(
     response: Response<PooledBody>,
     run: RunningCall,
     deadline: Instant,
-    limit: &ReadAheadLimit,
+    transfers: &Transfers,
 ) -> Response<Body> {
     let (mut head, body) = response.into_parts();
     call::drop_hop_headers(&mut head.headers);
@@ -594,19 +647,20 @@
         permit,
         recorded,
         _buffer: buffer,
-        call_guard,
+        guards,
+        receiver,
         ..
     } = run;
     let is_short = body
         .size_hint()
         .upper()
-        .is_some_and(|len| len <= READ_AHEAD_MIN_LEN);
+        .is_some_and(|len| len <= bulk::MIN_LEN);
     let body = Guarded::new(body, (permit, recorded, buffer), deadline);
     let body = if is_short {
-        Body::new(Guarded::new(body, call_guard, deadline))
+        Body::new(Guarded::new(body, guards, deadline))
     } else {
-        let body = ReadAhead::start(body, limit);
-        Body::new(Guarded::new(body, call_guard, deadline))
+        let body = ReadAhead::start(body, transfers, receiver);
+        Body::new(Guarded::new(body, guards, deadline))
     };
     Response::from_parts(head, body)
 }
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -36,10 +36,6 @@
 /// Refusals of one call that are tolerated, other than busy and full ones; one more fails the call.
 const MAX_REFUSALS: u32 = 4;
 
-/// Upstreams that may report a full queue before a call is refused: under overload the others are
-/// full as well.
-const MAX_FULL_REFUSALS: u32 = 2;
-
 /// The fractional parts of its multiples are spread evenly over 0 to 1.
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_9;
 
@@ -262,7 +258,7 @@
             let failed = more_uncertain(failed_before.take(), failed);
             if call.daemon.drain.phase() >= Phase::Ending
                 || refusals > MAX_REFUSALS
-                || full_refusals >= MAX_FULL_REFUSALS
+                || call.is_refused_after(full_refusals)
                 || !retry_limits.allows(now, attempts, failure)
                 || !call.service.budget.pay(failure)
             {
@@ -358,7 +354,8 @@
         let inbound = inbound::component(call.daemon);
         let attempt = self.new_attempt(call, upstream, inbound.clock_ms(), wait_limit);
         let request = call.request(&attempt);
-        let request = request.map_err(|refusal| call.failed_attempt(refusal))?;
+        let mut request = request.map_err(|refusal| call.failed_attempt(refusal))?;
+        request.extensions_mut().insert(inbound::LocalCall);
         let response = inbound.handle(call.daemon, request);
         match call
             .await_response(response, async || inbound.fence_attempt(&attempt))
--- a/tests/call_read_ahead.rs
+++ b/tests/call_read_ahead.rs
@@ -2,7 +2,8 @@
 //! is bounded.
 
 use baobabstage::call::body::{CutOffError, Guarded};
-use baobabstage::call::read_ahead::{MAX_BODY_LEN, ReadAhead, ReadAheadLimit};
+use baobabstage::call::bulk::{BulkCalls, MIN_LEN};
+use baobabstage::call::read_ahead::{MAX_BODY_LEN, ReadAhead, Receiver, Transfers};
 use baobabstage::serve::BodyError;
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
@@ -15,7 +16,7 @@
 use tokio::time::{Instant, sleep};
 use tokio_stream::wrappers::UnboundedReceiverStream;
 
-const CHUNK_LEN: usize = 32 * 1024;
+const CHUNK_LEN: usize = 16 * 1024;
 
 type Frames = mpsc::UnboundedSender<Result<Frame<Bytes>, BodyError>>;
 
@@ -41,7 +42,7 @@
     let (frames, source) = body();
     let deadline = Instant::now() + Duration::from_mins(1);
     let guarded = Guarded::new(source, Arc::clone(&slot), deadline);
-    let mut received = ReadAhead::start(guarded, &ReadAheadLimit::default());
+    let mut received = ReadAhead::start(guarded, &Transfers::default(), Receiver::Remote);
     for _ in 0..3 {
         frames.send(Ok(chunk())).unwrap();
     }
@@ -65,7 +66,11 @@
     let chunks = chunks.inspect(move |_| {
         counter.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     });
-    let mut received = ReadAhead::start(StreamBody::new(chunks), &ReadAheadLimit::default());
+    let mut received = ReadAhead::start(
+        StreamBody::new(chunks),
+        &Transfers::default(),
+        Receiver::Remote,
+    );
     sleep(Duration::from_secs(1)).await;
     let read = produced.load(std::sync::atomic::Ordering::Relaxed);
     assert!(read <= MAX_BODY_LEN / CHUNK_LEN + 1, "{read} chunks");
@@ -85,7 +90,7 @@
     let (frames, source) = body();
     let deadline = Instant::now() + Duration::from_mins(1);
     let guarded = Guarded::new(source, Arc::clone(&slot), deadline);
-    let received = ReadAhead::start(guarded, &ReadAheadLimit::default());
+    let received = ReadAhead::start(guarded, &Transfers::default(), Receiver::Remote);
     frames.send(Ok(chunk())).unwrap();
     sleep(Duration::from_millis(1)).await;
     drop(received);
@@ -100,7 +105,7 @@
     let (frames, source) = body();
     let deadline = Instant::now() + Duration::from_secs(1);
     let guarded = Guarded::new(source, (), deadline);
-    let mut received = ReadAhead::start(guarded, &ReadAheadLimit::default());
+    let mut received = ReadAhead::start(guarded, &Transfers::default(), Receiver::Remote);
     frames.send(Ok(chunk())).unwrap();
     if failed {
         frames.send(Err(CutOffError::Spent.into())).unwrap();
@@ -113,10 +118,105 @@
 #[tokio::test]
 async fn size_hint_exact() {
     let source = Full::new(Bytes::from(vec![7; CHUNK_LEN])).map_err(|never| match never {});
-    let mut received = ReadAhead::start(source, &ReadAheadLimit::default());
+    let mut received = ReadAhead::start(source, &Transfers::default(), Receiver::Remote);
     assert_eq!(received.size_hint().exact(), Some(CHUNK_LEN as u64));
     received.frame().await.unwrap().unwrap();
     assert_eq!(received.size_hint().exact(), Some(0));
     assert!(received.frame().await.is_none());
     assert!(received.is_end_stream());
 }
+
+/// Many long responses at once take turns on the link: what is sent at one time stays short, so that
+/// a short response does not queue behind all of them.
+#[tokio::test(start_paused = true)]
+async fn start_many_take_turns() {
+    const BODIES: usize = 12;
+    let transfers = Transfers::default();
+    let mut received: Vec<_> = (0..BODIES)
+        .map(|_| {
+            let body = Full::new(Bytes::from(vec![7; 3 * CHUNK_LEN]));
+            let body = body.map_err(|never| match never {});
+            ReadAhead::start(body, &transfers, Receiver::Remote)
+        })
+        .collect();
+    sleep(Duration::from_millis(1)).await;
+    let mut sending = Vec::new();
+    for (index, body) in received.iter_mut().enumerate() {
+        let frame = tokio::time::timeout(Duration::ZERO, body.frame()).await;
+        if frame.is_ok() {
+            sending.push(index);
+        }
+    }
+    assert_eq!(sending, [0, 1]);
+    // The next body starts as soon as one has been read.
+    while received[0].frame().await.is_some() {}
+    sleep(Duration::from_millis(1)).await;
+    assert!(received[2].frame().await.unwrap().is_ok());
+    // Receivers that do not read hold up the others for a bounded time only.
+    let started = Instant::now();
+    assert!(received[11].frame().await.unwrap().is_ok());
+    assert!(
+        started.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        started.elapsed()
+    );
+}
+
+/// A receiver in the same process uses no link and takes no turn.
+#[tokio::test(start_paused = true)]
+async fn start_local() {
+    let transfers = Transfers::default();
+    let mut received: Vec<_> = (0..12)
+        .map(|_| {
+            let chunks = stream::iter(0..3).map(|_| Ok::<_, BodyError>(chunk()));
+            ReadAhead::start(StreamBody::new(chunks), &transfers, Receiver::Local)
+        })
+        .collect();
+    for body in &mut received {
+        assert!(body.frame().await.unwrap().is_ok());
+    }
+}
+
+/// Calls with long responses are limited to the slots and a short backlog; others are not.
+#[test]
+fn admit_backlog() {
+    let calls = BulkCalls::default();
+    calls.record_length(1, MIN_LEN * 5);
+    calls.record_length(2, MIN_LEN / 5);
+    assert!(calls.is_bulk(1) && !calls.is_bulk(2) && !calls.is_bulk(3));
+    let mut guards: Vec<_> = std::iter::from_fn(|| calls.admit(4)).collect();
+    assert_eq!(guards.len(), 8);
+    guards.pop();
+    assert!(calls.admit(4).is_some());
+}
+
+/// A long frame is passed on in parts: what the connection buffers stays short.
+#[tokio::test(start_paused = true)]
+async fn frame_long() {
+    let chunks = stream::iter([Ok::<_, BodyError>(Frame::data(
+        vec![7; 3 * CHUNK_LEN + 1].into(),
+    ))]);
+    let transfers = Transfers::default();
+    let mut received = ReadAhead::start(StreamBody::new(chunks), &transfers, Receiver::Remote);
+    let mut lengths = Vec::new();
+    while let Some(frame) = received.frame().await {
+        lengths.push(frame.unwrap().into_data().unwrap().len());
+    }
+    assert_eq!(lengths, [CHUNK_LEN, CHUNK_LEN, CHUNK_LEN, 1]);
+}
+
+/// A short response of unknown length does not wait for long ones.
+#[tokio::test(start_paused = true)]
+async fn start_unknown_length() {
+    let transfers = Transfers::default();
+    let long = || Full::new(Bytes::from(vec![7; 4 * CHUNK_LEN])).map_err(|never| match never {});
+    let _long: Vec<_> = (0..8)
+        .map(|_| ReadAhead::start(long(), &transfers, Receiver::Remote))
+        .collect();
+    let chunks = stream::iter([Ok::<_, BodyError>(Frame::data(Bytes::from_static(b"ok")))]);
+    let mut short = ReadAhead::start(StreamBody::new(chunks), &transfers, Receiver::Remote);
+    let started = Instant::now();
+    assert!(short.frame().await.unwrap().is_ok());
+    assert!(short.frame().await.is_none());
+    assert!(started.elapsed() < Duration::from_millis(5));
+}
