--- a/src/call.rs
+++ b/src/call.rs
@@ -12,7 +12,6 @@
 pub mod metrics;
 pub mod read_ahead;
 pub mod request;
-pub mod throttle;
 pub mod upstream;
 pub mod view;
 
--- a/src/call/read_ahead.rs
+++ b/src/call/read_ahead.rs
@@ -31,11 +31,11 @@
 /// it no longer counts as waiting.
 const MAX_FRAME_LEN: usize = 16 * 1024;
 
-/// Bodies that are sent to other daemons at once.
-const MAX_SENDING: usize = 2;
+/// Bodies that are sent to other daemons at once: one uses the whole link.
+const MAX_SENDING: usize = 1;
 
 /// Longest time for which a body holds up others. A receiver that does not read must not stop them.
-const MAX_SENDING_TIME: Duration = Duration::from_millis(500);
+const MAX_SENDING_TIME: Duration = Duration::from_millis(200);
 
 /// The limits that all bodies of one process share.
 #[derive(Clone)]
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -15,7 +15,6 @@
 use crate::call::idempotency::{KeyId, Keys};
 use crate::call::metrics::InboundMetrics;
 use crate::call::read_ahead::{ReadAhead, Receiver, Transfers};
-use crate::call::throttle::Throttle;
 use crate::call::upstream::{BackendPool, PooledBody, Reuse, UpstreamError, hello};
 use crate::call::{self, Refusal, RefusalReason};
 use crate::daemon::{Daemon, InFlightGuard, Phase};
@@ -146,7 +145,6 @@
     body_buffers: Arc<Semaphore>,
     transfers: Transfers,
     bulk_calls: BulkCalls,
-    throttle: Throttle,
     /// Until when the backend server counts as unreachable.
     down_until: Mutex<Option<Instant>>,
 }
@@ -165,7 +163,6 @@
             body_buffers: Arc::new(Semaphore::new(MAX_BUFFERED_BODIES)),
             transfers: Transfers::default(),
             bulk_calls: BulkCalls::default(),
-            throttle: Throttle::default(),
             down_until: Mutex::default(),
         }
     }
@@ -284,7 +281,6 @@
         self.update_limits(daemon)?;
         let receiver = receiver(&request);
         let bulk_guard = self.admit_bulk(&attempt, receiver)?;
-        self.check_throttle(&attempt)?;
         let recorded = self.record_attempt(&attempt)?;
         let deadline = deadline(request.headers());
         let admission = admission_request(&attempt, deadline);
@@ -395,8 +391,6 @@
         })?;
         self.mark_reachable();
         let failed = response.status().is_server_error();
-        self.throttle
-            .record(Instant::now(), attempt.time_class, !failed);
         self.metrics
             .note_run(run.waited, run.permit.service_time(), failed);
         event!(
@@ -478,16 +472,6 @@
         Ok(Some(guard))
     }
 
-    /// Sheds a share of the calls of a class that mostly fails at the backend server.
-    fn check_throttle(&self, attempt: &Attempt) -> Result<(), Refusal> {
-        let class = attempt.time_class;
-        if !self.throttle.sheds(Instant::now(), class, rand::random()) {
-            return Ok(());
-        }
-        let reason = "calls of this route mostly fail at the backend server";
-        Err(unavailable(reason, RefusalReason::Full))
-    }
-
     /// Records the arrival of an attempt. A duplicate, or an attempt that is too old, may have run.
     fn record_attempt(&self, attempt: &Attempt) -> Result<RecordedAttempt, Refusal> {
         let now = Instant::now();
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -36,6 +36,10 @@
 /// Refusals of one call that are tolerated, other than busy and full ones; one more fails the call.
 const MAX_REFUSALS: u32 = 4;
 
+/// Upstreams that may report a full queue before a call is refused: under overload the others are
+/// full as well.
+const MAX_FULL_REFUSALS: u32 = 2;
+
 /// The fractional parts of its multiples are spread evenly over 0 to 1.
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_9;
 
@@ -258,7 +262,7 @@
             let failed = more_uncertain(failed_before.take(), failed);
             if call.daemon.drain.phase() >= Phase::Ending
                 || refusals > MAX_REFUSALS
-                || call.is_refused_after(full_refusals)
+                || full_refusals >= MAX_FULL_REFUSALS
                 || !retry_limits.allows(now, attempts, failure)
                 || !call.service.budget.pay(failure)
             {
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -37,20 +37,13 @@
 /// Timeout of a fence request after the call's deadline.
 const LATE_FENCE_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Longest wait for a slot that an attempt accepts while another upstream may have a free slot.
-const OFFER_WAIT_LIMIT: Duration = Duration::ZERO;
+/// Longest wait for a slot that an attempt accepts while another upstream may have a free slot: about
+/// what a further offer costs on a busy link.
+const OFFER_WAIT_LIMIT: Duration = Duration::from_millis(10);
 
 /// Busy refusals after which an attempt waits in an upstream's queue instead.
 const MAX_BUSY_REFUSALS: u32 = 2;
 
-/// Upstreams that may report a full queue before a call is refused: under overload the others are
-/// full as well.
-const MAX_FULL_REFUSALS: u32 = 2;
-
-/// The same while less than one in [`FULL_RETRY_SHARE`] of the time until the objective has passed.
-const MAX_QUICK_FULL_REFUSALS: u32 = 6;
-const FULL_RETRY_SHARE: u32 = 4;
-
 /// Longest body of a call that is offered to upstreams that may be busy, in bytes.
 const MAX_OFFERED_LEN: u64 = 16 * 1024;
 
@@ -67,7 +60,6 @@
     pub(super) weight: u32,
     /// The class by which service times are averaged.
     pub(super) time_class: u32,
-    started: Instant,
     /// The time after which a response misses the latency objective, if there is one.
     objective: Option<Instant>,
     /// Whether the body is at most [`MAX_OFFERED_LEN`] long.
@@ -139,7 +131,6 @@
             retry_limits,
             weight: entry.weight,
             time_class: entry.time_class,
-            started: now,
             objective: entry.objective.map(|time| now + time),
             short_body: max_len.is_some_and(|len| len <= MAX_OFFERED_LEN),
             key,
@@ -215,21 +206,6 @@
         offered.then_some(OFFER_WAIT_LIMIT)
     }
 
-    /// Tests whether the call is refused after so many full upstreams.
-    ///
-    /// More are tried as long as that takes little time compared with the objective: a refusal fails
-    /// the call that this one may be a part of.
-    pub(super) fn is_refused_after(&self, full_refusals: u32) -> bool {
-        if full_refusals < MAX_FULL_REFUSALS {
-            return false;
-        }
-        let elapsed = self.started.elapsed();
-        let short = self.objective.is_some_and(|objective| {
-            elapsed < objective.saturating_duration_since(self.started) / FULL_RETRY_SHARE
-        });
-        !short || full_refusals >= MAX_QUICK_FULL_REFUSALS
-    }
-
     /// Returns the body size class, which decides how long the call stays in its failure domain.
     pub(super) fn body_size(&self) -> BodySize {
         if self.short_body {
