Fetch a reported version from further peers when its holder does not answer

Cause: a daemon that heard of a newer version exchanged once with the daemon that has it; if that failed (after 1.5 s) it waited for the next regular exchange or a newer version.

Change: five peers are asked in turn, each within 0.5 s, until the version is in force: the holder, then readers of the own failure domain. Worked out: 0.2 s grace for daemons that read themselves, then 0.6 s for each silent peer; with one in three peers unreachable four in five daemons have it after two.

--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -4,7 +4,7 @@
 use crate::backend::Stage;
 use crate::daemon::Daemon;
 use crate::event;
-use crate::exchange::{self, ExchangeState};
+use crate::exchange::{self, ExchangeState, Hint};
 use crate::generated::mesh as wire;
 use crate::kernel::{Plugin, RoleFuture};
 use crate::member::registry::MemberRegistry;
@@ -60,6 +60,12 @@
 /// Time between exchanges with a random peer.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time limit of an exchange that fetches a newer version, the pause before another peer is asked, and
+/// the number of peers asked.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+const FETCH_INTERVAL: Duration = Duration::from_millis(100);
+const MAX_FETCHES: usize = 5;
+
 /// Cumulative shares of the regular exchanges that are with a reader of the own failure domain and
 /// with any of its daemons; the rest are with any daemon.
 const READER_SHARE: f64 = 0.5;
@@ -359,16 +365,40 @@
             }
         };
         state.update_members(daemon, MemberRegistry::expire);
-        let peer = match hint {
-            Some(hint) if hint.version <= daemon.config.stamp().version => continue,
-            Some(hint) => hint.holder.or_else(|| random_peer(daemon)),
-            None => exchange_peer(daemon),
+        match hint {
+            Some(hint) => fetch_version(daemon, hint).await,
+            None => {
+                if let Some(peer) = exchange_peer(daemon)
+                    && let Err(err) = exchange::with_peer(daemon, peer).await
+                {
+                    event!(ExchangeFailed, peer = peer, error = err);
+                }
+            }
+        }
+    }
+}
+
+/// Fetches a version that a peer reported: from the peer that has it, or else from others, each with
+/// a short time limit. Gives up after [`MAX_FETCHES`]; regular exchanges follow.
+async fn fetch_version(daemon: &Daemon, hint: Hint) {
+    let mut holder = hint.holder;
+    for _ in 0..MAX_FETCHES {
+        if hint.version <= daemon.config.stamp().version {
+            return;
+        }
+        let Some(peer) = holder.take().or_else(|| reader_or_any(daemon)) else {
+            return;
         };
-        if let Some(peer) = peer
-            && let Err(err) = exchange::with_peer(daemon, peer).await
-        {
-            event!(ExchangeFailed, peer = peer, error = err);
+        match timeout(FETCH_TIMEOUT, exchange::with_peer(daemon, peer)).await {
+            // The peer may not have the version either.
+            Ok(Ok(())) => {}
+            Ok(Err(err)) => event!(ExchangeFailed, peer = peer, error = err),
+            Err(_) => event!(ExchangeFailed, peer = peer, error = "no answer in time"),
+        }
+        if hint.version <= daemon.config.stamp().version {
+            return;
         }
+        sleep(jitter_around(FETCH_INTERVAL)).await;
     }
 }
 
--- a/tests/member_upkeep.rs
+++ b/tests/member_upkeep.rs
@@ -2,6 +2,7 @@
 //! at once and a quiet time after it cost.
 
 use baobabstage::daemon::{Daemon, Phase};
+use baobabstage::exchange::ExchangeState;
 use baobabstage::kernel;
 use baobabstage::platform::{Client, ClientSettings, JsonDialect, Platform as _};
 use baobabstage::resource::{Kind, ResourceKey, Spec};
@@ -25,6 +26,10 @@
 /// Time within which a first start must end on every daemon.
 const START_TIME: Duration = Duration::from_secs(8);
 
+/// Time within which a reported version is fetched although its holder is silent: the grace for the
+/// platform, one time limit, a pause, and an exchange.
+const FETCH_TIME: Duration = Duration::from_millis(1_250);
+
 /// Decodes a version with one policy from its number.
 fn decode(value: &[u8], _: &Snapshot) -> Result<Snapshot> {
     let text = String::from_utf8_lossy(value);
@@ -38,13 +43,17 @@
 }
 
 fn start(platform: &Platform, index: usize) -> Arc<Daemon> {
+    start_with(platform, index, true)
+}
+
+fn start_with(platform: &Platform, index: usize, first_start: bool) -> Arc<Daemon> {
     let pairs = [
         ("BAOBAB_NAME", format!("vm-{index:02}")),
         ("BAOBAB_DOMAIN", "espoo".into()),
         ("BAOBAB_REGION", "fi-south".into()),
         ("BAOBAB_PLATFORM", platform.address().to_string()),
         ("BAOBAB_DISTRIBUTION", "direct".into()),
-        ("BAOBAB_FIRST_START", "true".into()),
+        ("BAOBAB_FIRST_START", first_start.to_string()),
         ("BAOBAB_OUTBOUND", "127.0.0.1:0".into()),
         ("BAOBAB_INBOUND", "127.0.0.1:0".into()),
         ("BAOBAB_MESH", "127.0.0.1:0".into()),
@@ -105,3 +114,43 @@
         daemon.drain.advance(Phase::Stopped);
     }
 }
+
+/// The holder of a newer version falls silent: the version is fetched from another peer at once and
+/// not by the next regular exchanges.
+#[tokio::test]
+async fn fetch_version_silent_holder() {
+    let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
+    let daemons: Vec<_> = (0..3)
+        .map(|index| start_with(&platform, index, false))
+        .collect();
+    let known = |daemon: &Arc<Daemon>| daemon.fleet.load().members().len() == 3;
+    let deadline = Instant::now() + START_TIME;
+    while !daemons.iter().all(known) {
+        assert!(Instant::now() < deadline, "not started in time");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let holder = silent.local_addr().unwrap();
+    let last = &daemons[2];
+    for version in 9..17_u64 {
+        for daemon in &daemons[..2] {
+            let Source::External(external) = &daemon.source else {
+                panic!("the configuration is not externally managed");
+            };
+            ExchangeState::of(daemon)
+                .apply_external(daemon, external, &version.to_string().into())
+                .unwrap();
+        }
+        let started = Instant::now();
+        let mut headers = http::HeaderMap::new();
+        headers.insert(baobabstage::call::VERSION, version.into());
+        ExchangeState::of(last).note_version(last, &headers, Some(holder));
+        while last.config.stamp().version != version {
+            assert!(started.elapsed() < FETCH_TIME, "{version} not fetched");
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+    for daemon in daemons {
+        daemon.drain.advance(Phase::Stopped);
+    }
+}
