Refuse a listing with too many pages in place of cutting it short

A cut listing made the members beyond it count as gone. No platform of today has that many pages; the error is logged and retried as any other.

--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -21,7 +21,7 @@
 /// Connections that have been idle for longer are not reused.
 const MAX_IDLE: Duration = Duration::from_secs(4);
 
-/// Maximum number of pages read for one listing; the entries of further pages are left out.
+/// Maximum number of pages read for one listing; one with more is refused.
 const MAX_PAGES: usize = 1_000;
 
 /// Settings of a [`Client`].
@@ -154,14 +154,15 @@
                 }
                 let read = all.as_ref().map_or(0, |all| all.entries.len());
                 if !more || limit != 0 && read >= limit as usize {
-                    break;
+                    let mut all = all.unwrap_or_default();
+                    if limit != 0 {
+                        all.entries.truncate(limit as usize);
+                    }
+                    return Ok(all);
                 }
             }
-            let mut all = all.unwrap_or_default();
-            if limit != 0 {
-                all.entries.truncate(limit as usize);
-            }
-            Ok(all)
+            let message = format!("listing of {prefix:?} has more than {MAX_PAGES} pages");
+            Err(PlatformError::Refused(message))
         })
     }
 
