End a long response's turn also when its backend server stops in the middle

Cause, by reading: the time limit of a turn was only checked when the next frame arrived, so that a backend server that stops in the middle of a long body kept all other long responses of its daemon waiting until the deadline; the same where all read-ahead bytes were held by bodies that wait.

tests/call_read_ahead.rs start_after_silent_body: the next body starts within 0.5 s; without the change it never does.

--- a/src/call/read_ahead.rs
+++ b/src/call/read_ahead.rs
@@ -1,10 +1,10 @@
-//! Reading a response's body ahead of its receiver, and sending few of them at once.
+//! Reading a response's body ahead of its receiver, and sending one body at a time.
 //!
 //! A backend server's slot is in use until its response has been read. A body that is read at the
 //! pace of a slow link would keep the slot for as long as the transfer takes.
 //!
-//! The bodies that are sent at the same time share the link. Sent a few at a time they take no
-//! longer on average, and short responses pass between them instead of queueing behind them all.
+//! Bodies that are sent at the same time share the link. Sent one after the other they take no longer
+//! on average, and short responses pass between them instead of queueing behind them all.
 
 use super::body::CutOffError;
 use super::bulk::MIN_LEN;
@@ -18,11 +18,10 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// Longest part of one body that is read ahead, in bytes.
-pub const MAX_BODY_LEN: usize = 512 * 1024;
-const MAX_BODY_PERMITS: u32 = 512 * 1024;
+pub const MAX_BODY_LEN: u32 = 512 * 1024;
 
 /// Greatest number of bytes read ahead in one process.
 const MAX_TOTAL_LEN: usize = 16 * 1024 * 1024;
@@ -108,7 +107,7 @@
         let (sender, items) = mpsc::unbounded_channel();
         let hint = body.size_hint();
         let reader = Reader {
-            share: Arc::new(Semaphore::new(MAX_BODY_LEN)),
+            share: Arc::new(Semaphore::new(MAX_BODY_LEN as usize)),
             transfers: transfers.clone(),
             pending: VecDeque::new(),
         };
@@ -151,7 +150,8 @@
         };
         let mut may_send = receiver == Receiver::Local;
         let mut permit = None;
-        let mut started = Instant::now();
+        // A backend server that stops in the middle of a body must not hold up others either.
+        let mut turn_end = pin!(sleep(MAX_SENDING_TIME));
         loop {
             let mut next = pin!(next_item(&mut body, &self.share, &self.transfers.total));
             let item = loop {
@@ -160,9 +160,10 @@
                     granted = &mut turn, if !may_send && free_len == 0 => {
                         may_send = true;
                         permit = granted.ok();
-                        started = Instant::now();
+                        turn_end.as_mut().reset(Instant::now() + MAX_SENDING_TIME);
                         pass_on(&mut self.pending, sender);
                     }
+                    () = &mut turn_end, if permit.is_some() => permit = None,
                     item = &mut next => break item,
                 }
             };
@@ -178,9 +179,6 @@
             free_len = free_len.saturating_sub(len as u64);
             if may_send || was_free {
                 pass_on(&mut self.pending, sender);
-                if started.elapsed() > MAX_SENDING_TIME {
-                    permit = None;
-                }
             }
         }
         // Frees the backend server while the body waits to be sent.
@@ -191,7 +189,7 @@
         pass_on(&mut self.pending, sender);
         if permit.is_some() {
             // Others may send after that time whether the receiver has read everything or not.
-            let read = self.share.acquire_many(MAX_BODY_PERMITS);
+            let read = self.share.acquire_many(MAX_BODY_LEN);
             let _ = tokio::time::timeout(MAX_SENDING_TIME, read).await;
         }
     }
@@ -215,7 +213,7 @@
         None => return Item::End,
     };
     let len = frame.data_ref().map_or(0, Bytes::len);
-    let len = u32::try_from(len).unwrap_or(u32::MAX).min(MAX_BODY_PERMITS);
+    let len = u32::try_from(len).unwrap_or(u32::MAX).min(MAX_BODY_LEN);
     let reservation = Reservation {
         body: reserve(share, len).await,
         total: reserve(total, len).await,
--- a/tests/call_read_ahead.rs
+++ b/tests/call_read_ahead.rs
@@ -73,7 +73,10 @@
     );
     sleep(Duration::from_secs(1)).await;
     let read = produced.load(std::sync::atomic::Ordering::Relaxed);
-    assert!(read <= MAX_BODY_LEN / CHUNK_LEN + 1, "{read} chunks");
+    assert!(
+        read <= MAX_BODY_LEN as usize / CHUNK_LEN + 1,
+        "{read} chunks"
+    );
     let mut chunks = 0;
     while let Some(frame) = received.frame().await {
         frame.unwrap();
@@ -220,3 +223,24 @@
     assert!(short.frame().await.is_none());
     assert!(started.elapsed() < Duration::from_millis(5));
 }
+
+/// A backend server that stops in the middle of a long response holds up others for a bounded time.
+#[tokio::test(start_paused = true)]
+async fn start_after_silent_body() {
+    let transfers = Transfers::default();
+    let (frames, source) = body();
+    frames.send(Ok(chunk())).unwrap();
+    frames.send(Ok(chunk())).unwrap();
+    let mut silent = ReadAhead::start(source, &transfers, Receiver::Remote);
+    assert!(silent.frame().await.unwrap().is_ok());
+    assert!(silent.frame().await.unwrap().is_ok());
+    let next = Full::new(Bytes::from(vec![7; 4 * CHUNK_LEN])).map_err(|never| match never {});
+    let mut next = ReadAhead::start(next, &transfers, Receiver::Remote);
+    let started = Instant::now();
+    assert!(next.frame().await.unwrap().is_ok());
+    assert!(
+        started.elapsed() < Duration::from_millis(500),
+        "{:?}",
+        started.elapsed()
+    );
+}
