List the members at a first start after all daemons have announced themselves

Cause: a daemon announces itself after two seconds at the latest, and the first listing came after 1.9 to 3.1 s, so that an early one found few members and took its daemon for a reader, which reads the configuration itself. The listing now comes after 2.5 to 3.0 s.

--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -12,7 +12,7 @@
 use crate::settings::Distribution;
 use crate::tree::Tree;
 use crate::tree::actor::Message;
-use crate::tree::backoff::{Backoff, jitter_around};
+use crate::tree::backoff::{Backoff, jitter, jitter_around};
 use prometheus_client::registry::Registry;
 use prost::Message as _;
 use rand::seq::IteratorRandom;
@@ -54,6 +54,9 @@
 /// Time after which such a daemon lists the members: the others have announced themselves by then.
 const FIRST_LISTING_DELAY: Duration = Duration::from_millis(2_500);
 
+/// Greatest random time added to that delay.
+const FIRST_LISTING_SPREAD: Duration = Duration::from_millis(500);
+
 /// Maximum number of attempts at a conditional write whose revision was stale.
 const MAX_WRITE_ATTEMPTS: usize = 3;
 
@@ -284,7 +287,7 @@
     let mut watcher = PrefixWatcher::new(PREFIX);
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
     if daemon.settings.first_start {
-        sleep(jitter_around(FIRST_LISTING_DELAY)).await;
+        sleep(FIRST_LISTING_DELAY + jitter(FIRST_LISTING_SPREAD)).await;
     }
     loop {
         if config::is_served_by_peers(daemon) {
