Log restores of the platform, new listings, and where a version came from

The epoch of the service is now read from each response and a restore is logged (213); nothing depends on it yet. 211 states from whom a version came, 212 that keys are listed anew.

--- a/src/event.rs
+++ b/src/event.rs
@@ -56,6 +56,9 @@
     Pruned = 208, Debug, "Old values were deleted from the platform.";
     ConfigUnread = 209, Warn, "The configuration could not be read from the platform.";
     RouteKindUnknown = 210, Warn, "A route has an unknown kind; its calls are never repeated.";
+    VersionReceived = 211, Info, "A version of the configuration was received from the platform or a peer.";
+    KeysListed = 212, Info, "Keys of the platform are listed instead of watched: at first, or since changes were missed.";
+    PlatformRestored = 213, Warn, "The platform has been restored from an older copy; its revisions went back.";
 
     Attached = 300, Info, "This daemon has attached to a relay.";
     Detached = 301, Warn, "The stream to a relay has ended.";
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -194,6 +194,7 @@
     /// Merges the records and the configuration of a received message.
     fn merge(&self, daemon: &Daemon, message: wire::Exchange) {
         *lock(&self.last_exchange) = Some(Instant::now());
+        let sender = message.sender.as_ref().map(|record| record.name.clone());
         self.update_members(daemon, |registry, now| {
             let mut changed = false;
             for record in message.members.into_iter().chain(message.sender) {
@@ -205,9 +206,13 @@
             }
             changed
         });
-        if let Some(packed) = message.config
-            && let Err(err) = self.apply_packed(daemon, &packed)
-        {
+        let Some(packed) = message.config else {
+            return;
+        };
+        let version = Stamp::from_wire(packed.stamp.as_ref()).version;
+        let origin = sender.as_deref().unwrap_or("a peer");
+        log_received(daemon, version, origin);
+        if let Err(err) = self.apply_packed(daemon, &packed) {
             event!(SnapshotUnreadable, error = err);
         }
     }
@@ -276,6 +281,19 @@
     }
 }
 
+/// Logs the arrival of a version that is newer than the one in force.
+fn log_received(daemon: &Daemon, version: u64, origin: &str) {
+    let current = daemon.config.stamp().version;
+    if version > current {
+        event!(
+            VersionReceived,
+            version = version,
+            from = origin,
+            current = current
+        );
+    }
+}
+
 /// Increments the sequence of this daemon's record if a peer has removed it, so that its next record
 /// outranks the removal.
 fn refute_removal(daemon: &Daemon, record: &wire::Member) {
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -4,13 +4,16 @@
     Call, Changes, Dialect, Entry, Listing, Platform, PlatformError, PlatformFuture, Reply, Swap,
 };
 use crate::call::upstream::{BackendPool, Reuse, UpstreamError};
+use crate::event;
 use crate::serve::full_body;
+use crate::sync::lock;
 use bytes::Bytes;
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, Limited};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Maximum number of connections of one process to the service. Each waiting watch occupies one.
 const MAX_CONNECTIONS: usize = 16;
@@ -40,6 +43,30 @@
     dialect: Arc<dyn Dialect>,
     host: HeaderValue,
     timeout: Duration,
+    epoch: Arc<Epoch>,
+}
+
+/// The epoch of the service, as last stated in a response.
+#[derive(Debug, Default)]
+struct Epoch {
+    last: Mutex<Option<u64>>,
+    /// Counts the restores noticed.
+    restores: watch::Sender<u64>,
+}
+
+impl Epoch {
+    /// Records the epoch that a response states. A late response of an earlier epoch changes nothing.
+    fn record(&self, epoch: u64) {
+        let mut last = lock(&self.last);
+        let newest = last.map_or(epoch, |last| last.max(epoch));
+        let previous = last.replace(newest);
+        if let Some(previous) = previous
+            && previous < epoch
+        {
+            event!(PlatformRestored, epoch = epoch, previous = previous);
+            self.restores.send_modify(|count| *count += 1);
+        }
+    }
 }
 
 impl Client {
@@ -61,6 +88,7 @@
             dialect,
             host,
             timeout: settings.timeout,
+            epoch: Arc::default(),
         })
     }
 
@@ -109,6 +137,9 @@
         let json = HeaderValue::from_static("application/json");
         headers.insert(header::CONTENT_TYPE, json);
         let (head, body) = connection.send(request).await?.into_parts();
+        if let Some(epoch) = self.dialect.epoch(&head.headers) {
+            self.epoch.record(epoch);
+        }
         let body = Limited::new(body, MAX_RESPONSE_LEN).collect().await;
         let body = body.map_err(|err| UpstreamError::Lost(address, err.to_string()))?;
         Ok((head.status, body.to_bytes()))
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -2,7 +2,7 @@
 
 use super::{Changes, Entry, KeyEvent, Listing, PlatformError, Swap};
 use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use std::time::Duration;
 
 /// A call to the service.
@@ -109,6 +109,10 @@
     /// not carried out, and with [`PlatformError::Unknown`] when that is not known, as when the
     /// response cannot be decoded.
     fn decode(&self, call: &Call, status: StatusCode, body: &[u8]) -> Result<Reply, PlatformError>;
+
+    /// Reads the epoch of the service from the headers of a response: a number that increases each
+    /// time the service is restored from an older copy. `None` if the service states none.
+    fn epoch(&self, headers: &HeaderMap) -> Option<u64>;
 }
 
 /// The project's own HTTP protocol: every call is a JSON request to the same path.
@@ -122,6 +126,9 @@
     /// The path of every call.
     pub const PATH: &str = "/call";
 
+    /// The response header that states the epoch of the service.
+    pub const EPOCH: &str = "baobab-epoch";
+
     /// A call.
     #[derive(Clone, Debug, Serialize, Deserialize)]
     #[serde(rename_all = "snake_case")]
@@ -279,6 +286,15 @@
             json_dialect::Reply::Alive(alive) => Reply::Alive(alive),
         })
     }
+
+    fn epoch(&self, headers: &HeaderMap) -> Option<u64> {
+        headers
+            .get(json_dialect::EPOCH)?
+            .to_str()
+            .ok()?
+            .parse()
+            .ok()
+    }
 }
 
 fn from_json(entry: json_dialect::Entry) -> Entry {
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -1,6 +1,7 @@
 //! Watching the keys below a prefix.
 
 use super::{Changes, Entry, KeyEvent, Platform, PlatformError};
+use crate::event;
 use std::time::Duration;
 
 /// An update of the keys below a prefix.
@@ -50,6 +51,12 @@
                 }
                 Changes::Forgotten => self.revision = None,
             }
+            event!(
+                KeysListed,
+                prefix = self.prefix,
+                after = after,
+                why = "changes were compacted"
+            );
         }
         let listing = platform.list(&self.prefix, false, 0).await?;
         self.revision = Some(listing.revision);
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -222,6 +222,12 @@
 /// changes nothing.
 fn apply_external(daemon: &Daemon, external: &ExternalConfig, entry: &Entry) {
     let state = ExchangeState::of(daemon);
+    event!(
+        VersionReceived,
+        from = "platform",
+        revision = entry.revision,
+        current = daemon.config.stamp().version
+    );
     if let Err(err) = state.apply_external(daemon, external, &entry.value) {
         event!(SnapshotUnreadable, revision = entry.revision, error = err);
     }
