--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -2,7 +2,7 @@
 
 use anyhow::anyhow;
 use baobabstage::platform::MAX_VALUE_LEN;
-use baobabstage::platform::json_dialect::{Call, Entry, Reply};
+use baobabstage::platform::json_dialect::{Call, EPOCH, Entry, Reply};
 use baobabstage::serve::{Body, full_body};
 use baobabstage::sync::lock;
 use bytes::Bytes;
@@ -92,15 +92,23 @@
     /// Notifies waiting watches of changed keys; the number has no meaning.
     changed: watch::Sender<u64>,
     faults: watch::Sender<Faults>,
+    /// The epoch, which a restore increments. All connections end then.
+    epoch: watch::Sender<u64>,
 }
 
-#[derive(Default)]
-struct State {
+/// The stored keys and leases.
+#[derive(Clone, Default)]
+pub struct StoredKeys {
     revision: u64,
     keys: BTreeMap<String, Value>,
     /// The revision of the deletion of each deleted key, which watches report.
     deleted: BTreeMap<String, u64>,
     leases: BTreeMap<u64, Lease>,
+}
+
+#[derive(Default)]
+struct State {
+    stored: StoredKeys,
     calls: Calls,
     reads: Bucket,
     writes: Bucket,
@@ -108,6 +116,7 @@
     write_count: u32,
 }
 
+#[derive(Clone)]
 struct Value {
     data: Bytes,
     /// The revision of the last write.
@@ -116,6 +125,7 @@
     lease: u64,
 }
 
+#[derive(Clone)]
 struct Lease {
     ttl: Duration,
     expires_at: Instant,
@@ -163,6 +173,7 @@
             state: Mutex::new(state),
             changed: watch::Sender::default(),
             faults: watch::Sender::default(),
+            epoch: watch::Sender::default(),
         });
         tokio::spawn(accept(listener, Arc::clone(&shared)));
         Ok(Platform { shared, address })
@@ -189,22 +200,41 @@
     #[must_use]
     pub fn read_uncounted(&self, key: &str) -> Option<Bytes> {
         let state = self.shared.lock();
-        state.keys.get(key).map(|value| value.data.clone())
+        state.stored.keys.get(key).map(|value| value.data.clone())
     }
 
     /// Returns the keys with a prefix without counting a call, even during a fault.
     #[must_use]
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.shared.lock();
-        let keys = state.keys.keys();
+        let keys = state.stored.keys.keys();
         keys.filter(|key| key.starts_with(prefix))
             .cloned()
             .collect()
     }
 
+    /// Returns a copy of the stored keys.
+    #[must_use]
+    pub fn copy(&self) -> StoredKeys {
+        self.shared.lock().stored.clone()
+    }
+
+    /// Restores the keys, revisions and leases of an earlier copy, and ends all connections.
+    pub fn restore(&self, copy: StoredKeys) {
+        self.shared.lock().stored = copy;
+        self.shared.epoch.send_modify(|epoch| *epoch += 1);
+    }
+
+    /// Writes a key unconditionally and without a call.
+    pub fn write_uncounted(&self, key: &str, value: &str) {
+        let data = Bytes::from(value.to_owned());
+        self.shared.lock().stored.put(key.to_owned(), data, 0);
+        self.shared.changed.send_modify(|count| *count += 1);
+    }
+
     /// Deletes a key without a call, to simulate lost data.
     pub fn delete_key(&self, key: &str) {
-        self.shared.lock().delete(key);
+        self.shared.lock().stored.delete(key);
         self.shared.changed.send_modify(|count| *count += 1);
     }
 }
@@ -222,14 +252,18 @@
     // Otherwise Nagle's algorithm holds small responses back until the peer's delayed
     // acknowledgement.
     let _ = stream.set_nodelay(true);
+    let calls = Arc::clone(&shared);
     let service = service_fn(move |request: Request<Incoming>| {
-        let shared = Arc::clone(&shared);
+        let shared = Arc::clone(&calls);
         async move { respond(&shared, request).await }
     });
+    let mut epoch = shared.epoch.subscribe();
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     // The caller handles a broken connection.
-    let _ = http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    tokio::select! {
+        _ = connection => {}
+        _ = epoch.changed() => {}
+    }
 }
 
 async fn respond(
@@ -248,6 +282,8 @@
     };
     let mut response = Response::new(full_body(body));
     *response.status_mut() = status;
+    let epoch = *shared.epoch.borrow();
+    response.headers_mut().insert(EPOCH, epoch.into());
     Ok(response)
 }
 
@@ -263,7 +299,7 @@
     /// Locks the state, with expired leases removed.
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         let mut state = lock(&self.state);
-        state.expire();
+        state.stored.expire();
         state
     }
 
@@ -334,8 +370,8 @@
             return Ok(Err(rejected));
         }
         let reply = match call {
-            Call::Get { key } => Reply::Entry(self.lock().entry(&key)),
-            Call::List { prefix, after } => self.lock().list(&prefix, &after),
+            Call::Get { key } => Reply::Entry(self.lock().stored.entry(&key)),
+            Call::List { prefix, after } => self.lock().stored.list(&prefix, &after),
             Call::Changes {
                 prefix,
                 after,
@@ -346,13 +382,13 @@
             }
             Call::Swap { .. } => return self.swap(call),
             Call::Grant { ttl_ms } => {
-                let reply = self.lock().grant(Duration::from_millis(ttl_ms));
+                let reply = self.lock().stored.grant(Duration::from_millis(ttl_ms));
                 self.lose_response()?;
                 reply
             }
-            Call::Renew { lease } => self.lock().renew(lease),
+            Call::Renew { lease } => self.lock().stored.renew(lease),
             Call::Revoke { lease } => {
-                let alive = self.lock().leases.remove(&lease).is_some();
+                let alive = self.lock().stored.leases.remove(&lease).is_some();
                 self.changed.send_modify(|count| *count += 1);
                 Reply::Alive(alive)
             }
@@ -366,12 +402,12 @@
             tokio::spawn(async move {
                 sleep(after).await;
                 // The caller cannot receive the result any more.
-                drop(shared.lock().swap(call));
+                drop(shared.lock().stored.swap(call));
                 shared.changed.send_modify(|count| *count += 1);
             });
             return Err(anyhow!("connection lost"));
         }
-        let outcome = self.lock().swap(call);
+        let outcome = self.lock().stored.swap(call);
         self.changed.send_modify(|count| *count += 1);
         if outcome.is_ok() {
             self.lose_response()?;
@@ -384,7 +420,10 @@
         let deadline = Instant::now() + wait;
         loop {
             changed.mark_unchanged();
-            let (events, revision, next_expiry) = self.lock().changes(prefix, after);
+            let (events, revision, next_expiry) = self.lock().stored.changes(prefix, after);
+            if after > revision {
+                return Reply::Forgotten;
+            }
             if !events.is_empty() || Instant::now() >= deadline {
                 self.wait_for_faults().await;
                 return Reply::Changes(events, revision);
@@ -397,7 +436,7 @@
     }
 }
 
-impl State {
+impl StoredKeys {
     /// Removes expired leases and deletes their keys.
     fn expire(&mut self) {
         let now = Instant::now();
@@ -479,17 +518,22 @@
             self.delete(&key);
             return Ok(Reply::Swap(true, self.revision));
         };
+        let revision = self.put(key, Bytes::from(data), lease);
+        Ok(Reply::Swap(true, revision))
+    }
+
+    /// Writes a key, and returns its revision.
+    fn put(&mut self, key: String, data: Bytes, lease: u64) -> u64 {
         self.revision += 1;
         self.deleted.remove(&key);
         let revision = self.revision;
-        let data = Bytes::from(data);
         let value = Value {
             data,
             revision,
             lease,
         };
         self.keys.insert(key, value);
-        Ok(Reply::Swap(true, revision))
+        revision
     }
 
     fn grant(&mut self, ttl: Duration) -> Reply {
--- a/tests/member_upkeep.rs
+++ b/tests/member_upkeep.rs
@@ -1,23 +1,20 @@
 //! The platform calls by which a fleet finds and keeps its members: what a first start of all daemons
 //! at once and a quiet time after it cost.
 
+#[path = "support/external.rs"]
+mod external;
+
 use baobabstage::daemon::{Daemon, Phase};
 use baobabstage::exchange::ExchangeState;
-use baobabstage::kernel;
-use baobabstage::platform::{Client, ClientSettings, JsonDialect, Platform as _};
-use baobabstage::resource::{Kind, ResourceKey, Spec};
-use baobabstage::settings::{Flags, Settings};
-use baobabstage::site::{ExternalConfig, Site, Source};
-use baobabstage::snapshot::{Resource, Snapshot};
-use baobabstage::{Category, Error, Result};
+use baobabstage::platform::Platform as _;
+use baobabstage::site::Source;
+use external::{KEY, client, start};
 use standin::platform::{Limits, Platform};
 use standin::testbed::LOOPBACK;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-const KEY: &str = "external/config";
 const DAEMONS: usize = 16;
 
 /// The daemons of a failure domain that read from the platform.
@@ -30,58 +27,6 @@
 /// platform, one time limit, a pause, and an exchange.
 const FETCH_TIME: Duration = Duration::from_millis(1_250);
 
-/// Decodes a version with one policy from its number.
-fn decode(value: &[u8], _: &Snapshot) -> Result<Snapshot> {
-    let text = String::from_utf8_lossy(value);
-    let version = text
-        .parse()
-        .map_err(|err| Error::new(Category::Input, err))?;
-    let policy = Spec::from_json(Kind::Policy, br#"{"kinds":{"a":1}}"#)?;
-    let key = ResourceKey::new(Kind::Policy, "p");
-    let resources = BTreeMap::from([(key, Resource::new(version, policy))]);
-    Ok(Snapshot::from_value(version, "given", resources, value))
-}
-
-fn start(platform: &Platform, index: usize) -> Arc<Daemon> {
-    start_with(platform, index, true)
-}
-
-fn start_with(platform: &Platform, index: usize, first_start: bool) -> Arc<Daemon> {
-    let pairs = [
-        ("BAOBAB_NAME", format!("vm-{index:02}")),
-        ("BAOBAB_DOMAIN", "espoo".into()),
-        ("BAOBAB_REGION", "fi-south".into()),
-        ("BAOBAB_PLATFORM", platform.address().to_string()),
-        ("BAOBAB_DISTRIBUTION", "direct".into()),
-        ("BAOBAB_FIRST_START", first_start.to_string()),
-        ("BAOBAB_OUTBOUND", "127.0.0.1:0".into()),
-        ("BAOBAB_INBOUND", "127.0.0.1:0".into()),
-        ("BAOBAB_MESH", "127.0.0.1:0".into()),
-        ("BAOBAB_OPERATOR", "127.0.0.1:0".into()),
-        ("BAOBAB_ADMIN", "127.0.0.1:0".into()),
-    ];
-    let pairs = pairs.map(|(name, value): (&str, String)| (name.to_owned(), value));
-    let settings = Settings::new(&Flags::default(), &BTreeMap::from(pairs)).unwrap();
-    let site = Site {
-        source: Source::External(ExternalConfig {
-            key: KEY.into(),
-            decode: Arc::new(decode),
-        }),
-        ..Site::new(Arc::new(client(platform)))
-    };
-    let daemon = Daemon::with_site(settings, site).unwrap();
-    tokio::spawn(kernel::run(Arc::clone(&daemon)));
-    daemon
-}
-
-fn client(platform: &Platform) -> Client {
-    let settings = ClientSettings {
-        address: platform.address(),
-        timeout: Duration::from_secs(1),
-    };
-    Client::new(&settings, Arc::new(JsonDialect)).unwrap()
-}
-
 /// Each daemon announces itself and lists the members once; only the readers read the configuration
 /// and follow the members.
 #[tokio::test]
@@ -89,7 +34,9 @@
     let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
     let config = client(&platform);
     config.swap(KEY, 0, Some("3".into()), 0).await.unwrap();
-    let daemons: Vec<_> = (0..DAEMONS).map(|index| start(&platform, index)).collect();
+    let daemons: Vec<_> = (0..DAEMONS)
+        .map(|index| start(&platform, index, true))
+        .collect();
     let deadline = Instant::now() + START_TIME;
     let is_started = |daemon: &Arc<Daemon>| {
         daemon.config.stamp().version == 3 && daemon.fleet.load().members().len() == DAEMONS
@@ -120,9 +67,7 @@
 #[tokio::test]
 async fn fetch_version_silent_holder() {
     let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
-    let daemons: Vec<_> = (0..3)
-        .map(|index| start_with(&platform, index, false))
-        .collect();
+    let daemons: Vec<_> = (0..3).map(|index| start(&platform, index, false)).collect();
     let known = |daemon: &Arc<Daemon>| daemon.fleet.load().members().len() == 3;
     let deadline = Instant::now() + START_TIME;
     while !daemons.iter().all(known) {
--- /dev/null
+++ b/tests/support/external.rs
@@ -0,0 +1,67 @@
+//! Daemons whose configuration is managed externally: each version is a number under one key.
+
+use baobabstage::daemon::Daemon;
+use baobabstage::kernel;
+use baobabstage::platform::{Client, ClientSettings, JsonDialect};
+use baobabstage::resource::{Kind, ResourceKey, Spec};
+use baobabstage::settings::{Flags, Settings};
+use baobabstage::site::{ExternalConfig, Site, Source};
+use baobabstage::snapshot::{Resource, Snapshot};
+use baobabstage::{Category, Error, Result};
+use standin::platform::Platform;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The platform key of the configuration.
+pub const KEY: &str = "external/config";
+
+/// Decodes a version with one policy from its number.
+fn decode(value: &[u8], _: &Snapshot) -> Result<Snapshot> {
+    let text = String::from_utf8_lossy(value);
+    let version = text
+        .parse()
+        .map_err(|err| Error::new(Category::Input, err))?;
+    let policy = Spec::from_json(Kind::Policy, br#"{"kinds":{"a":1}}"#)?;
+    let key = ResourceKey::new(Kind::Policy, "p");
+    let resources = BTreeMap::from([(key, Resource::new(version, policy))]);
+    Ok(Snapshot::from_value(version, "given", resources, value))
+}
+
+/// Starts a daemon of the failure domain espoo, with its name from `index`.
+pub fn start(platform: &Platform, index: usize, first_start: bool) -> Arc<Daemon> {
+    let pairs = [
+        ("BAOBAB_NAME", format!("vm-{index:02}")),
+        ("BAOBAB_DOMAIN", "espoo".into()),
+        ("BAOBAB_REGION", "fi-south".into()),
+        ("BAOBAB_PLATFORM", platform.address().to_string()),
+        ("BAOBAB_DISTRIBUTION", "direct".into()),
+        ("BAOBAB_FIRST_START", first_start.to_string()),
+        ("BAOBAB_OUTBOUND", "127.0.0.1:0".into()),
+        ("BAOBAB_INBOUND", "127.0.0.1:0".into()),
+        ("BAOBAB_MESH", "127.0.0.1:0".into()),
+        ("BAOBAB_OPERATOR", "127.0.0.1:0".into()),
+        ("BAOBAB_ADMIN", "127.0.0.1:0".into()),
+    ];
+    let pairs = pairs.map(|(name, value): (&str, String)| (name.to_owned(), value));
+    let settings = Settings::new(&Flags::default(), &BTreeMap::from(pairs)).unwrap();
+    let site = Site {
+        source: Source::External(ExternalConfig {
+            key: KEY.into(),
+            decode: Arc::new(decode),
+        }),
+        ..Site::new(Arc::new(client(platform)))
+    };
+    let daemon = Daemon::with_site(settings, site).unwrap();
+    tokio::spawn(kernel::run(Arc::clone(&daemon)));
+    daemon
+}
+
+/// Returns a client of the platform.
+pub fn client(platform: &Platform) -> Client {
+    let settings = ClientSettings {
+        address: platform.address(),
+        timeout: Duration::from_secs(1),
+    };
+    Client::new(&settings, Arc::new(JsonDialect)).unwrap()
+}
