--- a/src/platform.rs
+++ b/src/platform.rs
@@ -5,19 +5,20 @@
 
 mod client;
 mod dialect;
+mod prefix_watcher;
 mod rate_limit;
-mod watch;
 
 pub use client::{Client, ClientSettings};
 pub use dialect::{Call, Dialect, HttpCall, JsonDialect, Reply, json_dialect};
+pub use prefix_watcher::{KeyUpdate, PrefixWatcher};
 pub use rate_limit::{CALLS_PER_SECOND, RETRIES_PER_SECOND, RateLimitedPlatform};
-pub use watch::{KeyUpdate, PrefixWatcher};
 
 use bytes::Bytes;
 use std::future::Future;
 use std::pin::Pin;
 use std::time::Duration;
 use thiserror::Error;
+use tokio::sync::watch;
 
 /// Maximum length of a value, in bytes.
 pub const MAX_VALUE_LEN: usize = 1_000_000;
@@ -140,4 +141,9 @@
 
     /// Ends a lease, which deletes the keys bound to it.
     fn revoke(&self, lease: u64) -> PlatformFuture<'_, ()>;
+
+    /// Returns a receiver of the number of times that the service was found restored from an older
+    /// copy. What was read or written before may no longer hold: keys, leases and revisions of then
+    /// may be gone, and the revisions are used again.
+    fn restores(&self) -> watch::Receiver<u64>;
 }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -263,4 +263,8 @@
             }
         })
     }
+
+    fn restores(&self) -> watch::Receiver<u64> {
+        self.epoch.restores.subscribe()
+    }
 }
--- a/src/platform/rate_limit.rs
+++ b/src/platform/rate_limit.rs
@@ -181,4 +181,8 @@
     fn revoke(&self, lease: u64) -> PlatformFuture<'_, ()> {
         Box::pin(self.write(move || self.inner.revoke(lease)))
     }
+
+    fn restores(&self) -> watch::Receiver<u64> {
+        self.inner.restores()
+    }
 }
--- a/tests/store/fake.rs
+++ b/tests/store/fake.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// The fault of writes to the keys with a prefix. All but [`Fault::NoResponse`] end by themselves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -187,4 +188,8 @@
     fn revoke(&self, _: u64) -> PlatformFuture<'_, ()> {
         Box::pin(async { Ok(()) })
     }
+
+    fn restores(&self) -> watch::Receiver<u64> {
+        watch::channel(0).1
+    }
 }
--- a/tests/support/fake.rs
+++ b/tests/support/fake.rs
@@ -13,6 +13,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 /// The rates of injected faults, in percent of calls.
@@ -210,4 +211,8 @@
     fn revoke(&self, _: u64) -> PlatformFuture<'_, ()> {
         Box::pin(async { Ok(()) })
     }
+
+    fn restores(&self) -> watch::Receiver<u64> {
+        watch::channel(0).1
+    }
 }
