Write a daemon's entry again after the platform was restored

Same class of fault as the watch position: what a daemon believes to be stored outlives the copy that the platform came back from. If the copy has the daemon's lease and an older record, renewals succeed and the entry stays wrong: a daemon that leaves is listed as ready, for daemons that start meanwhile and for those that do not hear of it from peers. Now the entry is written with a new lease and a higher sequence as soon as a restore is noticed.

platform_restore refresh_older_entry failed before (entry still ready after 2 s) and passes.

--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -132,6 +132,7 @@
 async fn announce(daemon: &Daemon) -> anyhow::Result<()> {
     let mut phases = daemon.drain.subscribe();
     let mut backend = daemon.backend.subscribe();
+    let mut restores = daemon.store.platform().restores();
     let mut entry = MemberEntry::default();
     if daemon.settings.first_start {
         wait_reported(daemon).await;
@@ -143,7 +144,8 @@
     loop {
         phases.mark_unchanged();
         backend.mark_unchanged();
-        let pause = match entry.refresh(daemon).await {
+        let noticed = *restores.borrow_and_update();
+        let pause = match entry.refresh(daemon, noticed).await {
             Ok(()) => {
                 backoff.reset();
                 failing_since = None;
@@ -167,6 +169,7 @@
             () = sleep(pause) => {}
             changed = phases.changed() => changed?,
             changed = backend.changed() => changed?,
+            Ok(()) = restores.changed() => {}
         }
     }
 }
@@ -188,6 +191,8 @@
     stored: Option<wire::Member>,
     /// The revision of the entry, the condition of the next write.
     revision: u64,
+    /// The number of restores of the platform that had been noticed when the record was stored.
+    restores: u64,
 }
 
 impl MemberEntry {
@@ -221,9 +226,16 @@
         }
     }
 
-    /// Renews the lease, and writes the record when it has changed or the lease has expired.
-    async fn refresh(&mut self, daemon: &Daemon) -> Result<(), PlatformError> {
+    /// Renews the lease, and writes the record when it has changed, the lease has expired or the
+    /// platform has been restored: `restores` is the number of restores noticed until now.
+    async fn refresh(&mut self, daemon: &Daemon, restores: u64) -> Result<(), PlatformError> {
         let platform = daemon.store.platform();
+        if self.restores != restores {
+            // The copy may have the lease with an older record, or neither.
+            self.lease = None;
+            self.restores = restores;
+            daemon.increment_sequence();
+        }
         let record = daemon.record();
         if let Some(lease) = self.lease
             && self.stored.as_ref() == Some(&record)
