Keep members that a restored platform lacks until they can have announced themselves

A reader that lists the members after a restore marks those missing as lapsed and removes them after 4 s. A daemon that reads nothing from the platform learns of the restore with its next renewal, up to 3.75 s later, and readers pause for 2 s between updates: daemons that live would be removed. Now they have 4 s more. And a copy that still has the entry of a daemon removed since does not bring it back; the listing overrides the rank of a removal otherwise.

member_registry merge_restored_missing fails without the extension; merge_restored_removed with the listing merged as before. The watcher keeps the cause of a listing that fails, so that its repeat counts as one after a restore too.

--- a/src/member/registry.rs
+++ b/src/member/registry.rs
@@ -22,6 +22,10 @@
 /// two seconds of its recovery, and peers receive them about a second later.
 pub const MISSING_TIME: Duration = Duration::from_secs(4);
 
+/// Added to [`MISSING_TIME`] after the platform was restored from an older copy: daemons whose entries
+/// the copy lacks write them again at the next renewal of their leases at the latest.
+pub const RESTORE_EXTENSION: Duration = Duration::from_secs(4);
+
 /// Time for which the ranks of removed members are kept, to reject older copies of their records.
 const TOMBSTONE_TIME: Duration = Duration::from_mins(2);
 
@@ -90,6 +94,25 @@
         changed
     }
 
+    /// Merges a complete listing of the platform that was just restored from an older copy.
+    ///
+    /// Members that the copy lacks are kept for [`RESTORE_EXTENSION`] longer, and those removed since it was made
+    /// stay removed until they announce themselves again.
+    ///
+    /// Returns whether the members have changed, as [`MemberRegistry::merge_listed`] does.
+    pub fn merge_restored(&mut self, mut records: Vec<wire::Member>, now: Instant) -> bool {
+        records.retain(|record| {
+            let removed = self.removed.get(&record.name);
+            removed.is_none_or(|(removed, _)| *removed < rank(record))
+        });
+        let changed = self.merge_listing(records, now);
+        let missing = self.entries.values_mut().filter(|entry| !entry.listed);
+        for entry in missing {
+            entry.updated = entry.updated.max(now + RESTORE_EXTENSION);
+        }
+        changed
+    }
+
     /// Records that this daemon no longer follows the platform's listing. Until the next listing,
     /// members are removed only when peers report their removal.
     pub fn stop_following(&mut self) {
--- a/src/platform/prefix_watcher.rs
+++ b/src/platform/prefix_watcher.rs
@@ -14,6 +14,8 @@
 pub enum KeyUpdate {
     /// All existing keys: sent first, and again when changes were missed.
     Listing(Vec<Entry>),
+    /// All existing keys after the platform was restored from an older copy.
+    Restored(Vec<Entry>),
     /// The changes since the last update, in order; empty when the wait timed out.
     Events(Vec<KeyEvent>),
 }
@@ -22,12 +24,18 @@
 #[derive(Clone, Debug)]
 pub struct PrefixWatcher {
     prefix: String,
-    /// The position up to which all changes were returned.
-    position: Option<Position>,
+    next_call: NextCall,
     /// Whether the last watch was answered.
     answered: bool,
 }
 
+#[derive(Clone, Copy, Debug)]
+enum NextCall {
+    List(ListingCause),
+    /// Watches from the position up to which all changes were returned.
+    Watch(Position),
+}
+
 /// A revision of the service, which has a meaning only until the service is restored.
 #[derive(Clone, Copy, Debug)]
 struct Position {
@@ -58,7 +66,7 @@
         let prefix = prefix.to_owned();
         PrefixWatcher {
             prefix,
-            position: None,
+            next_call: NextCall::List(ListingCause::First),
             answered: true,
         }
     }
@@ -74,28 +82,32 @@
         wait: Duration,
     ) -> Result<KeyUpdate, PlatformError> {
         let mut restores = platform.restores();
-        let cause = match self.position {
-            None => ListingCause::First,
-            Some(position) => match self.watch(platform, position, wait, &mut restores).await? {
-                Watched::Events(events) => return Ok(KeyUpdate::Events(events)),
-                Watched::Missed(cause) => cause,
-            },
+        let cause = match self.next_call {
+            NextCall::List(cause) => cause,
+            NextCall::Watch(position) => {
+                match self.watch(platform, position, wait, &mut restores).await? {
+                    Watched::Events(events) => return Ok(KeyUpdate::Events(events)),
+                    Watched::Missed(cause) => cause,
+                }
+            }
         };
         event!(
             KeysListed,
             prefix = self.prefix,
-            why = format_args!("{cause:?}"),
-            after = self.position.map_or(0, |position| position.revision),
+            why = format_args!("{cause:?}")
         );
-        self.position = None;
+        self.next_call = NextCall::List(cause);
         // Read before the listing: a restore during it makes the position invalid.
         let restores = *restores.borrow_and_update();
         let listing = platform.list(&self.prefix, false, 0).await?;
-        self.position = Some(Position {
+        self.next_call = NextCall::Watch(Position {
             revision: listing.revision,
             restores,
         });
-        Ok(KeyUpdate::Listing(listing.entries))
+        Ok(match cause {
+            ListingCause::Restored => KeyUpdate::Restored(listing.entries),
+            ListingCause::First | ListingCause::Compacted => KeyUpdate::Listing(listing.entries),
+        })
     }
 
     /// Waits for changes after a position.
@@ -124,7 +136,7 @@
             Changes::Events { events, revision } => {
                 // The revision must not decrease, or changes would be returned again.
                 let revision = revision.max(position.revision);
-                self.position = Some(Position {
+                self.next_call = NextCall::Watch(Position {
                     revision,
                     ..position
                 });
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -129,7 +129,7 @@
             continue;
         }
         let entries = match follow_prefix(daemon, &mut watcher, EXTERNAL_WATCH_TIMEOUT).await {
-            Ok(KeyUpdate::Listing(entries)) => entries,
+            Ok(KeyUpdate::Listing(entries) | KeyUpdate::Restored(entries)) => entries,
             Ok(KeyUpdate::Events(events)) => events.into_iter().filter_map(put_entry).collect(),
             Err(err) => {
                 event!(ConfigUnread, error = err, version = daemon.config.stamp());
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -340,8 +340,10 @@
     };
     match update {
         KeyUpdate::Listing(entries) => {
-            let records = entries.into_iter().filter_map(read).collect();
-            registry.merge_listing(records, now)
+            registry.merge_listing(entries.into_iter().filter_map(read).collect(), now)
+        }
+        KeyUpdate::Restored(entries) => {
+            registry.merge_restored(entries.into_iter().filter_map(read).collect(), now)
         }
         KeyUpdate::Events(events) => {
             let mut changed = false;
--- a/tests/member_registry.rs
+++ b/tests/member_registry.rs
@@ -2,7 +2,7 @@
 
 use baobabstage::generated::mesh as wire;
 use baobabstage::generated::mesh::MemberState;
-use baobabstage::member::registry::{MISSING_TIME, MemberRegistry};
+use baobabstage::member::registry::{MISSING_TIME, MemberRegistry, RESTORE_EXTENSION};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -166,3 +166,34 @@
     assert!(!registry.expire(later + SECOND));
     assert!(registry.expire(later + MISSING_TIME));
 }
+
+/// After the platform came back from an older copy, daemons write their entries again one after the
+/// other, as each notices it: none of them is removed meanwhile.
+#[test]
+fn merge_restored_missing() {
+    let start = Instant::now();
+    let mut registry = MemberRegistry::default();
+    registry.merge_listing(vec![member("a", 1, 1), member("b", 1, 1)], start);
+    registry.merge_restored(Vec::new(), start + SECOND);
+    // The longest time between two renewals, and the pause between two updates of a reader.
+    let noticed = start + SECOND + Duration::from_millis(3_750 + 2_000);
+    assert!(!registry.expire(noticed));
+    registry.merge_listed(member("a", 1, 2), noticed);
+    assert!(registry.expire(start + SECOND + MISSING_TIME + RESTORE_EXTENSION));
+    assert_eq!(names(&registry), ["a"]);
+}
+
+/// The copy still has the entry of a daemon that was removed since.
+#[test]
+fn merge_restored_removed() {
+    let start = Instant::now();
+    let mut registry = MemberRegistry::default();
+    registry.merge_listing(vec![member("a", 1, 3)], start);
+    registry.mark_unlisted("a", start);
+    let later = start + MISSING_TIME;
+    assert!(registry.expire(later));
+    assert!(!registry.merge_restored(vec![member("a", 1, 3)], later));
+    assert_eq!(names(&registry), Vec::<String>::new());
+    assert!(registry.merge_listed(member("a", 1, 4), later));
+    assert_eq!(names(&registry), ["a"]);
+}
