Log the rate limit that a backend server states

Event 416 at the daemon beside the backend server; the header's name comes from the adapter. Calls are not limited yet.

--- a/src/event.rs
+++ b/src/event.rs
@@ -87,6 +87,7 @@
     MemberUnreadable = 413, Warn, "An entry of a daemon cannot be read.";
     ExchangeFailed = 414, Debug, "An exchange with another daemon failed.";
     RemovalRefuted = 415, Info, "A peer had removed this daemon's record; the next one outranks the removal.";
+    BackendRateLimit = 416, Info, "This daemon's backend server has changed the rate of calls that it takes.";
 
     CallRefused = 500, Info, "A call was refused; it was not run.";
     CallUnknown = 501, Warn, "A call ended without a known outcome.";
--- a/src/header_names.rs
+++ b/src/header_names.rs
@@ -18,6 +18,9 @@
     pub instance: Option<HeaderName>,
     /// Sent by a backend server: it did not run the call.
     pub not_run: Option<HeaderName>,
+    /// Sent by a backend server in need: the calls per second that it takes from all daemons together,
+    /// for as long as its responses state it.
+    pub rate_limit: Option<HeaderName>,
     /// Sent to a backend server: the service on the VM where the call originated.
     pub caller: Option<HeaderName>,
     /// Sent by a backend server with each response of its own; a successful one without it is
@@ -35,6 +38,7 @@
             expected_instance: None,
             instance: None,
             not_run: None,
+            rate_limit: None,
             caller: None,
             response_seal: None,
             fractional_retry: false,
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -23,7 +23,7 @@
 use crate::kernel::{Plugin, RoleFuture};
 use crate::serve::{Body, BodyError, full_body, serve_calls};
 use crate::sync::lock;
-use backend::{check_response, to_backend};
+use backend::{check_response, stated_rate, to_backend};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use hyper::body::{Body as _, Bytes};
 use prometheus_client::registry::Registry;
@@ -147,6 +147,8 @@
     bulk_calls: BulkCalls,
     /// Until when the backend server counts as unreachable.
     down_until: Mutex<Option<Instant>>,
+    /// The rate limit that the backend server states, in calls per second.
+    rate_limit: Mutex<Option<f64>>,
 }
 
 impl Inbound {
@@ -164,6 +166,7 @@
             transfers: Transfers::default(),
             bulk_calls: BulkCalls::default(),
             down_until: Mutex::default(),
+            rate_limit: Mutex::default(),
         }
     }
 
@@ -409,6 +412,9 @@
             daemon.drain.advance(Phase::Draining);
         }
         let id = id.as_ref();
+        if response.headers().get(&names.request) == id {
+            self.update_rate_limit(stated_rate(names, response.headers()));
+        }
         if let Err(refusal) = check_response(daemon, &backend, &response, id) {
             run.permit.exclude_sample();
             return Err(refusal);
@@ -430,6 +436,16 @@
         unavailable(err, RefusalReason::Down)
     }
 
+    /// Records the rate limit that the backend server's last response stated.
+    fn update_rate_limit(&self, rate: Option<f64>) {
+        let mut current = lock(&self.rate_limit);
+        if *current != rate {
+            let text = |rate: Option<f64>| rate.map_or("none".to_owned(), |rate| rate.to_string());
+            event!(BackendRateLimit, rate = text(rate), before = text(*current));
+            *current = rate;
+        }
+    }
+
     /// Updates the limits to the configuration in force and the slots that the backend server
     /// reports.
     fn update_limits(&self, daemon: &Daemon) -> Result<(), Refusal> {
--- a/src/role/inbound/backend.rs
+++ b/src/role/inbound/backend.rs
@@ -77,6 +77,19 @@
     Ok(())
 }
 
+/// Returns the rate limit that a response states, in calls per second; `None` if it states none.
+///
+/// A limit that is not a finite number of at least zero is logged and treated as absent.
+pub(super) fn stated_rate(names: &HeaderNames, headers: &HeaderMap) -> Option<f64> {
+    let text = call::text(headers, names.rate_limit.as_ref()?)?;
+    let rate = text.trim().parse::<f64>().ok();
+    let rate = rate.filter(|rate| rate.is_finite() && *rate >= 0.0);
+    if rate.is_none() {
+        event!(BackendRateLimit, invalid = text);
+    }
+    rate
+}
+
 /// Returns a header's value when it is present and not the expected one.
 fn mismatch<'a>(
     headers: &'a HeaderMap,
