--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -79,6 +79,9 @@
     pub report: Report,
     /// Whether responses carry the load in the `x-baobab-load` header.
     pub report_load: bool,
+    /// The calls per second that responses state as a limit in the `x-rate-limit` header. Calls above
+    /// it are still run.
+    pub rate_limit: Option<u32>,
     /// Delay between two chunks of a response body.
     pub chunk_delay: Duration,
     /// The fault of responses.
--- a/standin/src/backend/response.rs
+++ b/standin/src/backend/response.rs
@@ -122,6 +122,9 @@
         if self.behaviour.borrow().report_load {
             response = response.header("x-baobab-load", self.load_text());
         }
+        if let Some(rate) = self.behaviour.borrow().rate_limit {
+            response = response.header("x-rate-limit", rate);
+        }
         Ok(response.body(streamed(body, chunk_delay, truncated))?)
     }
 
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -24,6 +24,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 const KEY: &str = "external/config";
 
@@ -340,3 +341,49 @@
     assert_eq!(long.await.unwrap(), (StatusCode::OK, 1));
     assert_eq!(next.await.unwrap(), (StatusCode::OK, 1));
 }
+
+/// A backend server that states a rate limit gets no more calls than that; the others are refused, and
+/// once it states none, all calls reach it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_above_rate_limit() {
+    const RATE: u32 = 10;
+    const CALLS: u32 = 100;
+    const INTERVAL: Duration = Duration::from_millis(20);
+    let names = HeaderNames {
+        rate_limit: Some(HeaderName::from_static("x-rate-limit")),
+        ..HeaderNames::default()
+    };
+    let limited = Behaviour {
+        rate_limit: Some(RATE),
+        ..Behaviour::default()
+    };
+    let fixture = Fixture::start_with(None, names, limited).await;
+    fixture.make_ready().await;
+    assert_eq!(fixture.issue("first").await, (StatusCode::OK, 1));
+    let started = Instant::now();
+    let mut runs = 0;
+    for call in 0..CALLS {
+        tokio::time::sleep(INTERVAL).await;
+        let (status, run) = fixture.issue(&format!("call-{call}")).await;
+        assert_eq!(status == StatusCode::OK, run == 1, "{status}");
+        runs += run;
+    }
+    let allowed = started.elapsed().as_secs_f64() * f64::from(RATE) * 1.5 + 5.0;
+    assert!(
+        f64::from(runs) <= allowed,
+        "{runs} calls, allowed {allowed}"
+    );
+    assert!(runs >= RATE, "{runs} calls");
+    fixture.backend.set(Behaviour::default());
+    let last = started.elapsed();
+    while fixture.issue(&format!("open-{last:?}")).await.0 != StatusCode::OK {
+        assert!(started.elapsed() < last + Duration::from_secs(1), "refused");
+        tokio::time::sleep(INTERVAL).await;
+    }
+    for call in 0..RATE {
+        assert_eq!(
+            fixture.issue(&format!("free-{call}")).await,
+            (StatusCode::OK, 1)
+        );
+    }
+}
