Limit calls to the rate that a backend server states

A backend server in need got as many calls as before: 162 in 4 s with a limit of 9 a second (59 allowed).

The inbound side reads the limit from each response that belongs to its call, and admission takes a token for each call that starts; the bucket holds those of a quarter of a second. The queue waits for tokens in its usual order, so the most urgent call goes first, and a call that no token can serve in time is refused at once with the time until one is free. The sender then prefers other upstreams for that time. A response that states no limit ends it; at a limit near zero a call every two seconds still finds that out. A task starts the next call when a token arrives, since no other event may come.

--- a/src/call.rs
+++ b/src/call.rs
@@ -113,6 +113,9 @@
 pub enum RefusalReason {
     /// The expected wait exceeds the sender's wait limit.
     Busy,
+    /// The backend server's rate limit is used up: no token is available within the wait limit, the
+    /// objective or the deadline.
+    RateLimited,
     /// The attempt cannot meet its deadline, or the queue is full of calls of no smaller weight.
     Full,
     /// The backend server or the daemon is draining.
@@ -128,8 +131,9 @@
 }
 
 impl RefusalReason {
-    const ALL: [RefusalReason; 6] = [
+    const ALL: [RefusalReason; 7] = [
         RefusalReason::Busy,
+        RefusalReason::RateLimited,
         RefusalReason::Full,
         RefusalReason::Leaving,
         RefusalReason::Down,
@@ -142,6 +146,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             RefusalReason::Busy => "busy",
+            RefusalReason::RateLimited => "rate-limited",
             RefusalReason::Full => "full",
             RefusalReason::Leaving => "leaving",
             RefusalReason::Down => "down",
--- a/src/call/admission.rs
+++ b/src/call/admission.rs
@@ -6,6 +6,7 @@
 //! is known.
 
 use super::attempt::Load;
+use crate::tree::backoff::TokenBucket;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -32,6 +33,14 @@
 /// Greatest `Retry-After` of a refusal.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
+/// Rate of calls, per second, at which a backend server that states a lower limit is still tried: its
+/// responses tell when the limit ends.
+const MIN_RATE: f64 = 0.5;
+
+/// Calls above the rate limit that may start at once, as a share of those of one second. At least one
+/// call may.
+const RATE_BURST_SHARE: f64 = 0.25;
+
 /// The concurrency limit and the queue limit of a backend server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Limits {
@@ -84,6 +93,10 @@
     /// The wait would exceed the outbound side's wait limit.
     #[error("backend server is busy")]
     Busy,
+    /// The wait is due to the backend server's rate limit and would exceed the outbound side's wait
+    /// limit or [`Admission::longest_wait`].
+    #[error("backend server limits its rate of calls")]
+    RateLimited,
     /// The call would not end before its deadline.
     #[error("deadline cannot be met")]
     Late,
@@ -127,6 +140,8 @@
 #[derive(Debug, Default)]
 pub struct Admission {
     limits: Limits,
+    /// A token for each call that the backend server's rate limit allows to start, if it has one.
+    rate: Option<TokenBucket>,
     running: u32,
     queue: BTreeSet<Place>,
     entries: BTreeMap<Ticket, (Place, AdmissionRequest)>,
@@ -177,7 +192,12 @@
             .entries
             .values()
             .map(|(_, request)| self.class_time(request.time_class));
-        let wait = self.wait(backlog.sum());
+        let wait = self.slot_wait(backlog.sum());
+        let rate = self.rate.as_ref();
+        let token_wait = rate.map_or(Duration::ZERO, |rate| {
+            rate.time_until_last(self.queued() + 1)
+        });
+        let wait = wait.max(token_wait);
         wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 
@@ -188,17 +208,26 @@
         if request.deadline <= now {
             return Some(Reason::Late);
         }
-        if self.running < self.limits.slots && self.queue.is_empty() {
+        if self.has_room(now) && self.queue.is_empty() {
             return None;
         }
-        let wait = self.wait_at(self.place(now, request));
+        let place = self.place(now, request);
+        let wait = self.wait_at(now, place);
+        let rate_limited = self.rate.is_some() && self.token_wait(now, place) >= wait;
+        let reason = |reason| {
+            if rate_limited {
+                Reason::RateLimited
+            } else {
+                reason
+            }
+        };
         if request.wait_limit.is_some_and(|limit| wait > limit) {
-            return Some(Reason::Busy);
+            return Some(reason(Reason::Busy));
         }
         if now + wait + self.class_time(request.time_class) > request.deadline {
-            return Some(Reason::Late);
+            return Some(reason(Reason::Late));
         }
-        (wait > self.longest_wait(now, request)).then_some(Reason::Full)
+        (wait > self.longest_wait(now, request)).then_some(reason(Reason::Full))
     }
 
     /// Offers a call. A queued call of smaller weight may be refused in its favour.
@@ -207,8 +236,8 @@
     /// the offered call.
     pub fn offer(&mut self, now: Instant, request: &AdmissionRequest) -> (Decision, QueueUpdate) {
         let mut update = QueueUpdate::default();
-        if request.deadline > now && self.running < self.limits.slots && self.queue.is_empty() {
-            self.running += 1;
+        if request.deadline > now && self.has_room(now) && self.queue.is_empty() {
+            self.start(now);
             return (Decision::Run, update);
         }
         if let Some(reason) = self.refusal(now, request) {
@@ -216,7 +245,7 @@
         }
         let service_time = self.class_time(request.time_class);
         let place = self.place(now, request);
-        let wait = self.wait_at(place);
+        let wait = self.wait_at(now, place);
         if self.queued() >= self.limits.queue {
             match self.queue.last().copied() {
                 Some(last) if last.weight.0 < request.weight => {
@@ -278,6 +307,27 @@
         update
     }
 
+    /// Changes the rate limit, in calls per second; `None` for no limit.
+    pub fn set_rate(&mut self, now: Instant, rate: Option<f64>) -> QueueUpdate {
+        let rate = rate.map(|rate| rate.max(MIN_RATE));
+        let burst = |rate: f64| (rate * RATE_BURST_SHARE).max(1.0);
+        match (&mut self.rate, rate) {
+            (Some(bucket), Some(rate)) => bucket.resize(rate, burst(rate), now),
+            (bucket, rate) => {
+                *bucket = rate.map(|rate| TokenBucket::with_burst(rate, burst(rate), now));
+            }
+        }
+        self.advance(now)
+    }
+
+    /// Returns when the rate limit allows the first queued call to start; `None` if no call waits for
+    /// that.
+    #[must_use]
+    pub fn next_token(&self, now: Instant) -> Option<Instant> {
+        let rate = self.rate.filter(|_| !self.queue.is_empty())?;
+        (!rate.has_token(now)).then(|| now + rate.time_until(now, 1))
+    }
+
     /// Refuses all queued calls.
     pub fn drain(&mut self) -> QueueUpdate {
         let tickets: Vec<Ticket> = self.entries.keys().copied().collect();
@@ -289,10 +339,10 @@
         update
     }
 
-    /// Starts queued calls while slots are free, and refuses those that would miss their deadlines.
-    fn advance(&mut self, now: Instant) -> QueueUpdate {
+    /// Starts queued calls while the limits allow it, and refuses those that would miss their deadlines.
+    pub fn advance(&mut self, now: Instant) -> QueueUpdate {
         let mut update = QueueUpdate::default();
-        while self.running < self.limits.slots
+        while self.has_room(now)
             && let Some(place) = self.queue.first().copied()
             && let Some((_, request)) = self.entries.get(&place.ticket).copied()
         {
@@ -314,7 +364,7 @@
                     request,
                 );
             } else {
-                self.running += 1;
+                self.start(now);
                 update.start.push(place.ticket);
             }
         }
@@ -327,7 +377,7 @@
         while let Some(last) = self.queue.last().copied()
             && let Some((_, request)) = self.entries.get(&last.ticket).copied()
         {
-            let end = now + self.wait_at(last) + self.class_time(request.time_class);
+            let end = now + self.wait_at(now, last) + self.class_time(request.time_class);
             if end <= request.deadline {
                 return;
             }
@@ -370,22 +420,42 @@
     }
 
     /// Returns the expected wait of a call at a queue position.
-    fn wait_at(&self, place: Place) -> Duration {
+    fn wait_at(&self, now: Instant, place: Place) -> Duration {
         let ahead = self.queue.range(..place);
         let times = ahead.filter_map(|other| self.entries.get(&other.ticket));
-        self.wait(
-            times
-                .map(|(_, request)| self.class_time(request.time_class))
-                .sum(),
-        )
+        let work = times.map(|(_, request)| self.class_time(request.time_class));
+        self.slot_wait(work.sum()).max(self.token_wait(now, place))
     }
 
     /// Returns the expected wait behind `work` when all slots are in use: that work and one more
     /// call of average service time, divided by the slots.
-    fn wait(&self, work: Duration) -> Duration {
+    fn slot_wait(&self, work: Duration) -> Duration {
         (work + self.service_time()) / self.limits.slots.max(1)
     }
 
+    /// Returns the wait of a call at a queue position that is due to the rate limit.
+    fn token_wait(&self, now: Instant, place: Place) -> Duration {
+        let Some(rate) = &self.rate else {
+            return Duration::ZERO;
+        };
+        let ahead = self.queue.range(..place).count();
+        rate.time_until(now, u32::try_from(ahead).unwrap_or(u32::MAX - 1) + 1)
+    }
+
+    /// Tests whether another call may start.
+    fn has_room(&self, now: Instant) -> bool {
+        let rate = self.rate.as_ref();
+        self.running < self.limits.slots && rate.is_none_or(|rate| rate.has_token(now))
+    }
+
+    /// Takes a slot, and a token if the rate is limited.
+    fn start(&mut self, now: Instant) {
+        self.running += 1;
+        if let Some(rate) = &mut self.rate {
+            rate.take(now);
+        }
+    }
+
     fn queued(&self) -> u32 {
         u32::try_from(self.queue.len()).unwrap_or(u32::MAX)
     }
--- a/src/call/gate.rs
+++ b/src/call/gate.rs
@@ -35,6 +35,8 @@
     waiting: BTreeMap<Ticket, (u32, oneshot::Sender<Grant>)>,
     /// The limits in force, to detect a change; `None` before the first.
     limits: Option<Limits>,
+    /// Whether a task waits for the next token of the rate limit.
+    scheduled: bool,
 }
 
 /// Limits the concurrent calls to one backend server; all clones share the same slots.
@@ -93,6 +95,7 @@
                 })
             }
         };
+        self.schedule(&mut state);
         drop(state);
         drop(undelivered);
         offer
@@ -111,15 +114,44 @@
         drop(undelivered);
     }
 
-    /// Refuses all queued calls; running calls are not affected.
-    pub fn drain(&self) {
+    /// Sets the rate limit of the backend server, in calls per second; `None` for no limit.
+    pub fn set_rate(&self, rate: Option<f64>) {
+        self.update(|admission| admission.set_rate(Instant::now(), rate));
+    }
+
+    /// Schedules the start of the next queued call when the rate limit holds it back: no other event
+    /// may follow by then.
+    fn schedule(&self, state: &mut State) {
+        let Some(at) = state.admission.next_token(Instant::now()) else {
+            return;
+        };
+        if std::mem::replace(&mut state.scheduled, true) {
+            return;
+        }
+        let weak = Arc::downgrade(&self.state);
+        tokio::spawn(async move {
+            tokio::time::sleep_until(at).await;
+            if let Some(state) = weak.upgrade() {
+                lock(&state).scheduled = false;
+                Gate { state }.update(|admission| admission.advance(Instant::now()));
+            }
+        });
+    }
+
+    fn update(&self, change: impl FnOnce(&mut Admission) -> QueueUpdate) {
         let mut state = lock(&self.state);
-        let update = state.admission.drain();
+        let update = change(&mut state.admission);
         let undelivered = self.notify_queued(&mut state, update);
+        self.schedule(&mut state);
         drop(state);
         drop(undelivered);
     }
 
+    /// Refuses all queued calls; running calls are not affected.
+    pub fn drain(&self) {
+        self.update(Admission::drain);
+    }
+
     /// Returns the current load of the backend server.
     #[must_use]
     pub fn load(&self) -> Load {
@@ -136,11 +168,7 @@
     }
 
     fn finish(&self, class: u32, service_time: Option<Duration>) {
-        let mut state = lock(&self.state);
-        let update = state.admission.finish(Instant::now(), class, service_time);
-        let undelivered = self.notify_queued(&mut state, update);
-        drop(state);
-        drop(undelivered);
+        self.update(|admission| admission.finish(Instant::now(), class, service_time));
     }
 
     /// Notifies the queued calls that start or are refused. Returns the results that no task
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -436,13 +436,15 @@
         unavailable(err, RefusalReason::Down)
     }
 
-    /// Records the rate limit that the backend server's last response stated.
+    /// Applies the rate limit that the backend server's last response stated. It holds for the calls
+    /// of all daemons, which all come through this one.
     fn update_rate_limit(&self, rate: Option<f64>) {
         let mut current = lock(&self.rate_limit);
         if *current != rate {
             let text = |rate: Option<f64>| rate.map_or("none".to_owned(), |rate| rate.to_string());
             event!(BackendRateLimit, rate = text(rate), before = text(*current));
             *current = rate;
+            self.gate.set_rate(rate);
         }
     }
 
@@ -571,6 +573,7 @@
 fn admission_refusal(rejected: Rejected) -> Refusal {
     let reason = match rejected.reason {
         Reason::Busy => RefusalReason::Busy,
+        Reason::RateLimited => RefusalReason::RateLimited,
         Reason::Late | Reason::Full => RefusalReason::Full,
         Reason::Draining => RefusalReason::Leaving,
     };
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -242,6 +242,12 @@
             match failed.failure {
                 // A busy upstream may be chosen again, to wait in its queue.
                 Failure::Refused if failed.reason_code == RefusalReason::Busy => busy_refusals += 1,
+                // Offers are limited in number; an attempt that might wait is made elsewhere next.
+                Failure::Refused
+                    if failed.reason_code == RefusalReason::RateLimited && wait_limit.is_some() =>
+                {
+                    busy_refusals += 1;
+                }
                 Failure::Refused if failed.reason_code == RefusalReason::Full => {
                     full_refusals += 1;
                     tried.push(index);
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -460,6 +460,11 @@
             return Ok(response);
         }
     };
+    if refusal_reason == RefusalReason::RateLimited {
+        // Other upstreams are preferred until this one can take a call again.
+        let time = call::read_retry_after(response.headers()).unwrap_or(DEFAULT_SHED_TIME);
+        health.shed(now, time);
+    }
     if refusal_reason == RefusalReason::Down {
         note_failure(upstream);
     } else if matches!(failure, Failure::NotRun | Failure::MayHaveRun) {
--- a/src/tree/backoff.rs
+++ b/src/tree/backoff.rs
@@ -50,24 +50,35 @@
     time.mul_f64(rand::rng().random_range(0.75..1.25))
 }
 
-/// A token bucket. Its burst size is the number of tokens of one second.
+/// Tolerance of comparisons of token counts, for rounding errors.
+const ROUNDING: f64 = 1e-6;
+
+/// A token bucket.
 #[derive(Clone, Copy, Debug)]
 pub struct TokenBucket {
     /// Tokens per second.
     rate: f64,
+    /// Greatest number of tokens.
+    burst: f64,
     tokens: f64,
     refilled_at: Instant,
 }
 
 impl TokenBucket {
-    /// Creates a full bucket that is refilled with `rate` tokens per second. The rate must not be
-    /// zero, or [`TokenBucket::time_until_next`] panics.
+    /// Creates a full bucket that is refilled with `rate` tokens per second and holds those of one
+    /// second. The rate must not be zero, or [`TokenBucket::time_until_next`] panics.
     #[must_use]
     pub fn new(rate: u32, now: Instant) -> Self {
-        let rate = f64::from(rate);
+        TokenBucket::with_burst(f64::from(rate), f64::from(rate), now)
+    }
+
+    /// Creates a full bucket that is refilled with `rate` tokens per second and holds `burst` tokens.
+    #[must_use]
+    pub fn with_burst(rate: f64, burst: f64, now: Instant) -> Self {
         TokenBucket {
             rate,
-            tokens: rate,
+            burst,
+            tokens: burst,
             refilled_at: now,
         }
     }
@@ -75,25 +86,54 @@
     /// Takes a token; false if none is available.
     pub fn take(&mut self, now: Instant) -> bool {
         self.refill(now);
-        let taken = self.tokens >= 1.0;
+        let taken = self.has_token(now);
         if taken {
             self.tokens -= 1.0;
         }
         taken
     }
 
+    /// Tests whether a token is available.
+    #[must_use]
+    pub fn has_token(&self, now: Instant) -> bool {
+        self.tokens_at(now) >= 1.0 - ROUNDING
+    }
+
     /// Returns the time until the next token, as of the last call of [`TokenBucket::take`].
     #[must_use]
     pub fn time_until_next(&self) -> Duration {
-        let missing = (1.0 - self.tokens).max(0.0);
+        self.time_until_last(1)
+    }
+
+    /// Returns the same as [`TokenBucket::time_until`], as of the last call of [`TokenBucket::take`].
+    #[must_use]
+    pub fn time_until_last(&self, count: u32) -> Duration {
+        self.time_until(self.refilled_at, count)
+    }
+
+    /// Returns the time from `now` until `count` tokens have been available, if others wait for the
+    /// ones before the last.
+    #[must_use]
+    pub fn time_until(&self, now: Instant, count: u32) -> Duration {
+        let missing = (f64::from(count) - self.tokens_at(now)).max(0.0);
         Duration::from_secs_f64(missing / self.rate)
     }
 
+    /// Changes the rate and the burst size, and drops the tokens above the latter.
+    pub fn resize(&mut self, rate: f64, burst: f64, now: Instant) {
+        self.refill(now);
+        self.rate = rate;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
     fn refill(&mut self, now: Instant) {
-        let elapsed = now
-            .saturating_duration_since(self.refilled_at)
-            .as_secs_f64();
-        self.tokens = (self.tokens + elapsed * self.rate).min(self.rate);
+        self.tokens = self.tokens_at(now);
         self.refilled_at = now;
     }
+
+    fn tokens_at(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        (self.tokens + elapsed.as_secs_f64() * self.rate).min(self.burst)
+    }
 }
--- a/tests/call_admission.rs
+++ b/tests/call_admission.rs
@@ -165,3 +165,51 @@
     );
     assert_eq!(gate.load().running, 0);
 }
+
+/// No call ends while the queue waits for the rate limit: it is served by time alone.
+#[tokio::test(start_paused = true)]
+async fn admit_rate_limited() {
+    let gate = Gate::default();
+    gate.set_limits(Limits {
+        slots: 10,
+        queue: 10,
+    });
+    gate.set_rate(Some(2.0));
+    let start = Instant::now();
+    let request = AdmissionRequest::new(1, start + MINUTE);
+    let mut permits = Vec::new();
+    for _ in 0..3 {
+        permits.push(gate.admit(&request).await.unwrap());
+    }
+    assert!(start.elapsed() >= Duration::from_secs(1));
+    assert!(start.elapsed() < Duration::from_millis(1_100));
+    gate.set_rate(None);
+    permits.push(gate.admit(&request).await.unwrap());
+    assert!(start.elapsed() < Duration::from_millis(1_100));
+}
+
+/// Slots become free while there is no token, and later a token arrives while no call ends.
+#[tokio::test(start_paused = true)]
+async fn admit_rate_limited_slots_full() {
+    let gate = Gate::default();
+    gate.set_limits(Limits {
+        slots: 1,
+        queue: 10,
+    });
+    gate.set_rate(Some(1.0));
+    let start = Instant::now();
+    let request = AdmissionRequest::new(1, start + MINUTE);
+    let first = gate.admit(&request).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let waiting = async |gate: Gate| gate.admit(&request).await.unwrap();
+    let (second, third) = (waiting(gate.clone()), waiting(gate.clone()));
+    let end = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        drop(first);
+    };
+    let second = async { drop(second.await) };
+    let third = async { drop(third.await) };
+    tokio::join!(end, second, third);
+    assert!(start.elapsed() >= Duration::from_millis(2_500));
+    assert!(start.elapsed() < Duration::from_millis(2_700));
+}
--- a/tests/call_overload.rs
+++ b/tests/call_overload.rs
@@ -142,3 +142,59 @@
     let (decision, _) = admission.offer(now, &long);
     assert!(ticket(decision).is_none(), "{decision:?}");
 }
+
+/// A backend server in need states a tenth of the rate at which calls arrive: in every window of four
+/// seconds it gets at most what it stated and the burst, the most urgent calls first, and the rest is
+/// refused at once.
+#[test]
+fn offer_rate_limited_burst() {
+    const RATE: f64 = 9.0;
+    const WINDOW: Duration = Duration::from_secs(4);
+    const STEP: Duration = Duration::from_millis(11);
+    let start = Instant::now();
+    let mut admission = Admission::new(Limits {
+        slots: 9,
+        queue: 100,
+    });
+    admission.set_rate(start, Some(RATE));
+    let mut starts = Vec::new();
+    let mut weights = std::collections::BTreeMap::new();
+    let (mut urgent, mut refused) = (0, 0);
+    for step in 0..1_000_u32 {
+        let now = start + STEP * step;
+        let mut began = admission.advance(now).start;
+        let weight = 1 + step % 2;
+        match admission.offer(now, &request(now, weight)) {
+            (Decision::Run, _) => {
+                starts.push(now);
+                urgent += weight - 1;
+                admission.finish(now, 0, Some(WORK));
+            }
+            (Decision::Wait(ticket), update) => {
+                weights.insert(ticket, weight);
+                began.extend(update.start);
+            }
+            (Decision::Refuse(reason), _) => {
+                assert_eq!(reason, Reason::RateLimited);
+                refused += 1;
+            }
+        }
+        for ticket in began {
+            starts.push(now);
+            urgent += weights[&ticket] - 1;
+            admission.finish(now, 0, Some(WORK));
+        }
+    }
+    for (place, first) in starts.iter().enumerate() {
+        let window = starts[place..].iter().filter(|at| **at < *first + WINDOW);
+        let count = u32::try_from(window.count()).unwrap();
+        assert!(
+            f64::from(count) <= RATE * WINDOW.as_secs_f64() + 3.0,
+            "{count}"
+        );
+    }
+    let all = u32::try_from(starts.len()).unwrap();
+    assert!(f64::from(all) > RATE * 11.0 * 0.9, "{all} calls");
+    assert!(urgent * 10 > all * 9, "{urgent} urgent calls of {all}");
+    assert!(refused > 800, "{refused} refused");
+}
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -150,9 +150,14 @@
     }
 
     async fn issue(&self, id: &str) -> (StatusCode, u32) {
+        self.issue_within(id, Duration::from_secs(30)).await
+    }
+
+    async fn issue_within(&self, id: &str, deadline: Duration) -> (StatusCode, u32) {
         let request = Request::post("/certs/7").header("host", "certs");
         let request = request
             .header("x-request-id", id)
+            .header("x-baobab-deadline-ms", deadline.as_millis().to_string())
             .body(Full::from("serial"));
         let response = caller::call(self.daemon.addresses().outbound, request.unwrap()).await;
         (response.unwrap().status(), self.run_log.runs(id))
@@ -349,6 +354,7 @@
     const RATE: u32 = 10;
     const CALLS: u32 = 100;
     const INTERVAL: Duration = Duration::from_millis(20);
+    const DEADLINE: Duration = Duration::from_millis(500);
     let names = HeaderNames {
         rate_limit: Some(HeaderName::from_static("x-rate-limit")),
         ..HeaderNames::default()
@@ -357,14 +363,19 @@
         rate_limit: Some(RATE),
         ..Behaviour::default()
     };
-    let fixture = Fixture::start_with(None, names, limited).await;
+    let fixture = Arc::new(Fixture::start_with(None, names, limited).await);
     fixture.make_ready().await;
     assert_eq!(fixture.issue("first").await, (StatusCode::OK, 1));
     let started = Instant::now();
-    let mut runs = 0;
+    let mut calls = tokio::task::JoinSet::new();
     for call in 0..CALLS {
         tokio::time::sleep(INTERVAL).await;
-        let (status, run) = fixture.issue(&format!("call-{call}")).await;
+        let fixture = Arc::clone(&fixture);
+        let id = format!("call-{call}");
+        calls.spawn(async move { fixture.issue_within(&id, DEADLINE).await });
+    }
+    let mut runs = 0;
+    for (status, run) in calls.join_all().await {
         assert_eq!(status == StatusCode::OK, run == 1, "{status}");
         runs += run;
     }
@@ -373,7 +384,7 @@
         f64::from(runs) <= allowed,
         "{runs} calls, allowed {allowed}"
     );
-    assert!(runs >= RATE, "{runs} calls");
+    assert!((RATE..CALLS).contains(&runs), "{runs} calls");
     fixture.backend.set(Behaviour::default());
     let last = started.elapsed();
     while fixture.issue(&format!("open-{last:?}")).await.0 != StatusCode::OK {
