Send no more calls to a backend server whose response states that it leaves

The header was passed on to the caller and not read, so calls went on until a report came. The daemon beside it now records the leave of that instance from the response, as from a report: it refuses calls at once, tells the senders in its responses, and keeps the leave in its entry for a later process.

site call_after_leaving_response failed before (the second call ran) and passes.

--- a/src/header_names.rs
+++ b/src/header_names.rs
@@ -21,6 +21,8 @@
     /// Sent by a backend server in need: the calls per second that it takes from all daemons together,
     /// for as long as its responses state it.
     pub rate_limit: Option<HeaderName>,
+    /// Sent by a backend server that leaves, with each response: it takes no new calls.
+    pub leaving: Option<HeaderName>,
     /// Sent to a backend server: the service on the VM where the call originated.
     pub caller: Option<HeaderName>,
     /// Sent by a backend server with each response of its own; a successful one without it is
@@ -39,6 +41,7 @@
             instance: None,
             not_run: None,
             rate_limit: None,
+            leaving: None,
             caller: None,
             response_seal: None,
             fractional_retry: false,
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -23,7 +23,7 @@
 use crate::kernel::{Plugin, RoleFuture};
 use crate::serve::{Body, BodyError, full_body, serve_calls};
 use crate::sync::lock;
-use backend::{check_response, stated_rate, to_backend};
+use backend::{check_response, note_leaving, stated_rate, to_backend};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use hyper::body::{Body as _, Bytes};
 use prometheus_client::registry::Registry;
@@ -414,6 +414,7 @@
         let id = id.as_ref();
         if response.headers().get(&names.request) == id {
             self.update_rate_limit(stated_rate(names, response.headers()));
+            note_leaving(daemon, &backend, &response);
         }
         if let Err(refusal) = check_response(daemon, &backend, &response, id) {
             run.permit.exclude_sample();
--- a/src/role/inbound/backend.rs
+++ b/src/role/inbound/backend.rs
@@ -1,13 +1,14 @@
 //! Requests to the backend server, and the check of its responses.
 
 use super::unavailable;
-use crate::backend::Backend;
+use crate::backend::{Backend, Stage};
 use crate::call::upstream::PooledBody;
 use crate::call::{self, Refusal, RefusalReason, request};
 use crate::daemon::Daemon;
 use crate::event;
 use crate::header_names::HeaderNames;
 use crate::serve::Body;
+use crate::site::Leave;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use tokio::time::Instant;
 
@@ -90,6 +91,23 @@
     rate
 }
 
+/// Records that the backend server leaves, if its response states that.
+pub(super) fn note_leaving(daemon: &Daemon, backend: &Backend, response: &Response<PooledBody>) {
+    let name = daemon.names.leaving.as_ref();
+    let leaves = name.is_some_and(|name| response.headers().contains_key(name));
+    let known = daemon.backend.load().stage == Stage::Leaving;
+    // A misdirected request was answered by another instance.
+    if !leaves || known || response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    if let Some(instance) = backend.instance.clone() {
+        daemon.backend.leave(&Leave {
+            instance,
+            born_ms: Some(backend.born_ms),
+        });
+    }
+}
+
 /// Returns a header's value when it is present and not the expected one.
 fn mismatch<'a>(
     headers: &'a HeaderMap,
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -82,6 +82,8 @@
     /// The calls per second that responses state as a limit in the `x-rate-limit` header. Calls above
     /// it are still run.
     pub rate_limit: Option<u32>,
+    /// Whether responses state in the `x-leaving` header that the server leaves. Calls are still run.
+    pub leaving: bool,
     /// Delay between two chunks of a response body.
     pub chunk_delay: Duration,
     /// The fault of responses.
--- a/standin/src/backend/response.rs
+++ b/standin/src/backend/response.rs
@@ -122,6 +122,9 @@
         if self.behaviour.borrow().report_load {
             response = response.header("x-baobab-load", self.load_text());
         }
+        if self.behaviour.borrow().leaving {
+            response = response.header("x-leaving", 1);
+        }
         if let Some(rate) = self.behaviour.borrow().rate_limit {
             response = response.header("x-rate-limit", rate);
         }
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -288,6 +288,26 @@
     assert_eq!(outcome, (StatusCode::SERVICE_UNAVAILABLE, 0));
 }
 
+/// A backend server that leaves without a report states it in its responses only.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_after_leaving_response() {
+    let names = HeaderNames {
+        leaving: Some(HeaderName::from_static("x-leaving")),
+        ..HeaderNames::default()
+    };
+    let leaving = Behaviour {
+        leaving: true,
+        ..Behaviour::default()
+    };
+    let fixture = Fixture::start_with(None, names, leaving).await;
+    fixture.make_ready().await;
+    assert_eq!(fixture.issue("one").await, (StatusCode::OK, 1));
+    fixture.report("/ready/9").await;
+    let outcome = fixture.issue("two").await;
+    assert_eq!(outcome, (StatusCode::SERVICE_UNAVAILABLE, 0));
+    assert_eq!(fixture.daemon.backend.load().stage, Stage::Leaving);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn version_invalid() {
     let fixture = Fixture::start().await;
