Fetch a reported version at once when a regular exchange waits for a silent peer

A regular exchange was not interrupted when a newer version was reported, so the fetch began up to 3 s later.

member_upkeep exchange_reported_version, whose peers are silent but for one, failed before (version 9 not fetched within 0.5 s) and passes.

--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -385,16 +385,26 @@
         match hint {
             Some(hint) => fetch_version(daemon, hint).await,
             None => {
-                if let Some(peer) = exchange_peer(daemon)
-                    && let Err(err) = exchange::with_peer(daemon, peer).await
-                {
-                    event!(ExchangeFailed, peer = peer, error = err);
+                // A clone, so that the next iteration still finds the version that was reported.
+                let mut newer = hints.clone();
+                tokio::select! {
+                    () = exchange_regularly(daemon) => {}
+                    Ok(()) = newer.changed() => {}
                 }
             }
         }
     }
 }
 
+/// Runs a regular exchange.
+async fn exchange_regularly(daemon: &Daemon) {
+    if let Some(peer) = exchange_peer(daemon)
+        && let Err(err) = exchange::with_peer(daemon, peer).await
+    {
+        event!(ExchangeFailed, peer = peer, error = err);
+    }
+}
+
 /// Fetches a version that a peer reported: from the peer that has it, or else from others, each with
 /// a short time limit. Gives up after [`MAX_FETCHES`]; regular exchanges follow.
 async fn fetch_version(daemon: &Daemon, hint: Hint) {
--- a/tests/member_upkeep.rs
+++ b/tests/member_upkeep.rs
@@ -6,11 +6,14 @@
 
 use baobabstage::daemon::{Daemon, Phase};
 use baobabstage::exchange::ExchangeState;
+use baobabstage::generated::mesh as wire;
 use baobabstage::platform::Platform as _;
 use baobabstage::site::Source;
 use external::{KEY, client, start};
+use prost::Message as _;
 use standin::platform::{Limits, Platform};
 use standin::testbed::LOOPBACK;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -27,6 +30,27 @@
 /// platform, one time limit, a pause, and an exchange.
 const FETCH_TIME: Duration = Duration::from_millis(1_250);
 
+/// Time within which a reported version is fetched from a holder that responds: the grace for the
+/// platform and an exchange.
+const REPORT_TIME: Duration = Duration::from_millis(500);
+
+fn apply(daemon: &Daemon, version: u64) {
+    let Source::External(external) = &daemon.source else {
+        panic!("the configuration is not externally managed");
+    };
+    ExchangeState::of(daemon)
+        .apply_external(daemon, external, &version.to_string().into())
+        .unwrap();
+}
+
+/// Puts a version in force on one daemon, and reports it to another with an address that has it.
+fn report_version(holder: &Daemon, other: &Daemon, version: u64, address: SocketAddr) {
+    apply(holder, version);
+    let mut headers = http::HeaderMap::new();
+    headers.insert(baobabstage::call::VERSION, version.into());
+    ExchangeState::of(other).note_version(other, &headers, Some(address));
+}
+
 /// Each daemon announces itself and lists the members once; only the readers read the configuration
 /// and follow the members.
 #[tokio::test]
@@ -62,6 +86,51 @@
     }
 }
 
+/// A version is reported while a regular exchange waits for a peer that is gone: it is fetched at once.
+#[tokio::test]
+async fn exchange_reported_version() {
+    const SILENT: usize = 12;
+    let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
+    let mut silent = Vec::new();
+    let store = client(&platform);
+    for index in 0..SILENT {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let record = wire::Member {
+            name: format!("gone-{index:02}"),
+            domain: "espoo".into(),
+            inbound: listener.local_addr().unwrap().to_string(),
+            incarnation: 1,
+            state: wire::MemberState::Ready.into(),
+            ..wire::Member::default()
+        };
+        let key = format!("baobab/member/{}", record.name);
+        let value = record.encode_to_vec().into();
+        store.swap(&key, 0, Some(value), 0).await.unwrap();
+        silent.push(listener);
+    }
+    let daemons: Vec<_> = (0..2).map(|index| start(&platform, index, false)).collect();
+    let known = |daemon: &Arc<Daemon>| daemon.fleet.load().members().len() == SILENT + 2;
+    let deadline = Instant::now() + START_TIME;
+    while !daemons.iter().all(known) {
+        assert!(Instant::now() < deadline, "not started in time");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let (holder, other) = (&daemons[0], &daemons[1]);
+    for version in 9..17_u64 {
+        // Long enough for the next regular exchange to have begun.
+        sleep(Duration::from_millis(1_500)).await;
+        let started = Instant::now();
+        report_version(holder, other, version, holder.addresses().inbound);
+        while other.config.stamp().version != version {
+            assert!(started.elapsed() < REPORT_TIME, "{version} not fetched");
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+    for daemon in daemons {
+        daemon.drain.advance(Phase::Stopped);
+    }
+}
+
 /// The holder of a newer version falls silent: the version is fetched from another peer at once and
 /// not by the next regular exchanges.
 #[tokio::test]
@@ -78,18 +147,9 @@
     let holder = silent.local_addr().unwrap();
     let last = &daemons[2];
     for version in 9..17_u64 {
-        for daemon in &daemons[..2] {
-            let Source::External(external) = &daemon.source else {
-                panic!("the configuration is not externally managed");
-            };
-            ExchangeState::of(daemon)
-                .apply_external(daemon, external, &version.to_string().into())
-                .unwrap();
-        }
+        apply(&daemons[0], version);
         let started = Instant::now();
-        let mut headers = http::HeaderMap::new();
-        headers.insert(baobabstage::call::VERSION, version.into());
-        ExchangeState::of(last).note_version(last, &headers, Some(holder));
+        report_version(&daemons[1], last, version, holder);
         while last.config.stamp().version != version {
             assert!(started.elapsed() < FETCH_TIME, "{version} not fetched");
             sleep(Duration::from_millis(5)).await;
