--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -382,16 +382,15 @@
             }
         };
         state.update_members(daemon, MemberRegistry::expire);
-        match hint {
-            Some(hint) => fetch_version(daemon, hint).await,
-            None => {
-                // A clone, so that the next iteration still finds the version that was reported.
-                let mut newer = hints.clone();
-                tokio::select! {
-                    () = exchange_regularly(daemon) => {}
-                    Ok(()) = newer.changed() => {}
-                }
-            }
+        if let Some(hint) = hint {
+            fetch_version(daemon, hint).await;
+            continue;
+        }
+        // A clone, so that the next iteration still finds the version that was reported.
+        let mut newer = hints.clone();
+        tokio::select! {
+            () = exchange_regularly(daemon) => {}
+            Ok(()) = newer.changed() => {}
         }
     }
 }
