--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -4,18 +4,19 @@
 mod backend;
 pub(super) mod health;
 mod keyed;
+mod running;
 
 use crate::backend::Stage;
 use crate::call::admission::{AdmissionRequest, Limits, Reason};
-use crate::call::attempt::{Attempt, AttemptId};
-use crate::call::body::{CutOffError, Guarded, prefetch};
-use crate::call::bulk::{self, BulkCalls, BulkGuard};
+use crate::call::attempt::Attempt;
+use crate::call::body::{CutOffError, prefetch};
+use crate::call::bulk::{BulkCalls, BulkGuard};
 use crate::call::fence::{self, ArrivalError, Record};
-use crate::call::gate::{Gate, Permit, Rejected};
+use crate::call::gate::{Gate, Rejected};
 use crate::call::idempotency::{KeyId, Keys};
 use crate::call::metrics::InboundMetrics;
-use crate::call::read_ahead::{ReadAhead, Receiver, Transfers};
-use crate::call::upstream::{BackendPool, PooledBody, Reuse, UpstreamError, hello};
+use crate::call::read_ahead::{Receiver, Transfers};
+use crate::call::upstream::{BackendPool, Reuse, UpstreamError, hello};
 use crate::call::{self, Refusal, RefusalReason};
 use crate::daemon::{Daemon, InFlightGuard, Phase};
 use crate::event;
@@ -27,6 +28,8 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use hyper::body::{Body as _, Bytes};
 use prometheus_client::registry::Registry;
+pub use running::LocalCall;
+use running::{RecordedAttempt, RunningCall, receiver, to_outbound};
 use serde_json::{Value, json};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -297,7 +300,7 @@
             permit,
             recorded,
             waited: queued_at.elapsed(),
-            _buffer: buffer,
+            buffer,
             guards: (call_guard, bulk_guard),
             receiver,
         };
@@ -508,37 +511,6 @@
     }
 }
 
-/// An attempt in the record. It is marked as finished when this is dropped.
-struct RecordedAttempt {
-    id: AttemptId,
-    record: Arc<Mutex<Record>>,
-}
-
-impl RecordedAttempt {
-    /// Marks the attempt as sent to the backend server; returns false if it was fenced before.
-    fn dispatch(&self) -> bool {
-        lock(&self.record).dispatch(self.id)
-    }
-}
-
-impl Drop for RecordedAttempt {
-    fn drop(&mut self) {
-        lock(&self.record).finish(self.id);
-    }
-}
-
-/// A call that has a slot.
-struct RunningCall {
-    permit: Permit,
-    recorded: RecordedAttempt,
-    /// The time spent in the queue.
-    waited: Duration,
-    _buffer: Option<OwnedSemaphorePermit>,
-    /// Held until the response has been passed on.
-    guards: (InFlightGuard, Option<BulkGuard>),
-    receiver: Receiver,
-}
-
 /// Tests whether this daemon or its backend server is draining and accepts no further calls.
 fn is_leaving(daemon: &Daemon) -> bool {
     daemon.drain.phase() != Phase::Running || daemon.backend.load().stage == Stage::Leaving
@@ -605,17 +577,6 @@
     }
 }
 
-/// Marks a request of this daemon's own outbound side.
-#[derive(Clone, Copy, Debug)]
-pub struct LocalCall;
-
-fn receiver(request: &Request<Body>) -> Receiver {
-    match request.extensions().get::<LocalCall>() {
-        Some(LocalCall) => Receiver::Local,
-        None => Receiver::Remote,
-    }
-}
-
 /// Returns the deadline of a call, from the time left that the header states.
 fn deadline(headers: &HeaderMap) -> Instant {
     let left = call::number(headers, &call::DEADLINE_MS);
@@ -630,41 +591,3 @@
     }
     response
 }
-
-/// Turns a backend server's response into the one to the outbound side.
-///
-/// The slot is freed when the backend server has sent the whole body. A body longer than
-/// [`bulk::MIN_LEN`], or of unknown length, is read ahead of its receiver for that.
-fn to_outbound(
-    response: Response<PooledBody>,
-    run: RunningCall,
-    deadline: Instant,
-    transfers: &Transfers,
-) -> Response<Body> {
-    let (mut head, body) = response.into_parts();
-    call::drop_hop_headers(&mut head.headers);
-    call::drop_reserved_headers(&mut head.headers, &[]);
-    let ran_us = u64::try_from(run.permit.service_time().as_micros()).unwrap_or(u64::MAX);
-    head.headers.insert(call::RAN, ran_us.into());
-    head.version = http::Version::HTTP_2;
-    let RunningCall {
-        permit,
-        recorded,
-        _buffer: buffer,
-        guards,
-        receiver,
-        ..
-    } = run;
-    let is_short = body
-        .size_hint()
-        .upper()
-        .is_some_and(|len| len <= bulk::MIN_LEN);
-    let body = Guarded::new(body, (permit, recorded, buffer), deadline);
-    let body = if is_short {
-        Body::new(Guarded::new(body, guards, deadline))
-    } else {
-        let body = ReadAhead::start(body, transfers, receiver);
-        Body::new(Guarded::new(body, guards, deadline))
-    };
-    Response::from_parts(head, body)
-}
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -4,16 +4,17 @@
 #[allow(dead_code, reason = "other tests use more of it")]
 mod fake;
 
+#[path = "support/external.rs"]
+#[allow(dead_code, reason = "other tests use more of it")]
+mod external;
+
 use baobabstage::backend::{Report, ReportedState};
 use baobabstage::daemon::Daemon;
 use baobabstage::exchange::ExchangeState;
 use baobabstage::generated::mesh as wire;
 use baobabstage::generated::mesh::MemberState;
-use baobabstage::resource::{Kind, Policy, ResourceKey, Spec};
 use baobabstage::settings::{Flags, Settings};
 use baobabstage::site::{ExternalConfig, Reports, Site, Source};
-use baobabstage::snapshot::{Resource, Snapshot};
-use baobabstage::{Category, Error, Result};
 use fake::Fake;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -25,20 +26,6 @@
     ([127, 0, 0, 1], 9).into()
 }
 
-/// Decodes a version with one policy from its number.
-fn decode(value: &[u8], _: &Snapshot) -> Result<Snapshot> {
-    let text = String::from_utf8_lossy(value);
-    let version = text
-        .parse()
-        .map_err(|err| Error::new(Category::Input, err))?;
-    let policy: Result<Spec> = Spec::from_json(Kind::Policy, br#"{"kinds":{"a":1}}"#);
-    let policy = policy?;
-    assert!(matches!(policy, Spec::Policy(Policy { .. })));
-    let key = ResourceKey::new(Kind::Policy, "p");
-    let resources = BTreeMap::from([(key, Resource::new(version, policy))]);
-    Ok(Snapshot::from_value(version, "given", resources, value))
-}
-
 fn daemon(name: &str) -> Arc<Daemon> {
     let pairs = [
         ("BAOBAB_NAME", name),
@@ -54,7 +41,7 @@
     let mut site = Site::new(Arc::new(Fake::new(1)));
     site.source = Source::External(ExternalConfig {
         key: "config".into(),
-        decode: Arc::new(decode),
+        decode: Arc::new(external::decode),
     });
     site.reports = Some(Reports {
         listen: ([127, 0, 0, 1], 0).into(),
--- a/tests/support/external.rs
+++ b/tests/support/external.rs
@@ -17,12 +17,13 @@
 pub const KEY: &str = "external/config";
 
 /// Decodes a version with one policy from its number.
-fn decode(value: &[u8], _: &Snapshot) -> Result<Snapshot> {
+pub fn decode(value: &[u8], _: &Snapshot) -> Result<Snapshot> {
     let text = String::from_utf8_lossy(value);
     let version = text
         .parse()
         .map_err(|err| Error::new(Category::Input, err))?;
     let policy = Spec::from_json(Kind::Policy, br#"{"kinds":{"a":1}}"#)?;
+    assert!(matches!(policy, Spec::Policy(_)));
     let key = ResourceKey::new(Kind::Policy, "p");
     let resources = BTreeMap::from([(key, Resource::new(version, policy))]);
     Ok(Snapshot::from_value(version, "given", resources, value))
