Start queued calls by a raised rate limit and not by the one before

The task that waits for the next token kept the time that the lower limit gave, up to two seconds, when the limit was raised meanwhile. Found by reading the diff. call_admission admit_rate_limit_raised failed before (2 s in place of 0.15 s) and passes.

--- a/src/call/admission.rs
+++ b/src/call/admission.rs
@@ -94,7 +94,7 @@
     #[error("backend server is busy")]
     Busy,
     /// The wait is due to the backend server's rate limit and would exceed the outbound side's wait
-    /// limit or [`Admission::longest_wait`].
+    /// limit, the deadline or [`Admission::longest_wait`].
     #[error("backend server limits its rate of calls")]
     RateLimited,
     /// The call would not end before its deadline.
@@ -339,7 +339,8 @@
         update
     }
 
-    /// Starts queued calls while the limits allow it, and refuses those that would miss their deadlines.
+    /// Starts queued calls while the limits allow it, and refuses those that would miss their
+    /// deadlines.
     pub fn advance(&mut self, now: Instant) -> QueueUpdate {
         let mut update = QueueUpdate::default();
         while self.has_room(now)
--- a/src/call/gate.rs
+++ b/src/call/gate.rs
@@ -35,8 +35,8 @@
     waiting: BTreeMap<Ticket, (u32, oneshot::Sender<Grant>)>,
     /// The limits in force, to detect a change; `None` before the first.
     limits: Option<Limits>,
-    /// Whether a task waits for the next token of the rate limit.
-    scheduled: bool,
+    /// The time for which a task waits until the next token of the rate limit.
+    scheduled: Option<Instant>,
 }
 
 /// Limits the concurrent calls to one backend server; all clones share the same slots.
@@ -125,19 +125,22 @@
         let Some(at) = state.admission.next_token(Instant::now()) else {
             return;
         };
-        if std::mem::replace(&mut state.scheduled, true) {
+        if state.scheduled.is_some_and(|earlier| earlier <= at) {
             return;
         }
+        state.scheduled = Some(at);
         let weak = Arc::downgrade(&self.state);
         tokio::spawn(async move {
             tokio::time::sleep_until(at).await;
             if let Some(state) = weak.upgrade() {
-                lock(&state).scheduled = false;
+                // Kept if a task waits for an earlier token, since the limit was raised meanwhile.
+                lock(&state).scheduled.take_if(|scheduled| *scheduled == at);
                 Gate { state }.update(|admission| admission.advance(Instant::now()));
             }
         });
     }
 
+    /// Changes the admission state, and starts or refuses the queued calls that this affects.
     fn update(&self, change: impl FnOnce(&mut Admission) -> QueueUpdate) {
         let mut state = lock(&self.state);
         let update = change(&mut state.admission);
--- a/src/member/registry.rs
+++ b/src/member/registry.rs
@@ -96,8 +96,8 @@
 
     /// Merges a complete listing of the platform that was just restored from an older copy.
     ///
-    /// Members that the copy lacks are kept for [`RESTORE_EXTENSION`] longer, and those removed since it was made
-    /// stay removed until they announce themselves again.
+    /// Members that the copy lacks are kept for [`RESTORE_EXTENSION`] longer, and those removed since
+    /// it was made stay removed until they announce themselves again.
     ///
     /// Returns whether the members have changed, as [`MemberRegistry::merge_listed`] does.
     pub fn merge_restored(&mut self, mut records: Vec<wire::Member>, now: Instant) -> bool {
--- a/tests/call_admission.rs
+++ b/tests/call_admission.rs
@@ -213,3 +213,28 @@
     assert!(start.elapsed() >= Duration::from_millis(2_500));
     assert!(start.elapsed() < Duration::from_millis(2_700));
 }
+
+/// A limit is raised while a call waits for the token of the lower one: it starts by the new rate.
+#[tokio::test(start_paused = true)]
+async fn admit_rate_limit_raised() {
+    let gate = Gate::default();
+    gate.set_limits(Limits {
+        slots: 10,
+        queue: 10,
+    });
+    gate.set_rate(Some(0.5));
+    let start = Instant::now();
+    let request = AdmissionRequest::new(1, start + MINUTE);
+    let _first = gate.admit(&request).await.unwrap();
+    let raise = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        gate.set_rate(Some(20.0));
+    };
+    let (second, ()) = tokio::join!(gate.admit(&request), raise);
+    assert!(second.is_ok());
+    assert!(
+        start.elapsed() <= Duration::from_millis(160),
+        "{:?}",
+        start.elapsed()
+    );
+}
