--- a/tests/site.rs
+++ b/tests/site.rs
@@ -159,8 +159,15 @@
             .header("x-request-id", id)
             .header("x-baobab-deadline-ms", deadline.as_millis().to_string())
             .body(Full::from("serial"));
+        let started = Instant::now();
         let response = caller::call(self.daemon.addresses().outbound, request.unwrap()).await;
-        (response.unwrap().status(), self.run_log.runs(id))
+        let response = response.unwrap_or_else(|err| {
+            panic!(
+                "{id} after {:?} of {deadline:?}: {err:#}",
+                started.elapsed()
+            )
+        });
+        (response.status(), self.run_log.runs(id))
     }
 
     /// Writes a version to the platform and waits until it is in force.
