--- a/src/event.rs
+++ b/src/event.rs
@@ -59,6 +59,7 @@
     VersionReceived = 211, Info, "A version of the configuration was received from the platform or a peer.";
     KeysListed = 212, Info, "Keys of the platform are listed instead of watched: at first, or since changes were missed.";
     PlatformRestored = 213, Warn, "The platform has been restored from an older copy; its revisions went back.";
+    VersionReported = 214, Debug, "A call, a response or a peer states a newer version than any known before.";
 
     Attached = 300, Info, "This daemon has attached to a relay.";
     Detached = 301, Warn, "The stream to a relay has ended.";
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -31,8 +31,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Time limit of sending one message and receiving the response, and of reading a request.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time limit of a regular exchange for one message and its response, and of reading a request.
+pub const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// An error of an exchange with another daemon.
 #[derive(Debug, Error)]
@@ -40,9 +40,9 @@
     /// The connection to the other daemon failed.
     #[error("{0}")]
     Peer(#[from] UpstreamError),
-    /// The other daemon did not respond within the time limit.
-    #[error("{0} did not answer in time")]
-    TimedOut(SocketAddr),
+    /// The other daemon did not send its whole response within the time limit.
+    #[error("{0} did not answer in time, {1} bytes of the response received")]
+    TimedOut(SocketAddr, usize),
     /// The response is not a valid message.
     #[error("{0} sent an invalid exchange message: {1}")]
     Unreadable(SocketAddr, String),
@@ -166,6 +166,11 @@
             let is_newer = version > hint.version;
             if is_newer {
                 *hint = Hint { version, holder };
+                event!(
+                    VersionReported,
+                    version = version,
+                    current = daemon.config.stamp().version
+                );
             }
             is_newer
         });
@@ -211,7 +216,7 @@
         };
         let version = Stamp::from_wire(packed.stamp.as_ref()).version;
         let origin = sender.as_deref().unwrap_or("a peer");
-        log_received(daemon, version, origin);
+        log_received(daemon, version, origin, packed.data.len());
         if let Err(err) = self.apply_packed(daemon, &packed) {
             event!(SnapshotUnreadable, error = err);
         }
@@ -282,14 +287,15 @@
 }
 
 /// Logs the arrival of a version that is newer than the one in force.
-fn log_received(daemon: &Daemon, version: u64, origin: &str) {
+fn log_received(daemon: &Daemon, version: u64, origin: &str, len: usize) {
     let current = daemon.config.stamp().version;
     if version > current {
         event!(
             VersionReceived,
             version = version,
             from = origin,
-            current = current
+            current = current,
+            bytes = len
         );
     }
 }
@@ -319,13 +325,18 @@
 /// Runs an exchange with the daemon whose inbound listener has the address `peer`.
 ///
 /// A second message follows when the peer's response asks for member records or the configuration.
+/// Each message and its response are limited to the time `limit`.
 ///
 /// # Errors
 ///
 /// Fails when the peer does not respond. What was merged from a first response stays.
-pub async fn with_peer(daemon: &Daemon, peer: SocketAddr) -> Result<(), ExchangeError> {
+pub async fn with_peer(
+    daemon: &Daemon,
+    peer: SocketAddr,
+    limit: Duration,
+) -> Result<(), ExchangeError> {
     let state = ExchangeState::of(daemon);
-    let response = send(peer, state.summary(daemon)).await?;
+    let response = send(peer, state.summary(daemon), limit).await?;
     let other = Stamp::from_wire(response.stamp.as_ref());
     let wants = response.wants;
     let buckets = response.buckets.clone();
@@ -334,13 +345,18 @@
         let mut more = state.summary(daemon);
         more.members = lock(&state.registry).records_for(&buckets);
         more.config = state.config_after(daemon, other);
-        let response = send(peer, more).await?;
+        let response = send(peer, more, limit).await?;
         state.merge(daemon, response);
     }
     Ok(())
 }
 
-async fn send(peer: SocketAddr, message: wire::Exchange) -> Result<wire::Exchange, ExchangeError> {
+async fn send(
+    peer: SocketAddr,
+    message: wire::Exchange,
+    limit: Duration,
+) -> Result<wire::Exchange, ExchangeError> {
+    let mut received = BytesMut::new();
     let exchange = async {
         // Each exchange opens its own connection, so that an unresponsive one is never reused.
         let pool = BackendPool::new(peer);
@@ -351,15 +367,19 @@
         headers.insert(EXCHANGE, HeaderValue::from_static("1"));
         headers.insert(header::HOST, HeaderValue::from_static("inbound"));
         let response = pool.connection(Reuse::Never).await?.send(request).await?;
-        let body = Limited::new(response.into_body(), MAX_FRAME_LEN)
-            .collect()
-            .await;
-        let body = body.map_err(|err| UpstreamError::Lost(peer, err.to_string()))?;
-        wire::Exchange::decode(body.to_bytes())
-            .map_err(|err| ExchangeError::Unreadable(peer, err.to_string()))
+        let mut body = Limited::new(response.into_body(), MAX_FRAME_LEN);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|err| UpstreamError::Lost(peer, err.to_string()))?;
+            received.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+        }
+        Ok::<(), ExchangeError>(())
     };
-    let response = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await;
-    response.unwrap_or(Err(ExchangeError::TimedOut(peer)))
+    match tokio::time::timeout(limit, exchange).await {
+        Ok(result) => result?,
+        Err(_) => return Err(ExchangeError::TimedOut(peer, received.len())),
+    }
+    wire::Exchange::decode(received.freeze())
+        .map_err(|err| ExchangeError::Unreadable(peer, err.to_string()))
 }
 
 async fn read(mut body: Body) -> Result<wire::Exchange, String> {
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -170,10 +170,8 @@
         let Some(peer) = reader_or_any(daemon) else {
             return;
         };
-        match timeout(STARTUP_PEER_TIMEOUT, exchange::with_peer(daemon, peer)).await {
-            Ok(Ok(())) => {}
-            Ok(Err(err)) => event!(ExchangeFailed, peer = peer, error = err),
-            Err(_) => event!(ExchangeFailed, peer = peer, error = "no answer in time"),
+        if let Err(err) = exchange::with_peer(daemon, peer, STARTUP_PEER_TIMEOUT).await {
+            event!(ExchangeFailed, peer = peer, error = err);
         }
         sleep(STARTUP_FETCH_INTERVAL).await;
     }
@@ -226,7 +224,8 @@
         VersionReceived,
         from = "platform",
         revision = entry.revision,
-        current = daemon.config.stamp().version
+        current = daemon.config.stamp().version,
+        bytes = entry.value.len()
     );
     if let Err(err) = state.apply_external(daemon, external, &entry.value) {
         event!(SnapshotUnreadable, revision = entry.revision, error = err);
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -4,7 +4,7 @@
 use crate::backend::Stage;
 use crate::daemon::Daemon;
 use crate::event;
-use crate::exchange::{self, ExchangeState, Hint};
+use crate::exchange::{self, EXCHANGE_TIMEOUT, ExchangeState, Hint};
 use crate::generated::mesh as wire;
 use crate::kernel::{Plugin, RoleFuture};
 use crate::member::registry::MemberRegistry;
@@ -398,7 +398,7 @@
 /// Runs a regular exchange.
 async fn exchange_regularly(daemon: &Daemon) {
     if let Some(peer) = exchange_peer(daemon)
-        && let Err(err) = exchange::with_peer(daemon, peer).await
+        && let Err(err) = exchange::with_peer(daemon, peer, EXCHANGE_TIMEOUT).await
     {
         event!(ExchangeFailed, peer = peer, error = err);
     }
@@ -415,11 +415,9 @@
         let Some(peer) = holder.take().or_else(|| reader_or_any(daemon)) else {
             return;
         };
-        match timeout(FETCH_TIMEOUT, exchange::with_peer(daemon, peer)).await {
-            // The peer may not have the version either.
-            Ok(Ok(())) => {}
-            Ok(Err(err)) => event!(ExchangeFailed, peer = peer, error = err),
-            Err(_) => event!(ExchangeFailed, peer = peer, error = "no answer in time"),
+        // The peer may not have the version either.
+        if let Err(err) = exchange::with_peer(daemon, peer, FETCH_TIMEOUT).await {
+            event!(ExchangeFailed, peer = peer, error = err);
         }
         if hint.version <= daemon.config.stamp().version {
             return;
