Send what has changed between daemons, and keep an exchange that is late

Callers got 404 for a confirmed route at one or two daemons of 73.

Changed: an exchange carries the resources that changed after the receiver's version (1.2 KB for a route), by their revisions and a log of removals, so that versions which either side has skipped do no harm; the hash of an external version covers the content alone and is checked, and all resources are requested when it does not match. A transfer is limited by its progress. A fetch asks a further peer after 250 ms without giving up the earlier ones, and goes on after a pause while the daemon is behind.

Failed before: member_upkeep fetch_version_slow_link (not fetched in 10 s). Ruled out: that the length of a transfer alone exceeds the limit; only 5 of 460 exchanges ended mid-way.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod drain;
+mod removals;
 mod socket;
 
 pub use config::ConfigCell;
--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -1,13 +1,16 @@
 //! The configuration in force.
 
+use super::removals::RemovalLog;
 use crate::error::{Category, Error, Result};
 use crate::event;
+use crate::generated::mesh as wire;
 use crate::snapshot::{Snapshot, Stamp};
 use crate::sync::lock;
 use crate::table::Table;
 use arc_swap::ArcSwap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -32,6 +35,7 @@
     applied: Option<Instant>,
     /// The version last refused as invalid, and the error.
     refused: Option<(Stamp, String)>,
+    removals: RemovalLog,
 }
 
 impl ConfigCell {
@@ -79,8 +83,12 @@
             let message = format!("version {new} does not follow {now} (floor {floor})");
             return Err(Error::new(Category::Conflict, message));
         }
+        let previous = self.snapshot();
         match Table::compile(snapshot) {
-            Ok(table) => self.table.store(Arc::new(table)),
+            Ok(table) => {
+                state.removals.record(&previous, table.snapshot());
+                self.table.store(Arc::new(table));
+            }
             Err(err) => {
                 event!(VersionRefused, version = new, error = err);
                 state.refused = Some((new, err.to_string()));
@@ -94,6 +102,23 @@
         Ok(true)
     }
 
+    /// Returns what has changed after a version: all resources if that is not known.
+    #[must_use]
+    pub fn changes_after(&self, version: u64) -> wire::Changes {
+        let state = lock(&self.state);
+        let snapshot = self.snapshot();
+        match state.removals.after(version) {
+            Some(removed) => snapshot.changes_after(version, removed),
+            None => snapshot.changes_after(0, Vec::new()),
+        }
+    }
+
+    /// Returns the time since a version was last applied; `None` before the first.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        lock(&self.state).applied.map(|at| at.elapsed())
+    }
+
     /// Raises the floor: refuses every version below this one from now on.
     pub fn raise_floor(&self, version: u64) {
         let _state = lock(&self.state);
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -4,49 +4,35 @@
 //! a newer version than its own. Versions and records are ordered by numbers that only increase, so
 //! an exchange that is duplicated, delayed or based on older state is harmless.
 
-use crate::call::upstream::{BackendPool, Reuse, UpstreamError};
-use crate::call::{EXCHANGE, number};
+mod peer;
+
+pub use peer::{ExchangeError, serve, with_peer};
+
+use crate::call::number;
 use crate::daemon::Daemon;
 use crate::error::{Category, Error, Result};
 use crate::event;
 use crate::generated::mesh as wire;
 use crate::generated::mesh::MemberState;
+use crate::generated::mesh::exchange::Newer;
 use crate::member::rank;
 use crate::member::registry::MemberRegistry;
-use crate::serve::{Body, full_body};
-use crate::site::{ExternalConfig, Source};
+use crate::site::ExternalConfig;
 use crate::snapshot::{MAX_SNAPSHOT_LEN, Snapshot, Stamp};
 use crate::sync::lock;
-use crate::tree::session::MAX_FRAME_LEN;
 use crate::zlib;
-use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
+use bytes::Bytes;
+use http::HeaderMap;
 use prost::Message;
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use thiserror::Error;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Time limit of a regular exchange for one message and its response, and of reading a request.
-pub const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// An error of an exchange with another daemon.
-#[derive(Debug, Error)]
-pub enum ExchangeError {
-    /// The connection to the other daemon failed.
-    #[error("{0}")]
-    Peer(#[from] UpstreamError),
-    /// The other daemon did not send its whole response within the time limit.
-    #[error("{0} did not answer in time, {1} bytes of the response received")]
-    TimedOut(SocketAddr, usize),
-    /// The response is not a valid message.
-    #[error("{0} sent an invalid exchange message: {1}")]
-    Unreadable(SocketAddr, String),
-}
+/// Longest encoded changes that are sent without compression, in bytes.
+const MAX_PLAIN_LEN: usize = 4 * 1024;
 
 /// A newer version that another daemon reported, and a daemon that has it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -61,8 +47,11 @@
 #[derive(Default)]
 pub struct ExchangeState {
     registry: Mutex<MemberRegistry>,
-    /// The encoded configuration in force, where it is externally managed.
-    external: Mutex<CachedValue>,
+    /// The last version that was sent as a whole.
+    packed: Mutex<Option<PackedVersion>>,
+    /// Whether changes did not lead to the version that they stated; the next ones are requested as a
+    /// whole.
+    mismatched: AtomicBool,
     hint: watch::Sender<Hint>,
     /// When a peer last sent a request or a response.
     last_exchange: Mutex<Option<Instant>>,
@@ -70,33 +59,10 @@
     queried: watch::Sender<bool>,
 }
 
-/// A value to be sent to peers, compressed on first use.
-enum CachedValue {
-    Plain(Bytes),
-    Packed(wire::Packed),
-}
-
-impl CachedValue {
-    /// Returns the compressed value of the version with this stamp; compresses it on first use.
-    fn pack(&mut self, stamp: Stamp) -> wire::Packed {
-        if let CachedValue::Plain(value) = self {
-            *self = CachedValue::Packed(wire::Packed {
-                stamp: Some(stamp.to_wire()),
-                data: zlib::compress(value).into(),
-                length: value.len() as u64,
-            });
-        }
-        match self {
-            CachedValue::Packed(packed) => packed.clone(),
-            CachedValue::Plain(_) => wire::Packed::default(),
-        }
-    }
-}
-
-impl Default for CachedValue {
-    fn default() -> Self {
-        CachedValue::Plain(Bytes::new())
-    }
+/// All resources of a version as sent to daemons that have none of them, compressed.
+struct PackedVersion {
+    stamp: Stamp,
+    data: Bytes,
 }
 
 impl ExchangeState {
@@ -178,7 +144,7 @@
 
     /// Merges another daemon's request, and returns the response.
     pub fn respond(&self, daemon: &Daemon, mut request: wire::Exchange) -> wire::Exchange {
-        let wants = request.wants;
+        let (wants, whole) = (request.wants, request.whole);
         let other = Stamp::from_wire(request.stamp.as_ref());
         let buckets = std::mem::take(&mut request.buckets);
         let has_members = !request.members.is_empty();
@@ -189,7 +155,7 @@
             response.members = lock(&self.registry).records_for(&buckets);
         }
         let own = daemon.config.stamp();
-        response.config = self.config_after(daemon, other);
+        response.newer = self.changes_after(daemon, other, whole);
         // Asks for a second message: with the sender's records, unless this one had them, or with
         // its newer configuration.
         response.wants = differs && !has_members || other.version > own.version;
@@ -211,32 +177,44 @@
             }
             changed
         });
-        let Some(packed) = message.config else {
+        let Some(newer) = message.newer else {
             return;
         };
-        let version = Stamp::from_wire(packed.stamp.as_ref()).version;
         let origin = sender.as_deref().unwrap_or("a peer");
-        log_received(daemon, version, origin, packed.data.len());
-        if let Err(err) = self.apply_packed(daemon, &packed) {
-            event!(SnapshotUnreadable, error = err);
+        if let Err(err) = self.apply_newer(daemon, newer, origin) {
+            if err.category() == Category::Conflict {
+                self.mismatched.store(true, Ordering::Relaxed);
+            }
+            event!(SnapshotUnreadable, from = origin, error = err);
         }
     }
 
-    fn apply_packed(&self, daemon: &Daemon, packed: &wire::Packed) -> Result<()> {
-        match &daemon.source {
-            Source::Operators => {
-                let snapshot = Snapshot::unpack(packed)?;
-                daemon.config.apply(Arc::new(snapshot)).map(drop)
-            }
-            Source::External(external) => {
-                let value = zlib::decompress(&packed.data, MAX_SNAPSHOT_LEN);
-                let value = value.map_err(|err| Error::new(Category::Input, err))?;
-                if decode_and_apply(daemon, external, &value)? {
-                    *lock(&self.external) = CachedValue::Packed(packed.clone());
-                }
-                Ok(())
+    /// Applies the changes that a peer sent, unless they lead to a version that is not newer.
+    fn apply_newer(&self, daemon: &Daemon, newer: Newer, origin: &str) -> Result<()> {
+        let (changes, len) = match newer {
+            Newer::Changes(changes) => {
+                let len = changes.encoded_len();
+                (changes, len)
             }
+            Newer::Packed(data) => (unpack(&data)?, data.len()),
+        };
+        let version = Stamp::from_wire(changes.stamp.as_ref()).version;
+        let current = daemon.config.snapshot();
+        if version <= current.version() {
+            return Ok(());
         }
+        event!(
+            VersionReceived,
+            version = version,
+            from = origin,
+            current = current.version(),
+            after = changes.after,
+            bytes = len
+        );
+        let snapshot = current.apply_changes(changes)?;
+        self.mismatched.store(false, Ordering::Relaxed);
+        apply(daemon, snapshot);
+        Ok(())
     }
 
     /// Applies a version of an externally managed configuration, unless it is not newer than the
@@ -252,21 +230,35 @@
         external: &ExternalConfig,
         value: &Bytes,
     ) -> Result<()> {
-        if decode_and_apply(daemon, external, value)? {
-            *lock(&self.external) = CachedValue::Plain(value.clone());
-        }
+        let previous = daemon.config.snapshot();
+        apply(daemon, (external.decode)(value, &previous)?);
         Ok(())
     }
 
-    /// Returns the configuration in force if its version is newer than that of `other`.
-    fn config_after(&self, daemon: &Daemon, other: Stamp) -> Option<wire::Packed> {
+    /// Returns what has changed after another daemon's version, if this daemon's is newer.
+    fn changes_after(&self, daemon: &Daemon, other: Stamp, whole: bool) -> Option<Newer> {
         if daemon.config.stamp().version <= other.version {
             return None;
         }
-        match &daemon.source {
-            Source::Operators => Some(daemon.config.snapshot().pack()),
-            Source::External(_) => Some(lock(&self.external).pack(daemon.config.stamp())),
+        let after = if whole { 0 } else { other.version };
+        let stamp = daemon.config.stamp();
+        if after == 0
+            && let Some(packed) = &*lock(&self.packed)
+            && packed.stamp == stamp
+        {
+            return Some(Newer::Packed(packed.data.clone()));
+        }
+        let changes = daemon.config.changes_after(after);
+        if changes.encoded_len() <= MAX_PLAIN_LEN {
+            return Some(Newer::Changes(changes));
+        }
+        let data = Bytes::from(zlib::compress(&changes.encode_to_vec()));
+        if changes.after == 0 {
+            let stamp = Stamp::from_wire(changes.stamp.as_ref());
+            let data = data.clone();
+            *lock(&self.packed) = Some(PackedVersion { stamp, data });
         }
+        Some(Newer::Packed(data))
     }
 
     /// Returns a message with this daemon's own record, stamp and digest, without member records.
@@ -279,24 +271,23 @@
             sender: Some(own),
             stamp: Some(daemon.config.stamp().to_wire()),
             buckets: lock(&self.registry).buckets(),
-            members: Vec::new(),
-            config: None,
-            wants: false,
+            whole: self.mismatched.load(Ordering::Relaxed),
+            ..wire::Exchange::default()
         }
     }
 }
 
-/// Logs the arrival of a version that is newer than the one in force.
-fn log_received(daemon: &Daemon, version: u64, origin: &str, len: usize) {
-    let current = daemon.config.stamp().version;
-    if version > current {
-        event!(
-            VersionReceived,
-            version = version,
-            from = origin,
-            current = current,
-            bytes = len
-        );
+/// Decompresses and decodes the changes that a peer sent.
+fn unpack(data: &[u8]) -> Result<wire::Changes> {
+    let data = zlib::decompress(data, MAX_SNAPSHOT_LEN);
+    let data = data.map_err(|err| Error::new(Category::Input, err))?;
+    wire::Changes::decode(data.as_slice()).map_err(|err| Error::new(Category::Input, err))
+}
+
+/// Puts a version in force, unless it is not newer or is refused as invalid, which is logged.
+fn apply(daemon: &Daemon, snapshot: Snapshot) {
+    if daemon.config.apply(Arc::new(snapshot)).is_ok() {
+        daemon.caught_up.store(true, Ordering::Relaxed);
     }
 }
 
@@ -308,110 +299,3 @@
         daemon.increment_sequence();
     }
 }
-
-/// Decodes and applies a version of an externally managed configuration.
-///
-/// Returns false when it is not newer, or when it is refused; an invalid one is logged.
-fn decode_and_apply(daemon: &Daemon, external: &ExternalConfig, value: &[u8]) -> Result<bool> {
-    let previous = daemon.config.snapshot();
-    let snapshot = (external.decode)(value, &previous)?;
-    let Ok(applied) = daemon.config.apply(Arc::new(snapshot)) else {
-        return Ok(false);
-    };
-    daemon.caught_up.store(true, Ordering::Relaxed);
-    Ok(applied)
-}
-
-/// Runs an exchange with the daemon whose inbound listener has the address `peer`.
-///
-/// A second message follows when the peer's response asks for member records or the configuration.
-/// Each message and its response are limited to the time `limit`.
-///
-/// # Errors
-///
-/// Fails when the peer does not respond. What was merged from a first response stays.
-pub async fn with_peer(
-    daemon: &Daemon,
-    peer: SocketAddr,
-    limit: Duration,
-) -> Result<(), ExchangeError> {
-    let state = ExchangeState::of(daemon);
-    let response = send(peer, state.summary(daemon), limit).await?;
-    let other = Stamp::from_wire(response.stamp.as_ref());
-    let wants = response.wants;
-    let buckets = response.buckets.clone();
-    state.merge(daemon, response);
-    if wants {
-        let mut more = state.summary(daemon);
-        more.members = lock(&state.registry).records_for(&buckets);
-        more.config = state.config_after(daemon, other);
-        let response = send(peer, more, limit).await?;
-        state.merge(daemon, response);
-    }
-    Ok(())
-}
-
-async fn send(
-    peer: SocketAddr,
-    message: wire::Exchange,
-    limit: Duration,
-) -> Result<wire::Exchange, ExchangeError> {
-    let mut received = BytesMut::new();
-    let exchange = async {
-        // Each exchange opens its own connection, so that an unresponsive one is never reused.
-        let pool = BackendPool::new(peer);
-        pool.set_limit(1);
-        let mut request = Request::new(full_body(message.encode_to_vec()));
-        *request.method_mut() = http::Method::POST;
-        let headers = request.headers_mut();
-        headers.insert(EXCHANGE, HeaderValue::from_static("1"));
-        headers.insert(header::HOST, HeaderValue::from_static("inbound"));
-        let response = pool.connection(Reuse::Never).await?.send(request).await?;
-        let mut body = Limited::new(response.into_body(), MAX_FRAME_LEN);
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|err| UpstreamError::Lost(peer, err.to_string()))?;
-            received.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
-        }
-        Ok::<(), ExchangeError>(())
-    };
-    match tokio::time::timeout(limit, exchange).await {
-        Ok(result) => result?,
-        Err(_) => return Err(ExchangeError::TimedOut(peer, received.len())),
-    }
-    wire::Exchange::decode(received.freeze())
-        .map_err(|err| ExchangeError::Unreadable(peer, err.to_string()))
-}
-
-async fn read(mut body: Body) -> Result<wire::Exchange, String> {
-    let mut data = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|err| err.to_string())?;
-        data.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
-        if data.len() > MAX_FRAME_LEN {
-            return Err(format!("longer than {MAX_FRAME_LEN} bytes"));
-        }
-    }
-    wire::Exchange::decode(data).map_err(|err| err.to_string())
-}
-
-/// Serves a message of another daemon; responds with 400 when it is invalid or late.
-pub async fn serve(daemon: &Daemon, request: Request<Body>) -> Response<Body> {
-    let message = tokio::time::timeout(EXCHANGE_TIMEOUT, read(request.into_body())).await;
-    let message = message.unwrap_or_else(|_| Err("not received in time".into()));
-    let mut response = match message {
-        Ok(message) => {
-            let content = ExchangeState::of(daemon).respond(daemon, message);
-            Response::new(full_body(content.encode_to_vec()))
-        }
-        Err(err) => {
-            event!(ExchangeFailed, error = err);
-            let mut response = Response::new(full_body(""));
-            *response.status_mut() = StatusCode::BAD_REQUEST;
-            response
-        }
-    };
-    // A connection carries one message and its response only.
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(header::CONNECTION, close);
-    response
-}
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -1,10 +1,14 @@
 //! The role that announces this daemon and follows the records of the other members.
 
+mod peers;
+
+pub(super) use peers::reader_or_any;
+
 use super::config;
 use crate::backend::Stage;
 use crate::daemon::Daemon;
 use crate::event;
-use crate::exchange::{self, EXCHANGE_TIMEOUT, ExchangeState, Hint};
+use crate::exchange::ExchangeState;
 use crate::generated::mesh as wire;
 use crate::kernel::{Plugin, RoleFuture};
 use crate::member::registry::MemberRegistry;
@@ -15,8 +19,6 @@
 use crate::tree::backoff::{Backoff, jitter, jitter_around};
 use prometheus_client::registry::Registry;
 use prost::Message as _;
-use rand::seq::IteratorRandom;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -60,24 +62,6 @@
 /// Maximum number of attempts at a conditional write whose revision was stale.
 const MAX_WRITE_ATTEMPTS: usize = 3;
 
-/// Time between exchanges with a random peer.
-const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Time limit of an exchange that fetches a newer version, the pause before another peer is asked, and
-/// the number of peers asked.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
-const FETCH_INTERVAL: Duration = Duration::from_millis(100);
-const MAX_FETCHES: usize = 5;
-
-/// Cumulative shares of the regular exchanges that are with a reader of the own failure domain and
-/// with any of its daemons; the rest are with any daemon.
-const READER_SHARE: f64 = 0.5;
-const DOMAIN_SHARE: f64 = 0.8;
-
-/// Time for which a daemon that reads the configuration from the platform waits for a version that
-/// a peer reported, before it requests that version from a peer.
-const HINT_GRACE: Duration = Duration::from_millis(200);
-
 inventory::submit! {
     Plugin { name: "members", run, state, metrics }
 }
@@ -89,7 +73,7 @@
                 tokio::try_join!(
                     announce(&daemon),
                     follow_members(&daemon),
-                    exchange(&daemon)
+                    peers::exchange(&daemon)
                 )?;
                 Ok(())
             }
@@ -362,105 +346,3 @@
         }
     }
 }
-
-/// Exchanges with a random peer at intervals, and with a daemon that has a newer version as soon as
-/// that version is reported.
-async fn exchange(daemon: &Daemon) -> anyhow::Result<()> {
-    let state = ExchangeState::of(daemon);
-    let mut hints = state.hints();
-    loop {
-        let hint = tokio::select! {
-            () = sleep(jitter_around(EXCHANGE_INTERVAL)) => None,
-            changed = hints.changed() => {
-                changed?;
-                // A daemon that reads the configuration itself mostly receives the version from the
-                // platform in the meantime.
-                if !config::is_served_by_peers(daemon) {
-                    sleep(HINT_GRACE).await;
-                }
-                Some(*hints.borrow_and_update())
-            }
-        };
-        state.update_members(daemon, MemberRegistry::expire);
-        if let Some(hint) = hint {
-            fetch_version(daemon, hint).await;
-            continue;
-        }
-        // A clone, so that the next iteration still finds the version that was reported.
-        let mut newer = hints.clone();
-        tokio::select! {
-            () = exchange_regularly(daemon) => {}
-            Ok(()) = newer.changed() => {}
-        }
-    }
-}
-
-/// Runs a regular exchange.
-async fn exchange_regularly(daemon: &Daemon) {
-    if let Some(peer) = exchange_peer(daemon)
-        && let Err(err) = exchange::with_peer(daemon, peer, EXCHANGE_TIMEOUT).await
-    {
-        event!(ExchangeFailed, peer = peer, error = err);
-    }
-}
-
-/// Fetches a version that a peer reported: from the peer that has it, or else from others, each with
-/// a short time limit. Gives up after [`MAX_FETCHES`]; regular exchanges follow.
-async fn fetch_version(daemon: &Daemon, hint: Hint) {
-    let mut holder = hint.holder;
-    for _ in 0..MAX_FETCHES {
-        if hint.version <= daemon.config.stamp().version {
-            return;
-        }
-        let Some(peer) = holder.take().or_else(|| reader_or_any(daemon)) else {
-            return;
-        };
-        // The peer may not have the version either.
-        if let Err(err) = exchange::with_peer(daemon, peer, FETCH_TIMEOUT).await {
-            event!(ExchangeFailed, peer = peer, error = err);
-        }
-        if hint.version <= daemon.config.stamp().version {
-            return;
-        }
-        sleep(jitter_around(FETCH_INTERVAL)).await;
-    }
-}
-
-/// Returns the inbound address of the peer for the next regular exchange.
-///
-/// Half of the exchanges are with a daemon of the own failure domain that reads from the platform,
-/// and most others stay in the failure domain as well, since traffic between them is expensive.
-fn exchange_peer(daemon: &Daemon) -> Option<SocketAddr> {
-    let draw = rand::random::<f64>();
-    if draw < READER_SHARE {
-        return reader_or_any(daemon);
-    }
-    let near = draw < DOMAIN_SHARE;
-    let domain = &daemon.identity.domain;
-    let peer = near.then(|| random_member(daemon, |member| member.domain == *domain));
-    peer.flatten().or_else(|| random_peer(daemon))
-}
-
-/// Returns the inbound address of a random daemon of the own failure domain that reads from the
-/// platform, or of any other member if there is none.
-pub(super) fn reader_or_any(daemon: &Daemon) -> Option<SocketAddr> {
-    let fleet = daemon.fleet.load();
-    let domain = &daemon.identity.domain;
-    let reader = random_member(daemon, |member| {
-        member.domain == *domain && fleet.is_reader(&member.name, domain)
-    });
-    reader.or_else(|| random_peer(daemon))
-}
-
-/// Returns the inbound address of a random other member; `None` when there is none.
-fn random_peer(daemon: &Daemon) -> Option<SocketAddr> {
-    random_member(daemon, |_| true)
-}
-
-fn random_member(daemon: &Daemon, filter: impl Fn(&wire::Member) -> bool) -> Option<SocketAddr> {
-    let fleet = daemon.fleet.load();
-    let others = fleet.members().values();
-    let others = others.filter(|member| member.name != daemon.identity.name && filter(member));
-    let peer = others.choose(&mut rand::rng())?;
-    peer.inbound.parse().ok()
-}
--- /dev/null
+++ b/src/role/members/peers.rs
@@ -0,0 +1,154 @@
+//! Exchanges with peers, regularly and for a newer version.
+
+use crate::daemon::Daemon;
+use crate::event;
+use crate::exchange::{self, ExchangeState, Hint};
+use crate::generated::mesh as wire;
+use crate::member::registry::MemberRegistry;
+use crate::role::config;
+use crate::tree::backoff::jitter_around;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use rand::seq::IteratorRandom;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Time between exchanges with a random peer.
+const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time limit for the response to begin.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Time after which a further peer is asked for a newer version while earlier ones have not responded,
+/// and the pause after an exchange that did not lead to it.
+const FETCH_INTERVAL: Duration = Duration::from_millis(250);
+const FETCH_PAUSE: Duration = Duration::from_millis(50);
+
+/// Number of peers asked for a newer version before the pause of a regular exchange.
+const MAX_FETCHES: usize = 5;
+
+/// Cumulative shares of the regular exchanges that are with a reader of the own failure domain and
+/// with any of its daemons; the rest are with any daemon.
+const READER_SHARE: f64 = 0.5;
+const DOMAIN_SHARE: f64 = 0.8;
+
+/// Time for which a daemon that reads the configuration from the platform waits for a version that
+/// a peer reported, before it requests that version from a peer.
+const HINT_GRACE: Duration = Duration::from_millis(200);
+
+/// Exchanges with a random peer at intervals, and with a daemon that has a newer version as soon as
+/// that version is reported.
+pub(super) async fn exchange(daemon: &Daemon) -> anyhow::Result<()> {
+    let state = ExchangeState::of(daemon);
+    let mut hints = state.hints();
+    loop {
+        tokio::select! {
+            () = sleep(jitter_around(EXCHANGE_INTERVAL)) => {}
+            changed = hints.changed() => {
+                changed?;
+                // A daemon that reads the configuration itself mostly receives the version from the
+                // platform in the meantime.
+                if !config::is_served_by_peers(daemon) {
+                    sleep(HINT_GRACE).await;
+                }
+            }
+        }
+        let hint = *hints.borrow_and_update();
+        state.update_members(daemon, MemberRegistry::expire);
+        if hint.version > daemon.config.stamp().version {
+            fetch_version(daemon, hint).await;
+            continue;
+        }
+        // A clone, so that the next iteration still finds the version that was reported.
+        let mut newer = hints.clone();
+        tokio::select! {
+            () = exchange_regularly(daemon) => {}
+            Ok(()) = newer.changed() => {}
+        }
+    }
+}
+
+/// Runs a regular exchange.
+async fn exchange_regularly(daemon: &Daemon) {
+    if let Some(peer) = exchange_peer(daemon) {
+        exchange_with(daemon, peer).await;
+    }
+}
+
+async fn exchange_with(daemon: &Daemon, peer: SocketAddr) {
+    if let Err(err) = exchange::with_peer(daemon, peer, RESPONSE_TIMEOUT).await {
+        event!(ExchangeFailed, peer = peer, error = err);
+    }
+}
+
+/// Fetches a version that a peer reported: from the peer that has it, and from others while that one
+/// does not respond. Gives up after [`MAX_FETCHES`].
+///
+/// An exchange in progress is not abandoned for the next one: where this daemon's own link or
+/// processor is slow, every response is late.
+async fn fetch_version(daemon: &Daemon, hint: Hint) {
+    let mut applied = daemon.config.subscribe();
+    let mut exchanges = FuturesUnordered::new();
+    let mut holder = hint.holder;
+    let mut started = 0;
+    let mut next_start = Instant::now();
+    loop {
+        tokio::select! {
+            biased;
+            Ok(_) = applied.wait_for(|stamp| stamp.version >= hint.version) => return,
+            Some(()) = exchanges.next() => {
+                next_start = next_start.min(Instant::now() + jitter_around(FETCH_PAUSE));
+            }
+            () = sleep_until(next_start), if started < MAX_FETCHES => {
+                let Some(peer) = holder.take().or_else(|| reader_or_any(daemon)) else {
+                    return;
+                };
+                exchanges.push(exchange_with(daemon, peer));
+                started += 1;
+                next_start = Instant::now() + jitter_around(FETCH_INTERVAL);
+            }
+        }
+        if started == MAX_FETCHES && exchanges.is_empty() {
+            return;
+        }
+    }
+}
+
+/// Returns the inbound address of the peer for the next regular exchange.
+///
+/// Half of the exchanges are with a daemon of the own failure domain that reads from the platform,
+/// and most others stay in the failure domain as well, since traffic between them is expensive.
+fn exchange_peer(daemon: &Daemon) -> Option<SocketAddr> {
+    let draw = rand::random::<f64>();
+    if draw < READER_SHARE {
+        return reader_or_any(daemon);
+    }
+    let near = draw < DOMAIN_SHARE;
+    let domain = &daemon.identity.domain;
+    let peer = near.then(|| random_member(daemon, |member| member.domain == *domain));
+    peer.flatten().or_else(|| random_peer(daemon))
+}
+
+/// Returns the inbound address of a random daemon of the own failure domain that reads from the
+/// platform, or of any other member if there is none.
+pub(in crate::role) fn reader_or_any(daemon: &Daemon) -> Option<SocketAddr> {
+    let fleet = daemon.fleet.load();
+    let domain = &daemon.identity.domain;
+    let reader = random_member(daemon, |member| {
+        member.domain == *domain && fleet.is_reader(&member.name, domain)
+    });
+    reader.or_else(|| random_peer(daemon))
+}
+
+/// Returns the inbound address of a random other member; `None` when there is none.
+fn random_peer(daemon: &Daemon) -> Option<SocketAddr> {
+    random_member(daemon, |_| true)
+}
+
+fn random_member(daemon: &Daemon, filter: impl Fn(&wire::Member) -> bool) -> Option<SocketAddr> {
+    let fleet = daemon.fleet.load();
+    let others = fleet.members().values();
+    let others = others.filter(|member| member.name != daemon.identity.name && filter(member));
+    let peer = others.choose(&mut rand::rng())?;
+    peer.inbound.parse().ok()
+}
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -69,18 +69,26 @@
 /// A resource within a snapshot.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Resource {
-    /// The version in which the resource last changed.
+    /// The version in which the resource last changed. Of an externally managed configuration, the
+    /// first version in which a daemon found the change; daemons may have skipped others before it.
     pub revision: u64,
     /// The resource's content.
     pub spec: Arc<Spec>,
+    /// The hash of the content.
+    digest: u128,
 }
 
 impl Resource {
     /// Creates a resource that last changed in the version `revision`.
     #[must_use]
     pub fn new(revision: u64, spec: Spec) -> Self {
+        let digest = xxh3_128(spec.to_json().as_ref());
         let spec = Arc::new(spec);
-        Resource { revision, spec }
+        Resource {
+            revision,
+            spec,
+            digest,
+        }
     }
 
     /// Returns the specification as canonical JSON.
@@ -103,11 +111,7 @@
         let spec = Spec::from_json(kind, &resource.body)
             .map_err(|err| Error::new(err.category(), format!("{}: {err}", resource.name)))?;
         let key = ResourceKey::new(kind, resource.name);
-        let resource = Resource {
-            revision: resource.revision,
-            spec: Arc::new(spec),
-        };
-        Ok((key, resource))
+        Ok((key, Resource::new(resource.revision, spec)))
     }
 }
 
@@ -117,6 +121,8 @@
     stamp: Stamp,
     change: String,
     resources: BTreeMap<ResourceKey, Resource>,
+    /// Whether this is a version of an externally managed configuration.
+    external: bool,
 }
 
 impl Snapshot {
@@ -133,23 +139,26 @@
             stamp: Stamp { version, hash },
             change,
             resources,
+            external: false,
         }
     }
 
-    /// Creates a version from resources that were parsed from `value`, whose hash becomes the hash
-    /// of the content. Used for externally managed configuration.
+    /// Creates a version of an externally managed configuration.
+    ///
+    /// Its hash does not cover the revisions of the resources, since daemons that skip versions
+    /// disagree on them.
     #[must_use]
-    pub fn from_value(
+    pub fn external(
         version: u64,
         change: impl Into<String>,
         resources: BTreeMap<ResourceKey, Resource>,
-        value: &[u8],
     ) -> Self {
-        let hash = xxh3_128(value);
+        let hash = unordered_hash(&resources);
         Snapshot {
             stamp: Stamp { version, hash },
             change: change.into(),
             resources,
+            external: true,
         }
     }
 
@@ -291,6 +300,59 @@
         Snapshot::new(stamp.version, delta.change, resources).verify(stamp)
     }
 
+    /// Returns what has changed after an older version: the resources with a greater revision, and
+    /// the keys of those that were removed. After version zero, that is every resource.
+    #[must_use]
+    pub fn changes_after(&self, version: u64, removed: Vec<ResourceKey>) -> wire::Changes {
+        let changed = self.resources.iter();
+        let changed = changed.filter(|(_, res)| res.revision > version || version == 0);
+        let removed = removed.into_iter().map(|key| wire::ResourceKey {
+            kind: key.kind.to_string(),
+            name: key.name,
+        });
+        wire::Changes {
+            after: version,
+            stamp: Some(self.stamp.to_wire()),
+            change: self.change.clone(),
+            external: self.external,
+            upserts: changed.map(|(key, res)| res.to_wire(key)).collect(),
+            removals: removed.collect(),
+        }
+    }
+
+    /// Applies the changes after this version, or after an older one, and verifies the hash of the
+    /// result.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Category::Conflict`] when the changes start after a newer version or the result
+    /// does not match the stated hash, so that the changes after version zero are needed, and with
+    /// [`Category::Input`] when a resource cannot be parsed.
+    pub fn apply_changes(&self, changes: wire::Changes) -> Result<Self> {
+        let (after, stamp) = (changes.after, Stamp::from_wire(changes.stamp.as_ref()));
+        if after > self.stamp.version {
+            let message = format!("changes after version {after} do not fit {}", self.stamp);
+            return Err(Error::new(Category::Conflict, message));
+        }
+        let mut resources = BTreeMap::new();
+        if after > 0 {
+            resources.clone_from(&self.resources);
+        }
+        for key in changes.removals {
+            resources.remove(&ResourceKey::new(key.kind.parse()?, key.name));
+        }
+        for resource in changes.upserts {
+            let (key, resource) = Resource::from_wire(resource)?;
+            resources.insert(key, resource);
+        }
+        let create = if changes.external {
+            Snapshot::external
+        } else {
+            Snapshot::new
+        };
+        create(stamp.version, changes.change, resources).verify(stamp)
+    }
+
     fn verify(self, stamp: Stamp) -> Result<Self> {
         if self.stamp == stamp {
             return Ok(self);
@@ -313,6 +375,19 @@
     hasher.digest128()
 }
 
+/// Hashes the keys and contents of resources. The hash is a sum, so that a resource that has not
+/// changed is not encoded again.
+fn unordered_hash(resources: &BTreeMap<ResourceKey, Resource>) -> u128 {
+    let hashes = resources.iter().map(|(key, res)| {
+        let mut hasher = Xxh3::new();
+        update_field(&mut hasher, key.kind.as_str().as_bytes());
+        update_field(&mut hasher, key.name.as_bytes());
+        hasher.update(&res.digest.to_be_bytes());
+        hasher.digest128()
+    });
+    hashes.fold(0, u128::wrapping_add)
+}
+
 /// Hashes a field prefixed with its length, so that adjacent fields cannot be confused.
 fn update_field(hasher: &mut Xxh3, field: &[u8]) {
     hasher.update(&(field.len() as u64).to_be_bytes());
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -13,6 +13,7 @@
 use baobabstage::exchange::ExchangeState;
 use baobabstage::generated::mesh as wire;
 use baobabstage::generated::mesh::MemberState;
+use baobabstage::generated::mesh::exchange::Newer;
 use baobabstage::settings::{Flags, Settings};
 use baobabstage::site::{ExternalConfig, Reports, Site, Source};
 use fake::Fake;
@@ -20,6 +21,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use test_case::test_case;
 use tokio::time::Instant;
 
 fn address() -> SocketAddr {
@@ -65,6 +67,8 @@
     daemon.backend.report(Instant::now(), &report, true);
 }
 
+/// Puts a version in force that is written as in the platform: its number, then `NAME=WEIGHT` for each
+/// policy.
 fn apply(daemon: &Daemon, version: &'static str) {
     let Source::External(external) = &daemon.source else {
         panic!("the configuration is not externally managed");
@@ -93,18 +97,98 @@
     apply(&one, "7");
     let request = ExchangeState::of(&two).respond(&two, wire::Exchange::default());
     let response = ExchangeState::of(&one).respond(&one, request);
-    assert!(response.config.is_some());
+    assert!(response.newer.is_some());
     ExchangeState::of(&two).respond(&two, response);
     assert_eq!(two.config.stamp(), one.config.stamp());
     let request = ExchangeState::of(&two).respond(&two, wire::Exchange::default());
     assert!(
         ExchangeState::of(&one)
             .respond(&one, request)
-            .config
+            .newer
             .is_none()
     );
 }
 
+/// Sends the message of `from` to `to`, and the response back.
+fn exchange(from: &Daemon, to: &Daemon) -> wire::Exchange {
+    let request = ExchangeState::of(from).respond(from, wire::Exchange::default());
+    // As a request it carries no configuration.
+    let request = wire::Exchange {
+        newer: None,
+        ..request
+    };
+    let response = ExchangeState::of(to).respond(to, request);
+    ExchangeState::of(from).respond(from, response.clone());
+    response
+}
+
+/// A daemon that lacks one change receives that one, not the whole configuration.
+#[test_case("7 x=1 y=1", "9 x=1 y=2", &["y"], &[]; "changed")]
+#[test_case("7 x=1 y=1", "9 x=1 y=1 z=1", &["z"], &[]; "added")]
+#[test_case("7 x=1 y=1", "9 x=1", &[], &["y"]; "removed")]
+#[tokio::test]
+async fn answer_changes(old: &'static str, new: &'static str, upserts: &[&str], removals: &[&str]) {
+    let (one, two) = (daemon("one"), daemon("two"));
+    apply(&one, old);
+    apply(&two, old);
+    apply(&one, new);
+    let Some(Newer::Changes(changes)) = exchange(&two, &one).newer else {
+        panic!("no changes");
+    };
+    let names: Vec<_> = changes.upserts.iter().map(|res| &res.name).collect();
+    assert_eq!(names, upserts);
+    let names: Vec<_> = changes.removals.iter().map(|key| &key.name).collect();
+    assert_eq!(names, removals);
+    assert_eq!(two.config.stamp(), one.config.stamp());
+}
+
+/// Daemons that read different versions of a quick succession bring each other up to date.
+#[test_case("8 x=1 y=2", "9 x=1 y=3", true; "other versions skipped")]
+#[test_case("8 x=1 y=1 z=1", "9 x=1 y=1", false; "added and removed again")]
+#[test_case("8 x=2 y=1", "9 x=1 y=1", false; "changed and changed back")]
+#[tokio::test]
+async fn answer_skipped_version(skipped: &'static str, new: &'static str, at_once: bool) {
+    let (one, two) = (daemon("one"), daemon("two"));
+    apply(&one, "7 x=1 y=1");
+    apply(&one, new);
+    apply(&two, skipped);
+    exchange(&two, &one);
+    // Changes that do not lead to the stated version are not applied in part.
+    let expected = if at_once {
+        one.config.stamp().version
+    } else {
+        8
+    };
+    assert_eq!(two.config.stamp().version, expected);
+    exchange(&two, &one);
+    assert_eq!(two.config.stamp(), one.config.stamp());
+}
+
+/// A daemon does not know what was removed before its own first version.
+#[tokio::test]
+async fn answer_unknown_removals() {
+    let (one, two) = (daemon("one"), daemon("two"));
+    apply(&two, "3 x=1 y=1");
+    apply(&one, "7 x=1");
+    exchange(&two, &one);
+    assert_eq!(two.config.stamp(), one.config.stamp());
+}
+
+/// Versions pass on from daemon to daemon as changes.
+#[tokio::test]
+async fn answer_changes_forwarded() {
+    let daemons = ["one", "two", "three"].map(daemon);
+    for daemon in &daemons {
+        apply(daemon, "7 x=1 y=1");
+    }
+    apply(&daemons[0], "8 x=2 y=1");
+    apply(&daemons[0], "9 x=2");
+    for pair in daemons.windows(2) {
+        exchange(&pair[1], &pair[0]);
+        assert_eq!(pair[1].config.stamp(), daemons[0].config.stamp());
+    }
+}
+
 /// A daemon that has exchanged with no peer for a while reads the configuration itself.
 #[tokio::test(start_paused = true)]
 async fn exchanged_within_silence() {
--- a/tests/member_upkeep.rs
+++ b/tests/member_upkeep.rs
@@ -9,8 +9,9 @@
 use baobabstage::generated::mesh as wire;
 use baobabstage::platform::Platform as _;
 use baobabstage::site::Source;
-use external::{KEY, client, start};
+use external::{KEY, client, start, start_with};
 use prost::Message as _;
+use standin::fault::{FaultProxy, Faults};
 use standin::platform::{Limits, Platform};
 use standin::testbed::LOOPBACK;
 use std::net::SocketAddr;
@@ -30,22 +31,34 @@
 /// platform, one time limit, a pause, and an exchange.
 const FETCH_TIME: Duration = Duration::from_millis(1_250);
 
+/// Time within which a whole version passes a link on which it takes about four seconds.
+const TRANSFER_TIME: Duration = Duration::from_secs(8);
+
 /// Time within which a reported version is fetched from a holder that responds: the grace for the
 /// platform and an exchange.
 const REPORT_TIME: Duration = Duration::from_millis(500);
 
 fn apply(daemon: &Daemon, version: u64) {
+    apply_value(daemon, version.to_string());
+}
+
+fn apply_value(daemon: &Daemon, value: String) {
     let Source::External(external) = &daemon.source else {
         panic!("the configuration is not externally managed");
     };
     ExchangeState::of(daemon)
-        .apply_external(daemon, external, &version.to_string().into())
+        .apply_external(daemon, external, &value.into())
         .unwrap();
 }
 
 /// Puts a version in force on one daemon, and reports it to another with an address that has it.
 fn report_version(holder: &Daemon, other: &Daemon, version: u64, address: SocketAddr) {
     apply(holder, version);
+    report(other, version, address);
+}
+
+/// Reports a version to a daemon with an address that has it.
+fn report(other: &Daemon, version: u64, address: SocketAddr) {
     let mut headers = http::HeaderMap::new();
     headers.insert(baobabstage::call::VERSION, version.into());
     ExchangeState::of(other).note_version(other, &headers, Some(address));
@@ -159,3 +172,66 @@
         daemon.drain.advance(Phase::Stopped);
     }
 }
+
+/// Starts a daemon that its peers reach over a link with a limited rate.
+async fn start_behind_link(platform: &Platform, index: usize, rate: u32) -> Arc<Daemon> {
+    let unused = ([127, 0, 0, 1], 9).into();
+    let (address, link) = FaultProxy::start(unused).await.unwrap();
+    link.set(Faults {
+        rate,
+        ..Faults::default()
+    });
+    let advertised = ("BAOBAB_ADVERTISE_INBOUND", address.to_string());
+    let daemon = start_with(platform, index, false, &[advertised]);
+    link.set_target(daemon.addresses().inbound);
+    daemon
+}
+
+/// A link over which a whole version takes seconds: a change of one resource passes as quickly as over a
+/// fast link, and the first version arrives at all.
+#[tokio::test]
+async fn fetch_version_slow_link() {
+    const RESOURCES: u64 = 4_000;
+    const BYTES_PER_SECOND: u32 = 40_000;
+    // The names do not compress.
+    let names: Vec<_> = (0..RESOURCES)
+        .map(|_| format!("{:032x}", rand::random::<u128>()))
+        .collect();
+    let value = |version: u64| {
+        let policies = names.iter().enumerate();
+        let policies = policies.map(|(index, name)| {
+            let weight = if index as u64 == version { 2 } else { 1 };
+            format!(" {name}={weight}")
+        });
+        format!("{version}{}", policies.collect::<String>())
+    };
+    let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
+    let holder = start_behind_link(&platform, 0, BYTES_PER_SECOND).await;
+    let other = start_behind_link(&platform, 1, BYTES_PER_SECOND).await;
+    let deadline = Instant::now() + START_TIME;
+    let known = |daemon: &Arc<Daemon>| daemon.fleet.load().members().len() == 2;
+    while !known(&holder) || !known(&other) {
+        assert!(Instant::now() < deadline, "not started in time");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let address = holder.fleet.load().members()["vm-00"].inbound.clone();
+    let address = address.parse().unwrap();
+    let mut started = Instant::now();
+    for version in 9..15 {
+        apply_value(&holder, value(version));
+        report(&other, version, address);
+        let limit = if version == 9 {
+            TRANSFER_TIME
+        } else {
+            FETCH_TIME
+        };
+        while other.config.stamp().version != version {
+            assert!(started.elapsed() < limit, "{version} not fetched");
+            sleep(Duration::from_millis(5)).await;
+        }
+        started = Instant::now();
+    }
+    for daemon in [holder, other] {
+        daemon.drain.advance(Phase::Stopped);
+    }
+}
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -53,7 +53,7 @@
         let spec = Spec::from_json(kind, body.as_bytes())?;
         resources.insert(ResourceKey::new(kind, name), Resource::new(version, spec));
     }
-    Ok(Snapshot::from_value(version, "given", resources, value))
+    Ok(Snapshot::external(version, "given", resources))
 }
 
 /// Decodes a report from its path: `/ready/N` or `/draining/N` with the sequence N, or `/leave`.
--- a/tests/support/external.rs
+++ b/tests/support/external.rs
@@ -16,21 +16,40 @@
 /// The platform key of the configuration.
 pub const KEY: &str = "external/config";
 
-/// Decodes a version with one policy from its number.
-pub fn decode(value: &[u8], _: &Snapshot) -> Result<Snapshot> {
+/// Decodes a version from its number, which words `NAME=WEIGHT` may follow: each stands for a policy.
+pub fn decode(value: &[u8], previous: &Snapshot) -> Result<Snapshot> {
     let text = String::from_utf8_lossy(value);
-    let version = text
-        .parse()
-        .map_err(|err| Error::new(Category::Input, err))?;
-    let policy = Spec::from_json(Kind::Policy, br#"{"kinds":{"a":1}}"#)?;
-    assert!(matches!(policy, Spec::Policy(_)));
-    let key = ResourceKey::new(Kind::Policy, "p");
-    let resources = BTreeMap::from([(key, Resource::new(version, policy))]);
-    Ok(Snapshot::from_value(version, "given", resources, value))
+    let mut words = text.split(' ');
+    let version = words.next().unwrap_or_default().parse();
+    let version = version.map_err(|err| Error::new(Category::Input, err))?;
+    let mut resources = BTreeMap::new();
+    for word in std::iter::once("p=1").chain(words) {
+        let (name, weight) = word.split_once('=').unwrap_or((word, "1"));
+        let body = format!(r#"{{"kinds":{{"a":{weight}}}}}"#);
+        let spec = Spec::from_json(Kind::Policy, body.as_bytes())?;
+        let key = ResourceKey::new(Kind::Policy, name);
+        let unchanged = previous.resources().get(&key);
+        let unchanged = unchanged.filter(|resource| *resource.spec == spec).cloned();
+        resources.insert(
+            key,
+            unchanged.unwrap_or_else(|| Resource::new(version, spec)),
+        );
+    }
+    Ok(Snapshot::external(version, "given", resources))
 }
 
 /// Starts a daemon of the failure domain espoo, with its name from `index`.
 pub fn start(platform: &Platform, index: usize, first_start: bool) -> Arc<Daemon> {
+    start_with(platform, index, first_start, &[])
+}
+
+/// Starts such a daemon with further settings.
+pub fn start_with(
+    platform: &Platform,
+    index: usize,
+    first_start: bool,
+    settings: &[(&str, String)],
+) -> Arc<Daemon> {
     let pairs = [
         ("BAOBAB_NAME", format!("vm-{index:02}")),
         ("BAOBAB_DOMAIN", "espoo".into()),
@@ -44,8 +63,9 @@
         ("BAOBAB_OPERATOR", "127.0.0.1:0".into()),
         ("BAOBAB_ADMIN", "127.0.0.1:0".into()),
     ];
-    let pairs = pairs.map(|(name, value): (&str, String)| (name.to_owned(), value));
-    let settings = Settings::new(&Flags::default(), &BTreeMap::from(pairs)).unwrap();
+    let pairs = pairs.iter().chain(settings);
+    let pairs = pairs.map(|(name, value)| ((*name).to_owned(), value.clone()));
+    let settings = Settings::new(&Flags::default(), &pairs.collect()).unwrap();
     let site = Site {
         source: Source::External(ExternalConfig {
             key: KEY.into(),
