Limit reads of the platform by their progress, and read it late where peers are slow

The class is the same as in the exchange: one time limit for a transfer of any length. The limit of a platform call now holds until the response begins and for each further part of it. A daemon without a response of any peer reads the platform after 5 s in place of 2 s, and so does one that knows of newer versions and has got none of them for 5 s, which covers peers that cannot serve it. After a failure it pauses for 2 s.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -53,6 +53,8 @@
     /// whole.
     mismatched: AtomicBool,
     hint: watch::Sender<Hint>,
+    /// When a newer version than the one in force was first reported.
+    behind_since: Mutex<Option<Instant>>,
     /// When a peer last sent a request or a response.
     last_exchange: Mutex<Option<Instant>>,
     /// Whether the platform has been queried for the members at least once.
@@ -122,26 +124,39 @@
 
     /// Reads the version in force at another daemon from headers, and publishes a hint if newer.
     pub fn note_version(&self, daemon: &Daemon, headers: &HeaderMap, holder: Option<SocketAddr>) {
-        let Some(version) = number(headers, &crate::call::VERSION) else {
-            return;
-        };
-        if version <= daemon.config.stamp().version {
+        if let Some(version) = number(headers, &crate::call::VERSION) {
+            self.note_report(daemon, Hint { version, holder });
+        }
+    }
+
+    /// Publishes a hint if its version is newer than the one in force and all reported before.
+    fn note_report(&self, daemon: &Daemon, report: Hint) {
+        let current = daemon.config.stamp().version;
+        if report.version <= current {
             return;
         }
         self.hint.send_if_modified(|hint| {
-            let is_newer = version > hint.version;
+            let is_newer = report.version > hint.version;
             if is_newer {
-                *hint = Hint { version, holder };
-                event!(
-                    VersionReported,
-                    version = version,
-                    current = daemon.config.stamp().version
-                );
+                if hint.version <= current {
+                    *lock(&self.behind_since) = Some(Instant::now());
+                }
+                *hint = report;
+                event!(VersionReported, version = report.version, current = current);
             }
             is_newer
         });
     }
 
+    /// Tests whether newer versions have been reported for `time` and none of them was applied.
+    #[must_use]
+    pub fn is_behind(&self, daemon: &Daemon, time: Duration) -> bool {
+        let is_old = |since: Duration| since > time;
+        self.newest_known(daemon) > daemon.config.stamp().version
+            && lock(&self.behind_since).is_some_and(|since| is_old(since.elapsed()))
+            && daemon.config.age().is_none_or(is_old)
+    }
+
     /// Merges another daemon's request, and returns the response.
     pub fn respond(&self, daemon: &Daemon, mut request: wire::Exchange) -> wire::Exchange {
         let (wants, whole) = (request.wants, request.whole);
--- a/src/exchange/peer.rs
+++ b/src/exchange/peer.rs
@@ -1,6 +1,6 @@
 //! The messages of an exchange, and how they are transferred.
 
-use super::ExchangeState;
+use super::{ExchangeState, Hint};
 use crate::call::EXCHANGE;
 use crate::call::upstream::{BackendPool, Reuse, UpstreamError};
 use crate::daemon::Daemon;
@@ -9,25 +9,19 @@
 use crate::serve::{Body, full_body};
 use crate::snapshot::Stamp;
 use crate::sync::lock;
+use crate::transfer::{ReceiveError, receive};
 use crate::tree::session::MAX_FRAME_LEN;
-use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body::Body as HttpBody;
-use http_body_util::BodyExt;
 use prost::Message;
-use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::timeout;
 
 /// Time without a byte after which a transfer is given up.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time limit of a transfer of any length.
-const MAX_TRANSFER_TIME: Duration = Duration::from_secs(10);
-
 /// An error of an exchange with another daemon.
 #[derive(Debug, Error)]
 pub enum ExchangeError {
@@ -70,6 +64,12 @@
         let response = send(peer, more, limit).await?;
         state.merge(daemon, response);
     }
+    // The peer has not sent its version.
+    let report = Hint {
+        version: other.version,
+        holder: None,
+    };
+    state.note_report(daemon, report);
     Ok(())
 }
 
@@ -91,54 +91,17 @@
     };
     let response = timeout(limit, request).await;
     let response = response.map_err(|_| ExchangeError::TimedOut(peer, 0))??;
-    let data = receive(response.into_body()).await;
+    let data = receive(response.into_body(), MAX_FRAME_LEN, STALL_TIMEOUT).await;
     let data = data.map_err(|err| match err {
         ReceiveError::Stalled(received) => ExchangeError::TimedOut(peer, received),
-        ReceiveError::Failed(reason) => UpstreamError::Lost(peer, reason).into(),
+        err => UpstreamError::Lost(peer, err.to_string()).into(),
     })?;
     wire::Exchange::decode(data).map_err(|err| ExchangeError::Unreadable(peer, err.to_string()))
 }
 
-/// The reason for which a message was not received completely.
-#[derive(Debug, Error)]
-enum ReceiveError {
-    /// No more bytes arrived after this number, or too slowly.
-    #[error("stalled after {0} bytes")]
-    Stalled(usize),
-    #[error("{0}")]
-    Failed(String),
-}
-
-/// Receives a message, for as long as its bytes keep arriving.
-///
-/// The time limit applies to each part. A limit for the whole would end every transfer that a slow
-/// link cannot complete by then, and the next attempt would begin anew.
-async fn receive<B>(mut body: B) -> Result<Bytes, ReceiveError>
-where
-    B: HttpBody<Data = Bytes> + Unpin,
-    B::Error: Display,
-{
-    let deadline = Instant::now() + MAX_TRANSFER_TIME;
-    let mut data = BytesMut::new();
-    loop {
-        let until = deadline.min(Instant::now() + STALL_TIMEOUT);
-        let frame = timeout_at(until, body.frame()).await;
-        let frame = frame.map_err(|_| ReceiveError::Stalled(data.len()))?;
-        let Some(frame) = frame else {
-            return Ok(data.freeze());
-        };
-        let frame = frame.map_err(|err| ReceiveError::Failed(err.to_string()))?;
-        data.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
-        if data.len() > MAX_FRAME_LEN {
-            let reason = format!("longer than {MAX_FRAME_LEN} bytes");
-            return Err(ReceiveError::Failed(reason));
-        }
-    }
-}
-
 /// Serves a message of another daemon; responds with 400 when it is invalid or late.
 pub async fn serve(daemon: &Daemon, request: Request<Body>) -> Response<Body> {
-    let message = receive(request.into_body()).await;
+    let message = receive(request.into_body(), MAX_FRAME_LEN, STALL_TIMEOUT).await;
     let message = message.map_err(|err| err.to_string());
     let message =
         message.and_then(|data| wire::Exchange::decode(data).map_err(|err| err.to_string()));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -102,6 +102,7 @@
 mod strict;
 pub mod sync;
 pub mod table;
+pub mod transfer;
 pub mod tree;
 pub mod zlib;
 pub use change::Change;
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -3,13 +3,13 @@
 use super::{
     Call, Changes, Dialect, Entry, Listing, Platform, PlatformError, PlatformFuture, Reply, Swap,
 };
-use crate::call::upstream::{BackendPool, Reuse, UpstreamError};
+use crate::call::upstream::{BackendPool, PooledBody, Reuse, UpstreamError};
 use crate::event;
 use crate::serve::full_body;
 use crate::sync::lock;
+use crate::transfer::receive;
 use bytes::Bytes;
-use http::{HeaderValue, Request, header};
-use http_body_util::{BodyExt, Limited};
+use http::{HeaderValue, Request, Response, header};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -32,7 +32,8 @@
 pub struct ClientSettings {
     /// The address of the service.
     pub address: SocketAddr,
-    /// Timeout of a call, in addition to the wait of a watch.
+    /// Time within which a response begins, in addition to the wait of a watch, and within which each
+    /// further part of it arrives.
     pub timeout: Duration,
 }
 
@@ -105,8 +106,8 @@
                 PlatformError::Unknown(reason)
             }
         };
-        let response = tokio::time::timeout(self.timeout + wait, self.exchange(&call)).await;
-        let (status, body) = match response {
+        let response = tokio::time::timeout(self.timeout + wait, self.send(&call)).await;
+        let response = match response {
             Ok(Ok(response)) => response,
             Ok(Err(err @ UpstreamError::NotSent(..))) => {
                 return Err(PlatformError::Unavailable(err.to_string()));
@@ -116,14 +117,17 @@
             }
             Err(_) => return Err(lost_response("timed out waiting for a response".into())),
         };
+        let status = response.status();
+        let body = receive(response.into_body(), MAX_RESPONSE_LEN, self.timeout).await;
+        let body = body.map_err(|err| lost_response(format!("response: {err}")))?;
         match self.dialect.decode(&call, status, &body) {
             Err(PlatformError::Unknown(reason)) => Err(lost_response(reason)),
             reply => reply,
         }
     }
 
-    /// Sends a call on a pooled connection, and returns the status and body of the response.
-    async fn exchange(&self, call: &Call) -> Result<(http::StatusCode, Bytes), UpstreamError> {
+    /// Sends a call on a pooled connection, and returns the response.
+    async fn send(&self, call: &Call) -> Result<Response<PooledBody>, UpstreamError> {
         let http_call = self.dialect.encode(call);
         let connection = self.pool.connection(Reuse::Within(MAX_IDLE)).await?;
         let address = self.pool.address();
@@ -136,13 +140,11 @@
         headers.insert(header::HOST, self.host.clone());
         let json = HeaderValue::from_static("application/json");
         headers.insert(header::CONTENT_TYPE, json);
-        let (head, body) = connection.send(request).await?.into_parts();
-        if let Some(epoch) = self.dialect.epoch(&head.headers) {
+        let response = connection.send(request).await?;
+        if let Some(epoch) = self.dialect.epoch(response.headers()) {
             self.epoch.record(epoch);
         }
-        let body = Limited::new(body, MAX_RESPONSE_LEN).collect().await;
-        let body = body.map_err(|err| UpstreamError::Lost(address, err.to_string()))?;
-        Ok((head.status, body.to_bytes()))
+        Ok(response)
     }
 }
 
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -10,7 +10,7 @@
 use crate::role::members::reader_or_any;
 use crate::settings::Distribution;
 use crate::site::{ExternalConfig, Source};
-use crate::tree::backoff::Backoff;
+use crate::tree::backoff::{Backoff, jitter_around};
 use crate::tree::{self, Tree};
 use prometheus_client::registry::{Registry, Unit};
 use rand::Rng;
@@ -33,10 +33,15 @@
 /// Time between checks whether this daemon has to read the configuration from the platform itself.
 pub(super) const READER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time without an exchange with any peer after which a daemon reads the configuration itself. It
-/// covers two exchanges: one may fail, and a daemon cut off from its peers falls behind only
-/// briefly.
-const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without an exchange with any peer, or without a version that peers reported, after which a
+/// daemon reads the configuration itself.
+///
+/// Exchanges fail first where this daemon's own link is congested. Reading the whole configuration
+/// over it delays them further, so the limit covers several exchanges.
+const PEER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Delay after such a read has failed.
+const FALLBACK_RETRY: Duration = Duration::from_secs(2);
 
 /// Time limit at start for reading the members from the platform, and the same again for the
 /// exchange with one of them.
@@ -133,7 +138,11 @@
             Ok(KeyUpdate::Events(events)) => events.into_iter().filter_map(put_entry).collect(),
             Err(err) => {
                 event!(ConfigUnread, error = err, version = daemon.config.stamp());
-                let delay = backoff.delay(&mut rand::rng());
+                let delay = if is_configured(daemon) && !is_reader(daemon) {
+                    jitter_around(FALLBACK_RETRY)
+                } else {
+                    backoff.delay(&mut rand::rng())
+                };
                 sleep(delay).await;
                 continue;
             }
@@ -180,8 +189,15 @@
 /// Tests whether this daemon receives the configuration from its peers, and so does not read it
 /// from the platform.
 pub(super) fn is_served_by_peers(daemon: &Daemon) -> bool {
-    let configured = daemon.config.stamp().version > 0;
-    configured && !is_reader(daemon) && ExchangeState::of(daemon).exchanged_within(PEER_TIMEOUT)
+    let state = ExchangeState::of(daemon);
+    is_configured(daemon)
+        && !is_reader(daemon)
+        && state.exchanged_within(PEER_TIMEOUT)
+        && !state.is_behind(daemon, PEER_TIMEOUT)
+}
+
+fn is_configured(daemon: &Daemon) -> bool {
+    daemon.config.stamp().version > 0
 }
 
 fn is_reader(daemon: &Daemon) -> bool {
