Let the daemons with the fastest links read the configuration, at random times

The four readers of a failure domain were the first by name: -1, -10, -11, -12. Only -1 and -2 have links of 100 Mbit/s and half a core; the others read a version for 0.7 s of their link of 5 Mbit/s, and half of all exchanges were with them.

A record states the rate of the daemon's link, from its settings; readers are ordered by it, in powers of two, then by name. Two read, and up to four where their links are at least half as fast. The pause after a read is five times what the read took, at random from half to one and a half of it.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -323,6 +323,7 @@
             instance: backend.instance.clone().unwrap_or_default(),
             born_ms: backend.born_ms,
             warm_ms: 0,
+            link_mbps: self.settings.link_mbps,
             left: backend.stage == Stage::Leaving,
         }
     }
--- a/src/member.rs
+++ b/src/member.rs
@@ -10,15 +10,20 @@
 use crate::generated::mesh as wire;
 use crate::generated::mesh::MemberState;
 use serde_json::{Value, json};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// The number of daemons of a failure domain that read the configuration from the platform.
+/// The maximum number of daemons of a failure domain that read the configuration from the platform.
 ///
 /// More than one, so that losing some of them at once does not delay the others; few, so that a
 /// large failure domain avoids most of the platform traffic.
 pub const READERS: usize = 4;
 
+/// The minimum number, where the others have much slower links: over those a version takes longer to
+/// read than to get from a peer.
+pub const MIN_READERS: usize = 2;
+
 /// The ordering key of one daemon's records: incarnation, sequence, state, compared in this order.
 pub type Rank = (u64, u64, i32);
 
@@ -34,6 +39,25 @@
 pub struct Fleet {
     members: BTreeMap<String, Arc<wire::Member>>,
     services: BTreeMap<String, Vec<Arc<wire::Member>>>,
+    /// The daemons of each failure domain that come first as readers, at most [`READERS`], in order.
+    readers: BTreeMap<String, Vec<ReaderOrder>>,
+}
+
+/// The order in which daemons become readers: those with faster links first, then by name.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ReaderOrder {
+    link: Reverse<u32>,
+    name: String,
+}
+
+impl ReaderOrder {
+    /// `mbps` is the rate of the daemon's link, which counts by powers of two.
+    fn new(mbps: u32, name: &str) -> Self {
+        ReaderOrder {
+            link: Reverse(mbps.checked_ilog2().map_or(0, |log| log + 1)),
+            name: name.to_owned(),
+        }
+    }
 }
 
 impl Fleet {
@@ -65,7 +89,11 @@
                 list.push(Arc::clone(member));
             }
         }
-        Fleet { members, services }
+        Fleet {
+            readers: reader_order(&members),
+            members,
+            services,
+        }
     }
 
     /// Returns every daemon that has not been removed, by name.
@@ -80,17 +108,25 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Tests whether a daemon is one of the [`READERS`] of its failure domain.
+    /// Tests whether a daemon reads the configuration from the platform for its failure domain.
     ///
-    /// A daemon is a reader while fewer than that many daemons that are not draining precede it by
-    /// name.
+    /// It does while few enough daemons that are not draining precede it. They are ordered by the rates
+    /// of their links and then by name. Up to [`READERS`] may read; where a daemon's link is slower than
+    /// half of the fastest, up to [`MIN_READERS`].
     #[must_use]
     pub fn is_reader(&self, name: &str, domain: &str) -> bool {
-        let not_draining = |member: &wire::Member| member.state() != MemberState::Draining;
-        let preceding = self.members.values().filter(|member| {
-            member.domain == domain && member.name.as_str() < name && not_draining(member)
-        });
-        preceding.count() < READERS
+        let Some(first) = self.readers.get(domain) else {
+            return true;
+        };
+        let mbps = self.members.get(name).map_or(0, |member| member.link_mbps);
+        let own = ReaderOrder::new(mbps, name);
+        let fastest = first.first().map_or(0, |reader| reader.link.0);
+        let limit = if own.link.0 + 1 < fastest {
+            MIN_READERS
+        } else {
+            READERS
+        };
+        first.iter().filter(|reader| **reader < own).count() < limit
     }
 
     /// Returns the fleet as JSON for the state dump.
@@ -101,6 +137,27 @@
     }
 }
 
+/// Returns the daemons of each failure domain that come first as readers.
+fn reader_order(
+    members: &BTreeMap<String, Arc<wire::Member>>,
+) -> BTreeMap<String, Vec<ReaderOrder>> {
+    let mut domains: BTreeMap<String, Vec<ReaderOrder>> = BTreeMap::new();
+    for member in members.values() {
+        if member.state() != MemberState::Draining {
+            let order = ReaderOrder::new(member.link_mbps, &member.name);
+            domains
+                .entry(member.domain.clone())
+                .or_default()
+                .push(order);
+        }
+    }
+    for order in domains.values_mut() {
+        order.sort();
+        order.truncate(READERS);
+    }
+    domains
+}
+
 /// Tests whether new calls may be sent to a member: it has a service and is ready or suspected.
 #[must_use]
 pub fn takes_calls(member: &wire::Member) -> bool {
@@ -139,5 +196,6 @@
         "region": member.region,
         "inbound": member.inbound,
         "mesh": member.mesh,
+        "link_mbps": member.link_mbps,
     })
 }
--- a/src/platform/prefix_watcher.rs
+++ b/src/platform/prefix_watcher.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Tests whether the next update is read at once as a listing, and not waited for.
+    #[must_use]
+    pub fn lists_next(&self) -> bool {
+        matches!(self.next_call, NextCall::List(_))
+    }
+
     /// Waits for the next update, for at most `wait`.
     ///
     /// # Errors
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -26,9 +26,11 @@
 /// connection is detected by then at the latest; until then peers report newer versions.
 const EXTERNAL_WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Time after a version in which further ones are batched, so that a quick succession of versions
-/// needs few platform calls.
-const BATCH_TIME: Duration = Duration::from_secs(1);
+/// Pause after a version as a multiple of the time that reading one took, and its bounds. A quick
+/// succession of versions then needs few platform calls and a small share of the link.
+const PAUSE_FACTOR: u32 = 5;
+const PAUSE_MIN: Duration = Duration::from_millis(400);
+const PAUSE_MAX: Duration = Duration::from_secs(2);
 
 /// Time between checks whether this daemon has to read the configuration from the platform itself.
 pub(super) const READER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -125,6 +127,7 @@
 async fn follow_external(daemon: &Daemon, external: &ExternalConfig) -> anyhow::Result<()> {
     let mut watcher = PrefixWatcher::new(&external.key);
     let mut backoff = Backoff::new(RETRY_MIN, EXTERNAL_RETRY_MAX);
+    let mut read_time = Duration::ZERO;
     fetch_from_peer(daemon).await;
     loop {
         if is_served_by_peers(daemon) {
@@ -133,6 +136,8 @@
             watcher = PrefixWatcher::new(&external.key);
             continue;
         }
+        let started = Instant::now();
+        let lists = watcher.lists_next();
         let entries = match follow_prefix(daemon, &mut watcher, EXTERNAL_WATCH_TIMEOUT).await {
             Ok(KeyUpdate::Listing(entries) | KeyUpdate::Restored(entries)) => entries,
             Ok(KeyUpdate::Events(events)) => events.into_iter().filter_map(put_entry).collect(),
@@ -148,11 +153,14 @@
             }
         };
         backoff.reset();
+        if lists {
+            read_time = started.elapsed();
+        }
         let newest = entries.iter().rev().find(|entry| entry.key == external.key);
         if let Some(entry) = newest {
             apply_external(daemon, external, entry);
             let applied = daemon.config.stamp().version;
-            sleep(BATCH_TIME).await;
+            sleep(read_pause(read_time)).await;
             if ExchangeState::of(daemon).newest_known(daemon) > applied {
                 // A watch would deliver each version in between in full; a listing has only the
                 // newest.
@@ -162,6 +170,13 @@
     }
 }
 
+/// Returns the pause after reading a version. It is random, so that the readers do not read in step: each
+/// one's version is also that of the others.
+fn read_pause(read_time: Duration) -> Duration {
+    let pause = (read_time * PAUSE_FACTOR).clamp(PAUSE_MIN, PAUSE_MAX);
+    pause.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
 /// Fetches the configuration from a peer, if the members are known in time and this daemon is not
 /// one of those that read it from the platform.
 async fn fetch_from_peer(daemon: &Daemon) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -119,6 +119,8 @@
     /// Whether all daemons start together for the first time, so that the members are not complete
     /// at the start.
     pub first_start: bool,
+    /// The rate of this VM's link, in Mbit/s; zero if it is not known.
+    pub link_mbps: u32,
     /// The number of worker threads.
     pub threads: u32,
     /// The format of log lines.
@@ -214,6 +216,7 @@
             retry_extra: self.number("retry-extra", 0, 0, 100_000),
             retry_window: self.millis("retry-window-ms", 10_000, 100, 600_000),
             first_start: self.choice("first-start", false, &[("true", true), ("false", false)]),
+            link_mbps: self.number("link-mbps", 0, 0, 1_000_000),
             threads: self.number("threads", 1, 1, 64),
             log_format: self.choice(
                 "log-format",
--- a/src/settings/flags.rs
+++ b/src/settings/flags.rs
@@ -71,6 +71,9 @@
             optional --retry-window-ms ms: String
             /// Whether all daemons start together for the first time: true or false.
             optional --first-start value: String
+            /// The rate of the VM's link, in Mbit/s; zero if it is not known. Daemons with the fastest
+            /// links read an externally managed configuration for the others.
+            optional --link-mbps rate: String
             /// The number of worker threads.
             optional --threads count: String
             /// The format of log lines: text or json.
@@ -84,7 +87,7 @@
 }
 
 /// The flags that take a value, each with an environment variable.
-pub const FLAGS: [&str; 30] = [
+pub const FLAGS: [&str; 31] = [
     "name",
     "domain",
     "region",
@@ -112,6 +115,7 @@
     "retry-extra",
     "retry-window-ms",
     "first-start",
+    "link-mbps",
     "threads",
     "log-format",
     "log-level",
@@ -184,6 +188,7 @@
             flags.retry_extra,
             flags.retry_window_ms,
             flags.first_start,
+            flags.link_mbps,
             flags.threads,
             flags.log_format,
             flags.log_level,
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -55,6 +55,32 @@
     now
 }
 
+/// A version takes longer to read over a slow link than to get from a peer, so the daemons with fast links
+/// read it, whatever their names.
+#[test]
+fn is_reader_slow_links() {
+    let fleet = Fleet::new((0..20).map(|index| wire::Member {
+        link_mbps: if index == 7 || index == 12 { 100 } else { 5 },
+        ..member(&format!("vm-{index:02}"), 1, 1, Ready)
+    }));
+    let names = fleet.members().keys();
+    let readers: Vec<_> = names
+        .filter(|name| fleet.is_reader(name, "espoo"))
+        .collect();
+    assert_eq!(readers, ["vm-07", "vm-12"]);
+    // With one of them lost, a slow one replaces it.
+    let left = fleet
+        .members()
+        .values()
+        .filter(|member| member.name != "vm-07");
+    let fleet = Fleet::new(left.map(|member| wire::Member::clone(member)));
+    let names = fleet.members().keys();
+    let readers: Vec<_> = names
+        .filter(|name| fleet.is_reader(name, "espoo"))
+        .collect();
+    assert_eq!(readers, ["vm-00", "vm-12"]);
+}
+
 /// A few daemons of a large failure domain read the configuration; when one of them drains, another
 /// replaces it.
 #[test]
