Answer an unknown route with 503 while a newer version is known, after a short wait for it

Callers got 404, which they do not repeat, for routes of a version that the daemon had already heard of (VersionReported stands before each of the late versions in the logs). "No such route" is not known to be true then.

A call whose route the version in force lacks waits for the newest reported version for up to 300 ms, at most 32 calls at once, and is then answered by what is in force: 404 if that is the newest known, else 503 with Retry-After, not run. It causes no exchange of its own. Event 513 and the counter route_waits state each wait.

Failed before: site call_unknown_route_behind, call_unknown_route_arriving.

--- a/src/event.rs
+++ b/src/event.rs
@@ -103,6 +103,7 @@
     AttemptCancelled = 510, Info, "A call was cancelled before its response: the caller disconnected.";
     AnswerUnsealed = 511, Warn, "A successful response of a backend server had no seal.";
     AttemptRan = 512, Debug, "The backend server beside this daemon has answered.";
+    RouteAwaited = 513, Info, "A call waited for a newer version, since the one in force lacks its route.";
 
     OperatorRefused = 600, Warn, "An operator's request was refused.";
 }
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -1,6 +1,7 @@
 //! The outbound side: accepts calls from local callers and forwards each to an upstream.
 
 mod attempt;
+mod newer;
 
 use crate::call::attempt::{Attempt, AttemptIds};
 use crate::call::balance::{BalancePolicy, Health, Index, Upstream};
@@ -19,6 +20,7 @@
 use attempt::{Call, FailedAttempt, StopReason, classify_response, no_upstream};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use newer::NewerRoutes;
 use prometheus_client::registry::Registry;
 use serde_json::{Value, json};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -113,11 +115,14 @@
 }
 
 fn metrics(daemon: &Daemon, registry: &mut Registry) {
-    component(daemon).metrics.register(registry);
+    let outbound = component(daemon);
+    outbound.metrics.register(registry);
+    outbound.newer_routes.register(registry);
 }
 
 struct Outbound {
     metrics: OutboundMetrics,
+    newer_routes: NewerRoutes,
     views: ViewCache,
     policy: BalancePolicy,
     attempt_ids: AttemptIds,
@@ -134,6 +139,7 @@
         };
         Outbound {
             metrics: OutboundMetrics::default(),
+            newer_routes: NewerRoutes::default(),
             views: ViewCache::new(local_daemon),
             policy: read_policy(),
             attempt_ids: AttemptIds::default(),
@@ -177,6 +183,9 @@
         id: &str,
         call_guard: InFlightGuard,
     ) -> Result<Response<Body>, Refusal> {
+        if let Some(newest) = newer::awaited_version(daemon, &request) {
+            self.newer_routes.wait(daemon, id, newest).await;
+        }
         let call = self.route(daemon, request, id)?;
         call.check_time_left()?;
         // Boxed, since each idle connection would otherwise reserve memory for this large future,
@@ -196,7 +205,8 @@
         let view = self
             .views
             .get(daemon.config.table(), daemon.fleet.load(), limits);
-        let entry = request::find_route(&view.table, &request)?;
+        let entry = request::find_route(&view.table, &request);
+        let entry = entry.map_err(|err| newer::refusal(daemon, err))?;
         let service = entry.service(self.split_point());
         Call::new(daemon, &view, entry, service, request, id)
     }
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -3,6 +3,7 @@
 
 use baobabstage::backend::{Report, ReportedState, Stage};
 use baobabstage::daemon::{Daemon, Phase};
+use baobabstage::exchange::ExchangeState;
 use baobabstage::header_names::HeaderNames;
 use baobabstage::kernel;
 use baobabstage::platform::{Client, ClientSettings, JsonDialect, Platform as _, Swap};
@@ -425,3 +426,51 @@
         );
     }
 }
+
+/// Reports a version to a daemon, with a holder that never responds.
+async fn report_version(daemon: &Daemon, version: u64) -> TcpListener {
+    let silent = TcpListener::bind(LOOPBACK).await.unwrap();
+    let mut headers = http::HeaderMap::new();
+    headers.insert(baobabstage::call::VERSION, version.into());
+    let holder = silent.local_addr().unwrap();
+    ExchangeState::of(daemon).note_version(daemon, &headers, Some(holder));
+    silent
+}
+
+/// A route that a confirmed version has added is not denied by a daemon that knows itself to be behind:
+/// the call may be repeated.
+#[tokio::test]
+async fn call_unknown_route_behind() {
+    let fixture = Fixture::start().await;
+    fixture.configure("3").await;
+    let outbound = fixture.daemon.addresses().outbound;
+    let response = caller::get(outbound, "/added").await.unwrap();
+    assert_eq!(response.status(), StatusCode::NOT_FOUND);
+    let _silent = report_version(&fixture.daemon, 4).await;
+    let response = caller::get(outbound, "/added").await.unwrap();
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.headers().contains_key("retry-after"));
+    fixture.configure("4").await;
+    let response = caller::get(outbound, "/added").await.unwrap();
+    assert_eq!(response.status(), StatusCode::NOT_FOUND);
+}
+
+/// A call for an unknown route waits for a version that is on its way, and goes by that one.
+#[tokio::test]
+async fn call_unknown_route_arriving() {
+    let fixture = Fixture::start().await;
+    fixture.configure("3").await;
+    let outbound = fixture.daemon.addresses().outbound;
+    let _silent = report_version(&fixture.daemon, 4).await;
+    let call = tokio::spawn(async move { caller::get(outbound, "/added").await.unwrap() });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let Source::External(external) = &fixture.daemon.source else {
+        panic!("the configuration is not externally managed");
+    };
+    let state = ExchangeState::of(&fixture.daemon);
+    state
+        .apply_external(&fixture.daemon, external, &"4".into())
+        .unwrap();
+    // The version has no such route either, so it is denied now.
+    assert_eq!(call.await.unwrap().status(), StatusCode::NOT_FOUND);
+}
