Cut responses without end, and give no calls to the backend server for a while

A backend server in trouble may send bytes without end, in the head of a response or in its body, until its connection is closed. A head was read up to 400 kB, and a body for as long as the call's deadline allowed.

A head is limited to 64 KiB, the body of a response without a seal to 64 KiB and any body to 1 GiB. Beyond that the connection is closed, the caller gets 502 or an incomplete body, and the backend server counts as down, as one that refuses connections does.

--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -44,6 +44,9 @@
 /// than this. A daemon limited to a tenth of a core may be delayed for more than a second.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Greatest length of the head of a server's response, in bytes.
+const MAX_HEAD_LEN: usize = 64 * 1024;
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// How long before the end of a server's keep-alive timeout an idle connection is discarded.
@@ -58,6 +61,9 @@
     /// The request was sent, at least in part.
     #[error("{0} did not answer: {1}")]
     Lost(SocketAddr, String),
+    /// The request was sent, and what came back exceeds the length of a response's head.
+    #[error("{0} sent no response but {MAX_HEAD_LEN} other bytes")]
+    Endless(SocketAddr),
 }
 
 async fn connect(address: SocketAddr) -> Result<TokioIo<TcpStream>, UpstreamError> {
@@ -199,7 +205,9 @@
         let capacity = capacity.map_err(|_| not_sent("connection limit reached".into()))?;
         let capacity = capacity.map_err(|err| not_sent(err.to_string()))?;
         let io = connect(self.address).await?;
-        let (sender, connection) = http1::handshake(io)
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_LEN)
+            .handshake(io)
             .await
             .map_err(|err| not_sent(err.to_string()))?;
         let task = tokio::spawn(run_connection(connection, capacity));
@@ -236,6 +244,7 @@
         let response = self.connection.sender.try_send_request(request).await;
         let response = response.map_err(|mut err| match err.take_message() {
             Some(_) => UpstreamError::NotSent(self.address, err.into_error().to_string()),
+            None if err.error().is_parse_too_large() => UpstreamError::Endless(self.address),
             None => UpstreamError::Lost(self.address, err.into_error().to_string()),
         })?;
         let (head, body) = response.into_parts();
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -112,7 +112,7 @@
             Ok(Err(err @ UpstreamError::NotSent(..))) => {
                 return Err(PlatformError::Unavailable(err.to_string()));
             }
-            Ok(Err(err @ UpstreamError::Lost(..))) => {
+            Ok(Err(err @ (UpstreamError::Lost(..) | UpstreamError::Endless(_)))) => {
                 return Err(lost_response(err.to_string()));
             }
             Err(_) => return Err(lost_response("timed out waiting for a response".into())),
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -2,8 +2,10 @@
 //! backend server. No call reaches the backend server another way.
 
 mod backend;
+mod bounded;
 pub(super) mod health;
 mod keyed;
+mod reachability;
 mod running;
 
 use crate::backend::Stage;
@@ -24,10 +26,12 @@
 use crate::kernel::{Plugin, RoleFuture};
 use crate::serve::{Body, BodyError, full_body, serve_calls};
 use crate::sync::lock;
-use backend::{check_response, note_leaving, stated_rate, to_backend};
+use backend::{check_response, max_body_len, note_leaving, stated_rate, to_backend};
+use bounded::Bounded;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use hyper::body::{Body as _, Bytes};
 use prometheus_client::registry::Registry;
+use reachability::Reachability;
 pub use running::LocalCall;
 use running::{RecordedAttempt, RunningCall, receiver, to_outbound};
 use serde_json::{Value, json};
@@ -50,9 +54,6 @@
 /// connection at that moment, the call cannot be sent again.
 const MAX_IDLE_UNSAFE: Duration = Duration::from_millis(500);
 
-/// Time for which a backend server that could not be reached receives no calls.
-const DOWN_TIME: Duration = Duration::from_millis(400);
-
 /// The `Retry-After` of a refusal. The caller sees it only if no other upstream accepts the call.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -148,8 +149,8 @@
     body_buffers: Arc<Semaphore>,
     transfers: Transfers,
     bulk_calls: BulkCalls,
-    /// Until when the backend server counts as unreachable.
-    down_until: Mutex<Option<Instant>>,
+    /// Whether the backend server can be given calls.
+    reachability: Arc<Reachability>,
     /// The rate limit that the backend server states, in calls per second.
     rate_limit: Mutex<Option<f64>>,
 }
@@ -168,7 +169,7 @@
             body_buffers: Arc::new(Semaphore::new(MAX_BUFFERED_BODIES)),
             transfers: Transfers::default(),
             bulk_calls: BulkCalls::default(),
-            down_until: Mutex::default(),
+            reachability: Arc::default(),
             rate_limit: Mutex::default(),
         }
     }
@@ -283,7 +284,7 @@
             ));
         }
         check_accepting(daemon)?;
-        self.check_reachable()?;
+        self.reachability.check()?;
         self.update_limits(daemon)?;
         let receiver = receiver(&request);
         let bulk_guard = self.admit_bulk(&attempt, receiver)?;
@@ -335,29 +336,9 @@
         Ok((Request::from_parts(head, body), Some(permit)))
     }
 
-    /// Checks that the backend server is not marked as unreachable.
-    ///
-    /// Checked once for each call: the first call after [`DOWN_TIME`] probes whether the backend
-    /// server is reachable again, and further ones are refused meanwhile.
-    fn check_reachable(&self) -> Result<(), Refusal> {
-        let mut down_until = lock(&self.down_until);
-        let Some(until) = *down_until else {
-            return Ok(());
-        };
-        let now = Instant::now();
-        if now < until {
-            return Err(unavailable(
-                "backend server is unreachable",
-                RefusalReason::Down,
-            ));
-        }
-        *down_until = Some(now + DOWN_TIME);
-        Ok(())
-    }
-
     /// Records that the backend server has responded or has reported that it is ready.
     pub(super) fn mark_reachable(&self) {
-        *lock(&self.down_until) = None;
+        self.reachability.mark_up();
     }
 
     /// Sends a call that has a slot to the backend server.
@@ -393,6 +374,11 @@
                 // The backend server has just closed the idle connection; the next one will be new.
                 UpstreamError::NotSent(..) => unavailable(err, RefusalReason::Other),
                 UpstreamError::Lost(..) => Refusal::unknown(StatusCode::BAD_GATEWAY, err),
+                UpstreamError::Endless(_) => {
+                    self.pool.clear();
+                    self.reachability.mark_down(&err);
+                    Refusal::unknown(StatusCode::BAD_GATEWAY, err)
+                }
             }
         })?;
         self.mark_reachable();
@@ -426,17 +412,16 @@
         if let Some(len) = response.body().size_hint().exact() {
             self.bulk_calls.record_length(attempt.time_class, len);
         }
+        let limit = max_body_len(names, response.headers());
+        let reachability = Arc::clone(&self.reachability);
+        let response = response.map(|body| Bounded::new(body, limit, reachability));
         Ok(to_outbound(response, run, deadline, &self.transfers))
     }
 
-    /// Marks the backend server as unreachable for [`DOWN_TIME`], and makes the call's refusal.
+    /// Marks the backend server as down, and makes the refusal of a call that was not sent.
     fn mark_unreachable(&self, err: &UpstreamError) -> Refusal {
         self.pool.clear();
-        let mut down_until = lock(&self.down_until);
-        if down_until.is_none() {
-            event!(BackendUnhealthy, error = err);
-        }
-        *down_until = Some(Instant::now() + DOWN_TIME);
+        self.reachability.mark_down(err);
         unavailable(err, RefusalReason::Down)
     }
 
--- a/src/role/inbound/backend.rs
+++ b/src/role/inbound/backend.rs
@@ -12,6 +12,12 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use tokio::time::Instant;
 
+/// Greatest length of a response's body, in bytes.
+const MAX_BODY_LEN: u64 = 1 << 30;
+
+/// Greatest length of the body of a response without a proof of its origin, in bytes.
+const MAX_UNSEALED_LEN: u64 = 64 * 1024;
+
 /// Checks that a response is complete, belongs to this call and comes from the expected backend
 /// server, and that the backend server did not refuse the call.
 pub(super) fn check_response(
@@ -78,6 +84,16 @@
     Ok(())
 }
 
+/// Returns the greatest length of a response's body, in bytes.
+///
+/// Where a response carries a proof of its origin, one without it may be anything.
+pub(super) fn max_body_len(names: &HeaderNames, headers: &HeaderMap) -> u64 {
+    match &names.response_seal {
+        Some(seal) if !headers.contains_key(seal) => MAX_UNSEALED_LEN,
+        _ => MAX_BODY_LEN,
+    }
+}
+
 /// Returns the rate limit that a response states, in calls per second; `None` if it states none.
 ///
 /// A limit that is not a finite number of at least zero is logged and treated as absent.
--- /dev/null
+++ b/src/role/inbound/bounded.rs
@@ -0,0 +1,63 @@
+//! A limit for the length of a backend server's response.
+
+use super::reachability::Reachability;
+use crate::call::body::CutOffError;
+use crate::call::upstream::PooledBody;
+use crate::serve::BodyError;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use hyper::body::Bytes;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+/// A response body that fails beyond its limit, which marks the backend server as down.
+///
+/// Its connection is closed then, since the body is dropped before its end.
+pub(super) struct Bounded {
+    body: PooledBody,
+    limit: u64,
+    /// Bytes that may still follow.
+    left: u64,
+    reachability: Arc<Reachability>,
+}
+
+impl Bounded {
+    pub(super) fn new(body: PooledBody, limit: u64, reachability: Arc<Reachability>) -> Self {
+        Bounded {
+            body,
+            limit,
+            left: limit,
+            reachability,
+        }
+    }
+}
+
+impl HttpBody for Bounded {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame {
+            let len = frame.data_ref().map_or(0, Bytes::len) as u64;
+            let Some(left) = self.left.checked_sub(len) else {
+                let err = CutOffError::TooLong(self.limit);
+                self.reachability.mark_down(err);
+                return Poll::Ready(Some(Err(err.into())));
+            };
+            self.left = left;
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/role/inbound/running.rs
+++ b/src/role/inbound/running.rs
@@ -1,5 +1,6 @@
 //! A call that has a slot of the backend server, and its response to the outbound side.
 
+use super::bounded::Bounded;
 use crate::call;
 use crate::call::attempt::AttemptId;
 use crate::call::body::Guarded;
@@ -7,7 +8,6 @@
 use crate::call::fence::Record;
 use crate::call::gate::Permit;
 use crate::call::read_ahead::{ReadAhead, Receiver, Transfers};
-use crate::call::upstream::PooledBody;
 use crate::daemon::InFlightGuard;
 use crate::serve::Body;
 use crate::sync::lock;
@@ -66,7 +66,7 @@
 /// The slot is freed when the backend server has sent the whole body. A body longer than
 /// [`bulk::MIN_LEN`], or of unknown length, is read ahead of its receiver for that.
 pub(super) fn to_outbound(
-    response: Response<PooledBody>,
+    response: Response<Bounded>,
     run: RunningCall,
     deadline: Instant,
     transfers: &Transfers,
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -352,7 +352,7 @@
         match call.await_response(ready.send(request), fence).await {
             Ok(Ok(response)) => Ok(response.map(streaming_body)),
             Ok(Err(err @ UpstreamError::NotSent(..))) => Err(call.not_sent(upstream, &err)),
-            Ok(Err(err @ UpstreamError::Lost(..))) => {
+            Ok(Err(err @ (UpstreamError::Lost(..) | UpstreamError::Endless(_)))) => {
                 let reason = err.to_string();
                 Err(call.lost(upstream, link, &attempt, &reason).await)
             }
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -22,9 +22,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 const KEY: &str = "external/config";
@@ -474,3 +477,83 @@
     // The version has no such route either, so it is denied now.
     assert_eq!(call.await.unwrap().status(), StatusCode::NOT_FOUND);
 }
+
+/// A backend server that answers each request with `head` and then with `rest` until its connection is
+/// closed.
+struct Endless {
+    /// The number of connections accepted.
+    accepted: Arc<AtomicUsize>,
+    /// Receives the number of bytes sent on each connection once that has been closed.
+    sent: mpsc::UnboundedReceiver<usize>,
+}
+
+impl Endless {
+    /// Starts it at the address of another one that has just been stopped.
+    async fn start(address: SocketAddr, head: &'static str, rest: &'static str) -> Self {
+        let listener = loop {
+            if let Ok(listener) = TcpListener::bind(address).await {
+                break listener;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        };
+        let accepted = Arc::new(AtomicUsize::new(0));
+        let count = Arc::clone(&accepted);
+        let (sender, sent) = mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                count.fetch_add(1, Ordering::Relaxed);
+                let sender = sender.clone();
+                tokio::spawn(async move {
+                    let mut request = [0; 1_024];
+                    assert!(stream.read(&mut request).await.unwrap() > 0);
+                    let rest = rest.repeat(4_096);
+                    let (mut sent, mut part) = (0, head.as_bytes());
+                    while stream.write_all(part).await.is_ok() {
+                        sent += part.len();
+                        part = rest.as_bytes();
+                    }
+                    sender.send(sent)
+                });
+            }
+        });
+        Endless { accepted, sent }
+    }
+}
+
+/// A faulty backend server sends bytes without end, in a head or in a body without a seal. They are cut
+/// long before the deadline, and the next call is not given to it.
+#[test_case("HTTP/1.1 200 ", "a"; "status line")]
+#[test_case("HTTP/1.1 200 OK\r\nx-fill: ", "a"; "head")]
+#[test_case("HTTP/1.1 500 Oops\r\ntransfer-encoding: chunked\r\n\r\n", "20\r\naaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"; "chunked body")]
+#[test_case("HTTP/1.1 500 Oops\r\n\r\n", "a"; "body until close")]
+#[tokio::test(flavor = "multi_thread")]
+async fn call_endless_response(head: &'static str, rest: &'static str) {
+    // What the kernel's buffers of a connection may take up besides the limits of the daemon.
+    const MAX_SENT: usize = 16 * 1024 * 1024;
+    let names = HeaderNames {
+        response_seal: Some(http::HeaderName::from_static("x-seal")),
+        ..HeaderNames::default()
+    };
+    let fixture = Fixture::start_with(None, names, Behaviour::default()).await;
+    fixture.make_ready().await;
+    let address = fixture.backend.address();
+    fixture.backend.stop();
+    let mut endless = Endless::start(address, head, rest).await;
+    let request = Request::get("/certs/7").header("host", "certs");
+    let request = request.header("x-baobab-deadline-ms", "30000");
+    let request = request.body(Full::from("")).unwrap();
+    let outbound = fixture.daemon.addresses().outbound;
+    let response = tokio::time::timeout(TIMEOUT, caller::call(outbound, request)).await;
+    // A body that is cut off is not complete for the caller.
+    if let Ok(response) = response.expect("cut in time") {
+        assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
+    }
+    let sent = tokio::time::timeout(TIMEOUT, endless.sent.recv()).await;
+    let sent = sent.expect("closed in time").unwrap();
+    assert!(sent < MAX_SENT, "{sent} bytes");
+    assert_eq!(
+        fixture.issue("next").await.0,
+        StatusCode::SERVICE_UNAVAILABLE
+    );
+    assert_eq!(endless.accepted.load(Ordering::Relaxed), 1);
+}
