Start no call so late that its deadline cuts it off

Cause: calls without an objective may wait until their deadline less the average service time, and the queue starts the earliest deadline first. Any service time above the average is cut off.

A fifth of a call's time is left for its service, or the average service time if that is longer.

--- a/src/call/admission.rs
+++ b/src/call/admission.rs
@@ -27,6 +27,10 @@
 /// miss its objective after such a wait.
 const WAIT_SHARE_FLOOR: f64 = 0.1;
 
+/// The least share of a call's time that is left for its service when it starts. Service times vary, and
+/// a call that is cut off at its deadline has used a slot for nothing.
+const MIN_SERVICE_SHARE: f64 = 0.2;
+
 /// Least `Retry-After` of a refusal.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -394,7 +398,7 @@
         let left = request.deadline.saturating_duration_since(now);
         let service_time = self.class_time(request.time_class);
         let Some(objective) = request.objective else {
-            return left.saturating_sub(service_time);
+            return left.saturating_sub(self.reserve(now, request));
         };
         let limit = left.mul_f64(MAX_WAIT_SHARE);
         let spare = objective.saturating_duration_since(now);
@@ -402,6 +406,14 @@
         limit.min(spare.max(left.mul_f64(WAIT_SHARE_FLOOR)))
     }
 
+    /// Returns the time before the deadline by which a call that arrives now must have started.
+    #[must_use]
+    pub fn reserve(&self, now: Instant, request: &AdmissionRequest) -> Duration {
+        let left = request.deadline.saturating_duration_since(now);
+        self.class_time(request.time_class)
+            .max(left.mul_f64(MIN_SERVICE_SHARE))
+    }
+
     /// Returns the queue position that a call would get now.
     fn place(&self, now: Instant, request: &AdmissionRequest) -> Place {
         let service_time = self.class_time(request.time_class);
--- a/src/call/gate.rs
+++ b/src/call/gate.rs
@@ -81,9 +81,8 @@
                 let (sender, receiver) = oneshot::channel();
                 state.waiting.insert(ticket, (request.time_class, sender));
                 let longest = state.admission.longest_wait(now, request);
-                let latest_start = request
-                    .deadline
-                    .checked_sub(state.admission.class_time(request.time_class));
+                let reserve = state.admission.reserve(now, request);
+                let latest_start = request.deadline.checked_sub(reserve);
                 let latest = latest_start
                     .unwrap_or(now)
                     .min(now + longest.mul_f64(WAIT_TOLERANCE));
--- a/tests/call_admission.rs
+++ b/tests/call_admission.rs
@@ -238,3 +238,36 @@
         start.elapsed()
     );
 }
+
+/// Clients call at five times the rate that the backend server states: a call that gets its token just
+/// before its deadline would be cut off by it, so calls start early enough or not at all.
+#[tokio::test(start_paused = true)]
+async fn admit_above_rate_limit() {
+    const TIME: Duration = Duration::from_millis(500);
+    const SERVICE_TIME: Duration = Duration::from_millis(50);
+    let gate = Gate::default();
+    gate.set_limits(Limits {
+        slots: 4,
+        queue: 512,
+    });
+    gate.set_rate(Some(10.0));
+    let mut calls = tokio::task::JoinSet::new();
+    for _ in 0..100 {
+        let gate = gate.clone();
+        calls.spawn(async move {
+            let deadline = Instant::now() + TIME;
+            let mut permit = gate.admit(&AdmissionRequest::new(1, deadline)).await.ok()?;
+            permit.mark_used();
+            let left = deadline.saturating_duration_since(Instant::now());
+            tokio::time::sleep(SERVICE_TIME / 50).await;
+            Some(left)
+        });
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let started: Vec<_> = calls.join_all().await.into_iter().flatten().collect();
+    assert!(started.len() >= 20, "{} calls", started.len());
+    assert!(
+        started.iter().all(|left| *left >= SERVICE_TIME),
+        "{started:?}"
+    );
+}
