Let others read the platform in place of daemons that it turns away

A daemon's record states that its platform calls have failed for a second; such daemons come last in the order of readers. Readers renew their leases every 1.5 s in place of 3 s, so that they notice soon.

Failed before: member_upkeep follow_external_readers_refused; member is_reader_platform_lost is new.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -25,7 +25,7 @@
 use std::any::{Any, TypeId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -124,6 +124,8 @@
     /// Whether the newest version known to the platform or to peers has been applied once; the
     /// daemon is not ready before.
     pub caught_up: AtomicBool,
+    /// Whether the platform has not answered this daemon for some time.
+    pub platform_lost: AtomicBool,
     /// When calls in flight are cut off; set once the process drains.
     cutoff: OnceLock<Instant>,
     /// The member record last announced.
@@ -191,6 +193,7 @@
             fleet: FleetCell::default(),
             drain: Drain::default(),
             caught_up: AtomicBool::new(false),
+            platform_lost: AtomicBool::new(false),
             components: Mutex::default(),
             settings,
         }))
@@ -324,6 +327,7 @@
             born_ms: backend.born_ms,
             warm_ms: 0,
             link_mbps: self.settings.link_mbps,
+            platform_lost: self.platform_lost.load(Ordering::Relaxed),
             left: backend.stage == Stage::Leaving,
         }
     }
--- a/src/member.rs
+++ b/src/member.rs
@@ -43,19 +43,22 @@
     readers: BTreeMap<String, Vec<ReaderOrder>>,
 }
 
-/// The order in which daemons become readers: those with faster links first, then by name.
+/// The order in which daemons become readers: those first that the platform answers, then by the rates of
+/// their links in powers of two, then by name.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ReaderOrder {
+    platform_lost: bool,
     link: Reverse<u32>,
     name: String,
 }
 
 impl ReaderOrder {
-    /// `mbps` is the rate of the daemon's link, which counts by powers of two.
-    fn new(mbps: u32, name: &str) -> Self {
+    fn of(member: &wire::Member) -> Self {
+        let rate = member.link_mbps.checked_ilog2();
         ReaderOrder {
-            link: Reverse(mbps.checked_ilog2().map_or(0, |log| log + 1)),
-            name: name.to_owned(),
+            platform_lost: member.platform_lost,
+            link: Reverse(rate.map_or(0, |log| log + 1)),
+            name: member.name.clone(),
         }
     }
 }
@@ -110,16 +113,22 @@
 
     /// Tests whether a daemon reads the configuration from the platform for its failure domain.
     ///
-    /// It does while few enough daemons that are not draining precede it. They are ordered by the rates
-    /// of their links and then by name. Up to [`READERS`] may read; where a daemon's link is slower than
-    /// half of the fastest, up to [`MIN_READERS`].
+    /// It does while few enough daemons that are not draining precede it: those that the platform
+    /// answers, those with faster links, and then by name. Up to [`READERS`] may read; where a daemon's
+    /// link is slower than half of the first one's, up to [`MIN_READERS`].
     #[must_use]
     pub fn is_reader(&self, name: &str, domain: &str) -> bool {
         let Some(first) = self.readers.get(domain) else {
             return true;
         };
-        let mbps = self.members.get(name).map_or(0, |member| member.link_mbps);
-        let own = ReaderOrder::new(mbps, name);
+        let own = match self.members.get(name) {
+            Some(member) => ReaderOrder::of(member),
+            None => ReaderOrder {
+                platform_lost: false,
+                link: Reverse(0),
+                name: name.to_owned(),
+            },
+        };
         let fastest = first.first().map_or(0, |reader| reader.link.0);
         let limit = if own.link.0 + 1 < fastest {
             MIN_READERS
@@ -144,11 +153,8 @@
     let mut domains: BTreeMap<String, Vec<ReaderOrder>> = BTreeMap::new();
     for member in members.values() {
         if member.state() != MemberState::Draining {
-            let order = ReaderOrder::new(member.link_mbps, &member.name);
-            domains
-                .entry(member.domain.clone())
-                .or_default()
-                .push(order);
+            let order = domains.entry(member.domain.clone()).or_default();
+            order.push(ReaderOrder::of(member));
         }
     }
     for order in domains.values_mut() {
@@ -197,5 +203,6 @@
         "inbound": member.inbound,
         "mesh": member.mesh,
         "link_mbps": member.link_mbps,
+        "platform_lost": member.platform_lost,
     })
 }
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -45,9 +45,14 @@
 const RETRY_MIN: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_millis(1_500);
 
-/// Duration of a platform outage after which this daemon increments the sequence of its record
-/// before each retry, so that peers do not remove it.
-const INCREMENT_AFTER: Duration = Duration::from_secs(1);
+/// The same for a daemon that reads from the platform for others, which must notice soon when the
+/// platform no longer answers it.
+const READER_RENEW_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Duration of a platform outage after which this daemon's record states it, so that others read from the
+/// platform in its place. From then on it increments the sequence of its record before each retry, so
+/// that peers do not remove it.
+const LOST_AFTER: Duration = Duration::from_secs(1);
 
 /// Time for which a daemon that starts together with all others waits for the first report of its
 /// backend server before it announces itself.
@@ -133,7 +138,13 @@
             Ok(()) => {
                 backoff.reset();
                 failing_since = None;
-                jitter_around(RENEW_INTERVAL)
+                daemon.platform_lost.store(false, Ordering::Relaxed);
+                let reads = !config::is_served_by_peers(daemon);
+                jitter_around(if reads {
+                    READER_RENEW_INTERVAL
+                } else {
+                    RENEW_INTERVAL
+                })
             }
             Err(err) => {
                 let since = *failing_since.get_or_insert_with(Instant::now);
@@ -142,7 +153,8 @@
                     error = err,
                     ms = since.elapsed().as_millis()
                 );
-                if since.elapsed() > INCREMENT_AFTER {
+                if since.elapsed() > LOST_AFTER {
+                    daemon.platform_lost.store(true, Ordering::Relaxed);
                     // A record with a higher sequence renews this daemon's entry at its peers.
                     daemon.increment_sequence();
                 }
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -81,6 +81,26 @@
     assert_eq!(readers, ["vm-00", "vm-12"]);
 }
 
+/// Daemons that the platform does not answer are no readers, unless it answers none.
+#[test]
+fn is_reader_platform_lost() {
+    let fleet = |lost: &dyn Fn(usize) -> bool| {
+        Fleet::new((0..20).map(|index| wire::Member {
+            platform_lost: lost(index),
+            ..member(&format!("vm-{index:02}"), 1, 1, Ready)
+        }))
+    };
+    let readers = |fleet: &Fleet| -> Vec<String> {
+        let names = fleet.members().keys();
+        let readers = names.filter(|name| fleet.is_reader(name, "espoo"));
+        readers.cloned().collect()
+    };
+    let some = readers(&fleet(&|index| index < 5));
+    assert_eq!(some, ["vm-05", "vm-06", "vm-07", "vm-08"]);
+    let all = readers(&fleet(&|_| true));
+    assert_eq!(all, ["vm-00", "vm-01", "vm-02", "vm-03"]);
+}
+
 /// A few daemons of a large failure domain read the configuration; when one of them drains, another
 /// replaces it.
 #[test]
--- a/tests/member_upkeep.rs
+++ b/tests/member_upkeep.rs
@@ -11,7 +11,7 @@
 use baobabstage::site::Source;
 use external::{KEY, client, start, start_with};
 use prost::Message as _;
-use standin::fault::{FaultProxy, Faults};
+use standin::fault::{Accept, FaultProxy, Faults};
 use standin::platform::{Limits, Platform};
 use standin::testbed::LOOPBACK;
 use std::net::SocketAddr;
@@ -31,6 +31,9 @@
 /// platform, one time limit, a pause, and an exchange.
 const FETCH_TIME: Duration = Duration::from_millis(1_250);
 
+/// Time within which a version is in force everywhere while the platform turns some daemons away.
+const REFUSED_TIME: Duration = Duration::from_millis(7_500);
+
 /// Time within which a whole version passes a link on which it takes about four seconds.
 const TRANSFER_TIME: Duration = Duration::from_secs(8);
 
@@ -182,7 +185,7 @@
         ..Faults::default()
     });
     let advertised = ("BAOBAB_ADVERTISE_INBOUND", address.to_string());
-    let daemon = start_with(platform, index, false, &[advertised]);
+    let daemon = start_with(platform.address(), index, false, &[advertised]);
     link.set_target(daemon.addresses().inbound);
     daemon
 }
@@ -235,3 +238,57 @@
         daemon.drain.advance(Phase::Stopped);
     }
 }
+
+/// The platform turns away all daemons that read from it and serves the others: some of those read in their
+/// place, so that versions still arrive.
+#[tokio::test]
+async fn follow_external_readers_refused() {
+    const REFUSED: usize = 4;
+    let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
+    let store = client(&platform);
+    store.swap(KEY, 0, Some("3".into()), 0).await.unwrap();
+    let (address, link) = FaultProxy::start(platform.address()).await.unwrap();
+    let daemons: Vec<_> = (0..8)
+        .map(|index| {
+            let refused = index < REFUSED;
+            let address = if refused { address } else { platform.address() };
+            start_with(address, index, false, &[])
+        })
+        .collect();
+    let all_have = |version: u64| {
+        daemons
+            .iter()
+            .all(|daemon| daemon.config.stamp().version == version)
+    };
+    let known = |daemon: &Arc<Daemon>| daemon.fleet.load().members().len() == daemons.len();
+    let deadline = Instant::now() + START_TIME;
+    while !all_have(3) || !daemons.iter().all(known) {
+        assert!(Instant::now() < deadline, "not started in time");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let configure = async |version: u64| {
+        let entry = store.get(KEY).await.unwrap().unwrap();
+        let value = version.to_string().into();
+        store
+            .swap(KEY, entry.revision, Some(value), 0)
+            .await
+            .unwrap();
+        let started = Instant::now();
+        while !all_have(version) {
+            assert!(started.elapsed() < REFUSED_TIME, "{version} not in force");
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    // Ends the watches that daemons began before they knew of enough readers.
+    configure(4).await;
+    sleep(Duration::from_secs(2)).await;
+    link.set(Faults {
+        accept: Accept::Reset,
+        ..Faults::default()
+    });
+    link.reset_connections();
+    configure(5).await;
+    for daemon in daemons {
+        daemon.drain.advance(Phase::Stopped);
+    }
+}
--- a/tests/platform_restore.rs
+++ b/tests/platform_restore.rs
@@ -1,6 +1,7 @@
 //! The platform comes back from an older copy: its revisions go back and are given out again.
 
 #[path = "support/external.rs"]
+#[allow(dead_code, reason = "other tests use more of it")]
 mod external;
 
 use baobabstage::daemon::{Daemon, Phase};
--- a/tests/support/external.rs
+++ b/tests/support/external.rs
@@ -10,6 +10,7 @@
 use baobabstage::{Category, Error, Result};
 use standin::platform::Platform;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,12 +41,12 @@
 
 /// Starts a daemon of the failure domain espoo, with its name from `index`.
 pub fn start(platform: &Platform, index: usize, first_start: bool) -> Arc<Daemon> {
-    start_with(platform, index, first_start, &[])
+    start_with(platform.address(), index, first_start, &[])
 }
 
-/// Starts such a daemon with further settings.
+/// Starts such a daemon with further settings. It reaches the platform at `address`.
 pub fn start_with(
-    platform: &Platform,
+    address: SocketAddr,
     index: usize,
     first_start: bool,
     settings: &[(&str, String)],
@@ -54,7 +55,7 @@
         ("BAOBAB_NAME", format!("vm-{index:02}")),
         ("BAOBAB_DOMAIN", "espoo".into()),
         ("BAOBAB_REGION", "fi-south".into()),
-        ("BAOBAB_PLATFORM", platform.address().to_string()),
+        ("BAOBAB_PLATFORM", address.to_string()),
         ("BAOBAB_DISTRIBUTION", "direct".into()),
         ("BAOBAB_FIRST_START", first_start.to_string()),
         ("BAOBAB_OUTBOUND", "127.0.0.1:0".into()),
@@ -71,7 +72,7 @@
             key: KEY.into(),
             decode: Arc::new(decode),
         }),
-        ..Site::new(Arc::new(client(platform)))
+        ..Site::new(Arc::new(client_at(address)))
     };
     let daemon = Daemon::with_site(settings, site).unwrap();
     tokio::spawn(kernel::run(Arc::clone(&daemon)));
@@ -80,8 +81,12 @@
 
 /// Returns a client of the platform.
 pub fn client(platform: &Platform) -> Client {
+    client_at(platform.address())
+}
+
+fn client_at(address: SocketAddr) -> Client {
     let settings = ClientSettings {
-        address: platform.address(),
+        address,
         timeout: Duration::from_secs(1),
     };
     Client::new(&settings, Arc::new(JsonDialect)).unwrap()
