Ask daemons other than readers for a reported version

A fetch asks each daemon once: the one that was named, then readers and any other in turn, none that is known to shut down.

--- a/src/role/members/peers.rs
+++ b/src/role/members/peers.rs
@@ -4,11 +4,13 @@
 use crate::event;
 use crate::exchange::{self, ExchangeState, Hint};
 use crate::generated::mesh as wire;
+use crate::generated::mesh::MemberState;
 use crate::member::registry::MemberRegistry;
 use crate::role::config;
 use crate::tree::backoff::jitter_around;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use rand::seq::IteratorRandom;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -84,36 +86,50 @@
 /// Fetches a version that a peer reported: from the peer that has it, and from others while that one
 /// does not respond. Gives up after [`MAX_FETCHES`].
 ///
+/// Readers and any other daemons are asked in turn: the readers of a failure domain may be gone together,
+/// and the version was reported by daemons that take part in calls.
+///
 /// An exchange in progress is not abandoned for the next one: where this daemon's own link or
 /// processor is slow, every response is late.
 async fn fetch_version(daemon: &Daemon, hint: Hint) {
     let mut applied = daemon.config.subscribe();
     let mut exchanges = FuturesUnordered::new();
-    let mut holder = hint.holder;
-    let mut started = 0;
+    let mut asked = BTreeSet::new();
+    let mut left = MAX_FETCHES;
     let mut next_start = Instant::now();
-    loop {
+    while left > 0 || !exchanges.is_empty() {
         tokio::select! {
             biased;
             Ok(_) = applied.wait_for(|stamp| stamp.version >= hint.version) => return,
             Some(()) = exchanges.next() => {
                 next_start = next_start.min(Instant::now() + jitter_around(FETCH_PAUSE));
             }
-            () = sleep_until(next_start), if started < MAX_FETCHES => {
-                let Some(peer) = holder.take().or_else(|| reader_or_any(daemon)) else {
-                    return;
+            () = sleep_until(next_start), if left > 0 => {
+                let Some(peer) = fetch_peer(daemon, hint, &asked) else {
+                    left = 0;
+                    continue;
                 };
                 exchanges.push(exchange_with(daemon, peer));
-                started += 1;
+                asked.insert(peer);
+                left -= 1;
                 next_start = Instant::now() + jitter_around(FETCH_INTERVAL);
             }
         }
-        if started == MAX_FETCHES && exchanges.is_empty() {
-            return;
-        }
     }
 }
 
+/// Returns the address of the next daemon to ask for a reported version.
+fn fetch_peer(daemon: &Daemon, hint: Hint, asked: &BTreeSet<SocketAddr>) -> Option<SocketAddr> {
+    let holder = hint.holder.filter(|holder| !asked.contains(holder));
+    let reader = || {
+        let reader = random_reader(daemon, asked);
+        reader.filter(|_| asked.len() % 2 == 1)
+    };
+    holder
+        .or_else(reader)
+        .or_else(|| random_member(daemon, asked, is_staying))
+}
+
 /// Returns the inbound address of the peer for the next regular exchange.
 ///
 /// Half of the exchanges are with a daemon of the own failure domain that reads from the platform,
@@ -125,30 +141,43 @@
     }
     let near = draw < DOMAIN_SHARE;
     let domain = &daemon.identity.domain;
-    let peer = near.then(|| random_member(daemon, |member| member.domain == *domain));
-    peer.flatten().or_else(|| random_peer(daemon))
+    let none = BTreeSet::new();
+    let peer = near.then(|| random_member(daemon, &none, |member| member.domain == *domain));
+    peer.flatten()
+        .or_else(|| random_member(daemon, &none, |_| true))
 }
 
 /// Returns the inbound address of a random daemon of the own failure domain that reads from the
 /// platform, or of any other member if there is none.
 pub(in crate::role) fn reader_or_any(daemon: &Daemon) -> Option<SocketAddr> {
+    let none = BTreeSet::new();
+    random_reader(daemon, &none).or_else(|| random_member(daemon, &none, |_| true))
+}
+
+fn random_reader(daemon: &Daemon, except: &BTreeSet<SocketAddr>) -> Option<SocketAddr> {
     let fleet = daemon.fleet.load();
     let domain = &daemon.identity.domain;
-    let reader = random_member(daemon, |member| {
-        member.domain == *domain && fleet.is_reader(&member.name, domain)
-    });
-    reader.or_else(|| random_peer(daemon))
+    random_member(daemon, except, |member| {
+        member.domain == *domain && is_staying(member) && fleet.is_reader(&member.name, domain)
+    })
 }
 
-/// Returns the inbound address of a random other member; `None` when there is none.
-fn random_peer(daemon: &Daemon) -> Option<SocketAddr> {
-    random_member(daemon, |_| true)
+/// Tests whether a daemon is not known to shut down, nor its backend server to leave.
+fn is_staying(member: &wire::Member) -> bool {
+    member.state() != MemberState::Draining
 }
 
-fn random_member(daemon: &Daemon, filter: impl Fn(&wire::Member) -> bool) -> Option<SocketAddr> {
+/// Returns the inbound address of a random other member.
+fn random_member(
+    daemon: &Daemon,
+    except: &BTreeSet<SocketAddr>,
+    filter: impl Fn(&wire::Member) -> bool,
+) -> Option<SocketAddr> {
     let fleet = daemon.fleet.load();
     let others = fleet.members().values();
     let others = others.filter(|member| member.name != daemon.identity.name && filter(member));
-    let peer = others.choose(&mut rand::rng())?;
-    peer.inbound.parse().ok()
+    let addresses = others.filter_map(|member| member.inbound.parse().ok());
+    addresses
+        .filter(|address| !except.contains(address))
+        .choose(&mut rand::rng())
 }
--- a/tests/member_upkeep.rs
+++ b/tests/member_upkeep.rs
@@ -17,6 +17,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
 const DAEMONS: usize = 16;
@@ -102,15 +103,12 @@
     }
 }
 
-/// A version is reported while a regular exchange waits for a peer that is gone: it is fetched at once.
-#[tokio::test]
-async fn exchange_reported_version() {
-    const SILENT: usize = 12;
-    let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
+/// Adds members whose listeners accept no exchange. They precede the daemons of the tests by name.
+async fn add_members(platform: &Platform, count: usize) -> Vec<TcpListener> {
     let mut silent = Vec::new();
-    let store = client(&platform);
-    for index in 0..SILENT {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let store = client(platform);
+    for index in 0..count {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let record = wire::Member {
             name: format!("gone-{index:02}"),
             domain: "espoo".into(),
@@ -124,6 +122,15 @@
         store.swap(&key, 0, Some(value), 0).await.unwrap();
         silent.push(listener);
     }
+    silent
+}
+
+/// A version is reported while a regular exchange waits for a peer that is gone: it is fetched at once.
+#[tokio::test]
+async fn exchange_reported_version() {
+    const SILENT: usize = 12;
+    let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
+    let _silent = add_members(&platform, SILENT).await;
     let daemons: Vec<_> = (0..2).map(|index| start(&platform, index, false)).collect();
     let known = |daemon: &Arc<Daemon>| daemon.fleet.load().members().len() == SILENT + 2;
     let deadline = Instant::now() + START_TIME;
@@ -159,7 +166,7 @@
         assert!(Instant::now() < deadline, "not started in time");
         sleep(Duration::from_millis(20)).await;
     }
-    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let holder = silent.local_addr().unwrap();
     let last = &daemons[2];
     for version in 9..17_u64 {
@@ -176,6 +183,34 @@
     }
 }
 
+/// All readers of the failure domain have just ended: a version is fetched from another daemon.
+#[tokio::test]
+async fn fetch_version_readers_gone() {
+    const READERS: usize = baobabstage::member::READERS;
+    let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
+    let listeners = add_members(&platform, READERS).await;
+    let address = listeners[0].local_addr().unwrap();
+    drop(listeners);
+    let daemons: Vec<_> = (0..2).map(|index| start(&platform, index, false)).collect();
+    let known = |daemon: &Arc<Daemon>| daemon.fleet.load().members().len() == READERS + 2;
+    let deadline = Instant::now() + START_TIME;
+    while !daemons.iter().all(known) {
+        assert!(Instant::now() < deadline, "not started in time");
+        sleep(Duration::from_millis(20)).await;
+    }
+    for version in 9..17_u64 {
+        let started = Instant::now();
+        report_version(&daemons[0], &daemons[1], version, address);
+        while daemons[1].config.stamp().version != version {
+            assert!(started.elapsed() < FETCH_TIME, "{version} not fetched");
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+    for daemon in daemons {
+        daemon.drain.advance(Phase::Stopped);
+    }
+}
+
 /// Starts a daemon that its peers reach over a link with a limited rate.
 async fn start_behind_link(platform: &Platform, index: usize, rate: u32) -> Arc<Daemon> {
     let unused = ([127, 0, 0, 1], 9).into();
