Do not fetch a version again that was refused as invalid

By reading: a daemon that refuses a version which its peers have in force (builds that differ in what they accept) would ask five of them each second and read the platform every two seconds, since a fetch goes on while a newer version is known.

--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -119,6 +119,16 @@
         lock(&self.state).applied.map(|at| at.elapsed())
     }
 
+    /// Tests whether a version was the last one to be refused as invalid.
+    #[must_use]
+    pub fn has_refused(&self, version: u64) -> bool {
+        let state = lock(&self.state);
+        state
+            .refused
+            .as_ref()
+            .is_some_and(|(stamp, _)| stamp.version == version)
+    }
+
     /// Raises the floor: refuses every version below this one from now on.
     pub fn raise_floor(&self, version: u64) {
         let _state = lock(&self.state);
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -80,11 +80,16 @@
         self.hint.subscribe()
     }
 
-    /// Returns the newest version that is in force here or that a peer reported.
+    /// Returns the newest version that is in force here or that a peer reported. One that this daemon
+    /// has refused as invalid does not count: it would be refused again.
     #[must_use]
     pub fn newest_known(&self, daemon: &Daemon) -> u64 {
+        let current = daemon.config.stamp().version;
         let reported = self.hint.borrow().version;
-        reported.max(daemon.config.stamp().version)
+        if daemon.config.has_refused(reported) {
+            return current;
+        }
+        reported.max(current)
     }
 
     /// Records that the platform has been queried for the members, whether it responded or not.
--- a/src/role/members/peers.rs
+++ b/src/role/members/peers.rs
@@ -57,7 +57,7 @@
         }
         let hint = *hints.borrow_and_update();
         state.update_members(daemon, MemberRegistry::expire);
-        if hint.version > daemon.config.stamp().version {
+        if state.newest_known(daemon) > daemon.config.stamp().version {
             fetch_version(daemon, hint).await;
             continue;
         }
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -164,6 +164,25 @@
     assert_eq!(two.config.stamp(), one.config.stamp());
 }
 
+/// A version that this daemon has refused as invalid is not fetched again and again, although its peers
+/// have it in force.
+#[tokio::test]
+async fn newest_known_refused() {
+    let one = daemon("one");
+    apply(&one, "7 x=1");
+    let state = ExchangeState::of(&one);
+    let mut headers = http::HeaderMap::new();
+    headers.insert(baobabstage::call::VERSION, 9.into());
+    state.note_version(&one, &headers, None);
+    assert_eq!(state.newest_known(&one), 9);
+    apply(&one, "9 x=0");
+    assert_eq!(one.config.stamp().version, 7);
+    assert_eq!(state.newest_known(&one), 7);
+    headers.insert(baobabstage::call::VERSION, 10.into());
+    state.note_version(&one, &headers, None);
+    assert_eq!(state.newest_known(&one), 10);
+}
+
 /// A daemon does not know what was removed before its own first version.
 #[tokio::test]
 async fn answer_unknown_removals() {
