--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -170,8 +170,8 @@
     }
 }
 
-/// Returns the pause after reading a version. It is random, so that the readers do not read in step: each
-/// one's version is also that of the others.
+/// Returns the pause after reading a version. It is random, so that the readers of a failure domain read at
+/// different times; each passes what it has read to the others.
 fn read_pause(read_time: Duration) -> Duration {
     let pause = (read_time * PAUSE_FACTOR).clamp(PAUSE_MIN, PAUSE_MAX);
     pause.mul_f64(rand::rng().random_range(0.5..1.5))
