Raise the floor before the version in force is published

Cause: ConfigCell::apply stored the table and only then the floor, so for a moment the version in force was above the floor. The test waits for the table and then reads the floor, and once fell into that moment. The test is right; the order was wrong. No caller was harmed: the floor is read in src/tree.rs and src/tree/bootstrap.rs to test that the version in force has reached it, which was true there too.

Ruled out: the deadlock the test guards against (the floor was read at once).

floor_in_force reads version and floor while 5,000 versions are applied.

--- a/src/daemon/config.rs
+++ b/src/daemon/config.rs
@@ -87,6 +87,8 @@
         match Table::compile(snapshot) {
             Ok(table) => {
                 state.removals.record(&previous, table.snapshot());
+                // Before the table, so that the floor is never below the version in force.
+                self.floor.store(new.version, Ordering::Release);
                 self.table.store(Arc::new(table));
             }
             Err(err) => {
@@ -95,7 +97,6 @@
                 return Err(err);
             }
         }
-        self.floor.store(new.version, Ordering::Release);
         state.applied = Some(Instant::now());
         event!(VersionApplied, version = new);
         self.stamp.send_replace(new);
--- a/tests/config_cell.rs
+++ b/tests/config_cell.rs
@@ -29,3 +29,24 @@
     assert_eq!(floor, Ok(1));
     assert!(applied.join().unwrap());
 }
+
+/// Guards against a version in force above the floor, for as long as applying it takes.
+#[test]
+fn floor_in_force() {
+    const VERSIONS: u64 = 5_000;
+    let cell = Arc::new(ConfigCell::default());
+    let applying = Arc::clone(&cell);
+    let applied = thread::spawn(move || {
+        for version in 1..=VERSIONS {
+            let snapshot = Snapshot::new(version, &version.to_string(), BTreeMap::new());
+            applying.apply(Arc::new(snapshot)).unwrap();
+        }
+    });
+    let mut version = 0;
+    while version < VERSIONS {
+        version = cell.table().stamp().version;
+        let floor = cell.floor();
+        assert!(floor >= version, "floor {floor}, version {version}");
+    }
+    applied.join().unwrap();
+}
