--- a/tests/config_cell.rs
+++ b/tests/config_cell.rs
@@ -38,7 +38,7 @@
     let applying = Arc::clone(&cell);
     let applied = thread::spawn(move || {
         for version in 1..=VERSIONS {
-            let snapshot = Snapshot::new(version, &version.to_string(), BTreeMap::new());
+            let snapshot = Snapshot::new(version, version.to_string(), BTreeMap::new());
             applying.apply(Arc::new(snapshot)).unwrap();
         }
     });
