Give a connection for an exchange the time limit of the exchange

Connecting was given up after 600 ms whatever the limit of the exchange, and a response after 1.5 s. The same limit applied to reads of the platform, whose own limit is longer.

Ruled out: the transfer itself (no bytes were due yet: no connection), and no holder being known (five different ones were tried).

Change: BackendPool::with_connect_timeout. Exchanges and platform calls use their own limit; calls keep 600 ms, as they have other upstreams. A fetch of a reported version waits 3 s in place of 1.5 s for its response, while other peers are asked as before.

Tests with_peer_slow_connect, fetch_version_late_responses and list_slow_connect fail on the code before ("no answer in time", "9 not fetched", "cannot be reached: no answer in time").

--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -23,8 +23,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-/// Timeout to connect. A lost SYN packet is retransmitted only after a second, so a longer timeout
-/// than a few round trips gains little.
+/// Timeout to connect for a call, which has another upstream to try. A lost SYN packet is retransmitted only
+/// after a second, so a longer timeout than a few round trips gains little.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Timeout for a query to an inbound side, such as a fence.
@@ -66,9 +66,12 @@
     Endless(SocketAddr),
 }
 
-async fn connect(address: SocketAddr) -> Result<TokioIo<TcpStream>, UpstreamError> {
+async fn connect(
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<TokioIo<TcpStream>, UpstreamError> {
     let not_sent = |err: String| UpstreamError::NotSent(address, err);
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = tokio::time::timeout(limit, TcpStream::connect(address)).await;
     let stream = stream
         .map_err(|_| not_sent("no answer in time".into()))?
         .map_err(|err| not_sent(err.to_string()))?;
@@ -91,6 +94,7 @@
 #[derive(Clone)]
 pub struct BackendPool {
     address: SocketAddr,
+    connect_timeout: Duration,
     idle: Arc<Mutex<Vec<Idle>>>,
     /// One permit for each connection that may still be opened.
     capacity: Arc<Semaphore>,
@@ -125,12 +129,22 @@
     pub fn new(address: SocketAddr) -> Self {
         BackendPool {
             address,
+            connect_timeout: CONNECT_TIMEOUT,
             idle: Arc::default(),
             capacity: Arc::new(Semaphore::new(0)),
             max_open: Arc::default(),
         }
     }
 
+    /// Sets the timeout to connect, for requests that have no other server to try.
+    #[must_use]
+    pub fn with_connect_timeout(self, connect_timeout: Duration) -> Self {
+        BackendPool {
+            connect_timeout,
+            ..self
+        }
+    }
+
     /// Returns the server's address.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -201,10 +215,10 @@
     async fn connect(&self) -> Result<Connection, UpstreamError> {
         let not_sent = |err: String| UpstreamError::NotSent(self.address, err);
         let capacity = Arc::clone(&self.capacity).acquire_owned();
-        let capacity = tokio::time::timeout(CONNECT_TIMEOUT, capacity).await;
+        let capacity = tokio::time::timeout(self.connect_timeout, capacity).await;
         let capacity = capacity.map_err(|_| not_sent("connection limit reached".into()))?;
         let capacity = capacity.map_err(|err| not_sent(err.to_string()))?;
-        let io = connect(self.address).await?;
+        let io = connect(self.address, self.connect_timeout).await?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_LEN)
             .handshake(io)
@@ -494,7 +508,7 @@
     }
 
     async fn connect(&self) -> Result<Session, UpstreamError> {
-        let io = connect(self.address).await?;
+        let io = connect(self.address, CONNECT_TIMEOUT).await?;
         let (mut sender, connection) = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
             .initial_stream_window_size(STREAM_WINDOW)
--- a/src/exchange/peer.rs
+++ b/src/exchange/peer.rs
@@ -80,7 +80,7 @@
 ) -> Result<wire::Exchange, ExchangeError> {
     let request = async {
         // Each exchange opens its own connection, so that an unresponsive one is never reused.
-        let pool = BackendPool::new(peer);
+        let pool = BackendPool::new(peer).with_connect_timeout(limit);
         pool.set_limit(1);
         let mut request = Request::new(full_body(message.encode_to_vec()));
         *request.method_mut() = http::Method::POST;
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -82,7 +82,7 @@
     ) -> Result<Self, PlatformError> {
         let host = HeaderValue::from_str(&settings.address.to_string());
         let host = host.map_err(|err| PlatformError::Refused(err.to_string()))?;
-        let pool = BackendPool::new(settings.address);
+        let pool = BackendPool::new(settings.address).with_connect_timeout(settings.timeout);
         pool.set_limit(MAX_CONNECTIONS);
         Ok(Client {
             pool,
--- a/src/role/members/peers.rs
+++ b/src/role/members/peers.rs
@@ -18,9 +18,13 @@
 /// Time between exchanges with a random peer.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time limit for the response to begin.
+/// Time limit for the response of a regular exchange to begin. The next one is with another peer.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time limit for the response with a newer version to begin. On a congested link every response is late,
+/// and other peers are asked in the meantime.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Time after which a further peer is asked for a newer version while earlier ones have not responded,
 /// and the pause after an exchange that did not lead to it.
 const FETCH_INTERVAL: Duration = Duration::from_millis(250);
@@ -73,12 +77,12 @@
 /// Runs a regular exchange.
 async fn exchange_regularly(daemon: &Daemon) {
     if let Some(peer) = exchange_peer(daemon) {
-        exchange_with(daemon, peer).await;
+        exchange_with(daemon, peer, RESPONSE_TIMEOUT).await;
     }
 }
 
-async fn exchange_with(daemon: &Daemon, peer: SocketAddr) {
-    if let Err(err) = exchange::with_peer(daemon, peer, RESPONSE_TIMEOUT).await {
+async fn exchange_with(daemon: &Daemon, peer: SocketAddr, limit: Duration) {
+    if let Err(err) = exchange::with_peer(daemon, peer, limit).await {
         event!(ExchangeFailed, peer = peer, error = err);
     }
 }
@@ -109,7 +113,7 @@
                     left = 0;
                     continue;
                 };
-                exchanges.push(exchange_with(daemon, peer));
+                exchanges.push(exchange_with(daemon, peer, FETCH_TIMEOUT));
                 asked.insert(peer);
                 left -= 1;
                 next_start = Instant::now() + jitter_around(FETCH_INTERVAL);
--- a/tests/member_upkeep.rs
+++ b/tests/member_upkeep.rs
@@ -1,11 +1,13 @@
 //! The platform calls by which a fleet finds and keeps its members: what a first start of all daemons
 //! at once and a quiet time after it cost.
 
+#[path = "support/backlog.rs"]
+mod backlog;
 #[path = "support/external.rs"]
 mod external;
 
 use baobabstage::daemon::{Daemon, Phase};
-use baobabstage::exchange::ExchangeState;
+use baobabstage::exchange::{self, ExchangeState};
 use baobabstage::generated::mesh as wire;
 use baobabstage::platform::Platform as _;
 use baobabstage::site::Source;
@@ -38,6 +40,9 @@
 /// Time within which a whole version passes a link on which it takes about four seconds.
 const TRANSFER_TIME: Duration = Duration::from_secs(8);
 
+/// Time within which a reported version is in force everywhere, by the promise to callers.
+const SPREAD_TIME: Duration = Duration::from_millis(2_500);
+
 /// Time within which a reported version is fetched from a holder that responds: the grace for the
 /// platform and an exchange.
 const REPORT_TIME: Duration = Duration::from_millis(500);
@@ -211,14 +216,11 @@
     }
 }
 
-/// Starts a daemon that its peers reach over a link with a limited rate.
-async fn start_behind_link(platform: &Platform, index: usize, rate: u32) -> Arc<Daemon> {
+/// Starts a daemon that its peers reach over a link with faults.
+async fn start_behind_link(platform: &Platform, index: usize, faults: Faults) -> Arc<Daemon> {
     let unused = ([127, 0, 0, 1], 9).into();
     let (address, link) = FaultProxy::start(unused).await.unwrap();
-    link.set(Faults {
-        rate,
-        ..Faults::default()
-    });
+    link.set(faults);
     let advertised = ("BAOBAB_ADVERTISE_INBOUND", address.to_string());
     let daemon = start_with(platform.address(), index, false, &[advertised]);
     link.set_target(daemon.addresses().inbound);
@@ -244,8 +246,12 @@
         format!("{version}{}", policies.collect::<String>())
     };
     let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
-    let holder = start_behind_link(&platform, 0, BYTES_PER_SECOND).await;
-    let other = start_behind_link(&platform, 1, BYTES_PER_SECOND).await;
+    let faults = Faults {
+        rate: BYTES_PER_SECOND,
+        ..Faults::default()
+    };
+    let holder = start_behind_link(&platform, 0, faults).await;
+    let other = start_behind_link(&platform, 1, faults).await;
     let deadline = Instant::now() + START_TIME;
     let known = |daemon: &Arc<Daemon>| daemon.fleet.load().members().len() == 2;
     while !known(&holder) || !known(&other) {
@@ -274,6 +280,53 @@
     }
 }
 
+/// A congested link on which each response is late: a reported version is fetched over it, not given up
+/// again and again.
+#[tokio::test]
+async fn fetch_version_late_responses() {
+    let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
+    let faults = Faults {
+        delay: Duration::from_millis(900),
+        ..Faults::default()
+    };
+    let holder = start_behind_link(&platform, 0, faults).await;
+    let other = start_behind_link(&platform, 1, faults).await;
+    let deadline = Instant::now() + START_TIME;
+    let known = |daemon: &Arc<Daemon>| daemon.fleet.load().members().len() == 2;
+    while !known(&holder) || !known(&other) {
+        assert!(Instant::now() < deadline, "not started in time");
+        sleep(Duration::from_millis(20)).await;
+    }
+    let address = holder.fleet.load().members()["vm-00"].inbound.clone();
+    let address = address.parse().unwrap();
+    for version in 9..12 {
+        let started = Instant::now();
+        report_version(&holder, &other, version, address);
+        while other.config.stamp().version != version {
+            assert!(started.elapsed() < SPREAD_TIME, "{version} not fetched");
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+    for daemon in [holder, other] {
+        daemon.drain.advance(Phase::Stopped);
+    }
+}
+
+/// A connection that opens late, but within the time limit of the exchange, is used.
+#[tokio::test]
+async fn with_peer_slow_connect() {
+    let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
+    let daemons: Vec<_> = (0..2).map(|index| start(&platform, index, false)).collect();
+    apply(&daemons[0], 9);
+    let address = backlog::listen_late(daemons[0].addresses().inbound).await;
+    let exchanged = exchange::with_peer(&daemons[1], address, SPREAD_TIME).await;
+    exchanged.unwrap();
+    assert_eq!(daemons[1].config.stamp().version, 9);
+    for daemon in daemons {
+        daemon.drain.advance(Phase::Stopped);
+    }
+}
+
 /// The platform turns away all daemons that read from it and serves the others: some of those read in their
 /// place, so that versions still arrive.
 #[tokio::test]
--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -1,9 +1,13 @@
 //! The client of the platform's key-value service, over links with faults.
 
+#[path = "support/backlog.rs"]
+mod backlog;
+
 use baobabstage::platform::{Client, ClientSettings, JsonDialect, Platform as _, PlatformError};
 use standin::fault::{Accept, FaultProxy, Faults};
 use standin::platform::{Limits, Platform};
 use standin::testbed::LOOPBACK;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -16,10 +20,11 @@
 async fn client(platform: &Platform, faults: Faults) -> Client {
     let (address, link) = FaultProxy::start(platform.address()).await.unwrap();
     link.set(faults);
-    let settings = ClientSettings {
-        address,
-        timeout: TIMEOUT,
-    };
+    client_at(address, TIMEOUT)
+}
+
+fn client_at(address: SocketAddr, timeout: Duration) -> Client {
+    let settings = ClientSettings { address, timeout };
     Client::new(&settings, Arc::new(JsonDialect)).unwrap()
 }
 
@@ -54,3 +59,14 @@
     assert!(matches!(result, Err(PlatformError::Unavailable(_))));
     assert!(started.elapsed() < 2 * TIMEOUT, "{:?}", started.elapsed());
 }
+
+/// A connection that opens late, but within the time limit of a call, is used.
+#[tokio::test]
+async fn list_slow_connect() {
+    let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
+    platform.write_uncounted(KEY, "x");
+    let address = backlog::listen_late(platform.address()).await;
+    let client = client_at(address, 5 * TIMEOUT);
+    let listing = client.list(KEY, false, 0).await.unwrap();
+    assert_eq!(listing.entries.len(), 1);
+}
