Let slow daemons read the configuration only when fast readers stay away

Cause, from the log: a failure domain has two daemons with fast links. While one restarts, from its announcement to the next start 3 to 6 s, the next by name reads in its place: a listing of the whole configuration, some 300 KB or half a second of its link, and of all members. A daemon that leaves still reads until it stops, and other failure domains' readers pass versions on, so there was nobody to be replaced.

Ruled out: the readers' own links or the platform (no call of -1 or -2 of a domain failed), and a fallback after 5 s without a peer (exchanges went on).

Change: a daemon whose link is less than half as fast as that of a reader the platform answers, in any failure domain, only stands in, and does so when it has been needed for 8 s. If the platform answers no such reader, it takes over at once as before.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -57,6 +57,8 @@
     behind_since: Mutex<Option<Instant>>,
     /// When a peer last sent a request or a response.
     last_exchange: Mutex<Option<Instant>>,
+    /// Since when this daemon has been needed to read in place of others.
+    needed_since: Mutex<Option<Instant>>,
     /// Whether the platform has been queried for the members at least once.
     queried: watch::Sender<bool>,
 }
@@ -109,6 +111,16 @@
         lock(&self.last_exchange).is_some_and(|at| at.elapsed() <= time)
     }
 
+    /// Tests whether this daemon has been needed to read in place of others for `time`, given whether it is now.
+    pub fn stands_in_for(&self, is_needed: bool, time: Duration) -> bool {
+        let mut since = lock(&self.needed_since);
+        if !is_needed {
+            *since = None;
+            return false;
+        }
+        since.get_or_insert_with(Instant::now).elapsed() > time
+    }
+
     /// Updates the member registry, and replaces the daemon's fleet if `update` returns true, which
     /// means that the members have changed.
     pub fn update_members(
--- a/src/member.rs
+++ b/src/member.rs
@@ -61,6 +61,10 @@
             name: member.name.clone(),
         }
     }
+
+    fn is_much_slower(&self, other: &ReaderOrder) -> bool {
+        self.link.0 + 1 < other.link.0
+    }
 }
 
 impl Fleet {
@@ -121,21 +125,32 @@
         let Some(first) = self.readers.get(domain) else {
             return true;
         };
-        let own = match self.members.get(name) {
+        let own = self.reader_order(name);
+        let is_slow = first
+            .first()
+            .is_some_and(|fastest| own.is_much_slower(fastest));
+        let limit = if is_slow { MIN_READERS } else { READERS };
+        first.iter().filter(|reader| **reader < own).count() < limit
+    }
+
+    /// Tests whether a reader only stands in for others: the platform answers a daemon whose link is more
+    /// than twice as fast, in any failure domain. Versions arrive from there as well.
+    #[must_use]
+    pub fn is_stand_in(&self, name: &str) -> bool {
+        let own = self.reader_order(name);
+        let mut fastest = self.readers.values().filter_map(|order| order.first());
+        fastest.any(|reader| !reader.platform_lost && own.is_much_slower(reader))
+    }
+
+    fn reader_order(&self, name: &str) -> ReaderOrder {
+        match self.members.get(name) {
             Some(member) => ReaderOrder::of(member),
             None => ReaderOrder {
                 platform_lost: false,
                 link: Reverse(0),
                 name: name.to_owned(),
             },
-        };
-        let fastest = first.first().map_or(0, |reader| reader.link.0);
-        let limit = if own.link.0 + 1 < fastest {
-            MIN_READERS
-        } else {
-            READERS
-        };
-        first.iter().filter(|reader| **reader < own).count() < limit
+        }
     }
 
     /// Returns the fleet as JSON for the state dump.
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -45,6 +45,10 @@
 /// Delay after such a read has failed.
 const FALLBACK_RETRY: Duration = Duration::from_secs(2);
 
+/// Time after which a daemon with a slow link reads in place of others that are away. A restart takes a few
+/// seconds from the announcement to the next start, and reading would take a good part of that.
+const STAND_IN_DELAY: Duration = Duration::from_secs(8);
+
 /// Time limit at start for reading the members from the platform, and the same again for the
 /// exchange with one of them.
 const STARTUP_PEER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -215,9 +219,14 @@
     daemon.config.stamp().version > 0
 }
 
+/// Tests whether this daemon reads from the platform for its failure domain.
 fn is_reader(daemon: &Daemon) -> bool {
     let own = &daemon.identity;
-    daemon.fleet.load().is_reader(&own.name, &own.domain)
+    let fleet = daemon.fleet.load();
+    let is_chosen = fleet.is_reader(&own.name, &own.domain);
+    let stands_in = is_chosen && fleet.is_stand_in(&own.name);
+    let is_due = ExchangeState::of(daemon).stands_in_for(stands_in, STAND_IN_DELAY);
+    is_chosen && (!stands_in || is_due)
 }
 
 /// Waits for changes below the watcher's prefix.
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -221,6 +221,22 @@
     assert!(!state.exchanged_within(second));
 }
 
+/// A daemon stands in for others only when it has been needed for the whole of a time.
+#[tokio::test(start_paused = true)]
+async fn stands_in_for_interrupted() {
+    let one = daemon("one");
+    let state = ExchangeState::of(&one);
+    let time = Duration::from_secs(8);
+    assert!(!state.stands_in_for(true, time));
+    tokio::time::advance(time).await;
+    assert!(!state.stands_in_for(false, time));
+    assert!(!state.stands_in_for(true, time));
+    tokio::time::advance(time).await;
+    assert!(!state.stands_in_for(true, time));
+    tokio::time::advance(Duration::from_millis(1)).await;
+    assert!(state.stands_in_for(true, time));
+}
+
 /// A version is forwarded from daemon to daemon, though only the first has read it from the
 /// platform.
 #[tokio::test]
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -81,6 +81,29 @@
     assert_eq!(readers, ["vm-00", "vm-12"]);
 }
 
+/// While a daemon with a much faster link reads, in whichever failure domain, one with a slow link only stands
+/// in for others.
+#[test_case(&[], &[], true; "one fast daemon left")]
+#[test_case(&["vm-12"], &[], false; "no fast daemon left")]
+#[test_case(&["vm-12"], &["vm-20"], true; "fast daemon in another failure domain")]
+#[test_case(&["vm-12", "vm-20"], &["vm-20"], false; "not answered by the platform")]
+fn is_stand_in_slow_link(lost: &[&str], elsewhere: &[&str], expected: bool) {
+    let fleet = Fleet::new((0..21).map(|index| {
+        let name = format!("vm-{index:02}");
+        let is_other = index == 20;
+        let is_fast = index == 12 || is_other && elsewhere.contains(&&*name);
+        wire::Member {
+            link_mbps: if is_fast { 100 } else { 5 },
+            platform_lost: lost.contains(&&*name),
+            domain: if is_other { "lahti" } else { "espoo" }.into(),
+            ..member(&name, 1, 1, Ready)
+        }
+    }));
+    assert!(fleet.is_reader("vm-00", "espoo"));
+    assert_eq!(fleet.is_stand_in("vm-00"), expected);
+    assert!(!fleet.is_stand_in("vm-12"));
+}
+
 /// Daemons that the platform does not answer are no readers, unless it answers none.
 #[test]
 fn is_reader_platform_lost() {
--- a/tests/member_upkeep.rs
+++ b/tests/member_upkeep.rs
@@ -19,6 +19,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use test_case::test_case;
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
@@ -34,8 +35,9 @@
 /// platform, one time limit, a pause, and an exchange.
 const FETCH_TIME: Duration = Duration::from_millis(1_250);
 
-/// Time within which a version is in force everywhere while the platform turns some daemons away.
-const REFUSED_TIME: Duration = Duration::from_millis(7_500);
+/// Time within which a version is in force everywhere in a fleet without calls, while those that read it are
+/// away or turned away.
+const IDLE_TIME: Duration = Duration::from_millis(7_500);
 
 /// Time within which a whole version passes a link on which it takes about four seconds.
 const TRANSFER_TIME: Duration = Duration::from_secs(8);
@@ -327,10 +329,68 @@
     }
 }
 
+/// A rolling restart takes out the daemons with fast links one after another: those with slow links do not
+/// read the whole configuration in their place, and versions still arrive.
+#[tokio::test]
+async fn follow_external_rolling_restart() {
+    const FAST: usize = 2;
+    let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
+    let store = client(&platform);
+    store.swap(KEY, 0, Some("3".into()), 0).await.unwrap();
+    let start = |index: usize| {
+        let rate = if index < FAST { "100" } else { "5" };
+        let link = ("BAOBAB_LINK_MBPS", rate.to_owned());
+        start_with(platform.address(), index, false, &[link])
+    };
+    let mut daemons: Vec<_> = (0..8).map(start).collect();
+    let all_have = |daemons: &[Arc<Daemon>], version: u64| {
+        let mut daemons = daemons.iter();
+        daemons.all(|daemon| daemon.config.stamp().version == version)
+    };
+    let known = |daemon: &Arc<Daemon>| daemon.fleet.load().members().len() == 8;
+    let deadline = Instant::now() + START_TIME;
+    while !all_have(&daemons, 3) || !daemons.iter().all(known) {
+        assert!(Instant::now() < deadline, "not started in time");
+        sleep(Duration::from_millis(20)).await;
+    }
+    // Ends the watches that daemons began before they knew of enough readers.
+    let entry = store.get(KEY).await.unwrap().unwrap();
+    let value = Some("4".into());
+    store.swap(KEY, entry.revision, value, 0).await.unwrap();
+    sleep(Duration::from_secs(3)).await;
+    let before = platform.calls();
+    for index in 0..FAST {
+        daemons[index].drain.advance(Phase::Draining);
+        sleep(Duration::from_millis(1_500)).await;
+        daemons[index].drain.advance(Phase::Stopped);
+        sleep(Duration::from_secs(1)).await;
+        let entry = store.get(KEY).await.unwrap().unwrap();
+        let version = 5 + index as u64;
+        let value = Some(version.to_string().into());
+        store.swap(KEY, entry.revision, value, 0).await.unwrap();
+        daemons[index] = start(index);
+        let started = Instant::now();
+        while !all_have(&daemons, version) {
+            assert!(started.elapsed() < IDLE_TIME, "{version} not in force");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+    let after = platform.calls();
+    // The restarted daemons list the members and the configuration, and the configuration once more after
+    // a pause.
+    let lists = after.lists - before.lists;
+    assert!(lists <= 3 * FAST as u64, "{lists} lists");
+    for daemon in daemons {
+        daemon.drain.advance(Phase::Stopped);
+    }
+}
+
 /// The platform turns away all daemons that read from it and serves the others: some of those read in their
-/// place, so that versions still arrive.
+/// place, though over slow links, so that versions still arrive.
+#[test_case("100", "100"; "equal links")]
+#[test_case("100", "5"; "slow links")]
 #[tokio::test]
-async fn follow_external_readers_refused() {
+async fn follow_external_readers_refused(refused_rate: &str, other_rate: &str) {
     const REFUSED: usize = 4;
     let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
     let store = client(&platform);
@@ -339,8 +399,13 @@
     let daemons: Vec<_> = (0..8)
         .map(|index| {
             let refused = index < REFUSED;
-            let address = if refused { address } else { platform.address() };
-            start_with(address, index, false, &[])
+            let (address, rate) = if refused {
+                (address, refused_rate)
+            } else {
+                (platform.address(), other_rate)
+            };
+            let rate = ("BAOBAB_LINK_MBPS", rate.to_owned());
+            start_with(address, index, false, &[rate])
         })
         .collect();
     let all_have = |version: u64| {
@@ -363,7 +428,7 @@
             .unwrap();
         let started = Instant::now();
         while !all_have(version) {
-            assert!(started.elapsed() < REFUSED_TIME, "{version} not in force");
+            assert!(started.elapsed() < IDLE_TIME, "{version} not in force");
             sleep(Duration::from_millis(20)).await;
         }
     };
