--- a/tests/member_upkeep.rs
+++ b/tests/member_upkeep.rs
@@ -376,10 +376,9 @@
         }
     }
     let after = platform.calls();
-    // The restarted daemons list the members and the configuration, and the configuration once more after
-    // a pause.
+    // The restarted daemons list the members and the configuration.
     let lists = after.lists - before.lists;
-    assert!(lists <= 3 * FAST as u64, "{lists} lists");
+    assert!(lists <= 2 * FAST as u64, "{lists} lists");
     for daemon in daemons {
         daemon.drain.advance(Phase::Stopped);
     }
