--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -125,7 +125,8 @@
     /// Starts a backend server on an address; port zero lets the system choose.
     ///
     /// It responds to each call with its name, the request id and the length of the request body. A
-    /// call to `/bytes/N`, below any prefix, gets the N bytes of [`pattern`] instead.
+    /// call to `/bytes/N`, below any prefix, gets the N bytes of [`pattern`] instead. A call to `/crash`, below
+    /// any prefix, ends the server after its work, as [`Backend::stop`] does.
     ///
     /// # Errors
     ///
@@ -188,6 +189,34 @@
         self.shared.stopped.send_replace(true);
     }
 
+    /// Waits until the server has stopped.
+    pub async fn stopped(&self) {
+        let mut stopped = self.shared.stopped.subscribe();
+        // The sender lives as long as `self`.
+        let _ = stopped.wait_for(|stopped| *stopped).await;
+    }
+
+    /// Starts the server again each time it has stopped, `delay` later at the same address, for as long as
+    /// the returned guard lives.
+    #[must_use]
+    pub fn supervise(&self, delay: Duration) -> Supervisor {
+        let mut backend = self.clone();
+        let task = tokio::spawn(async move {
+            loop {
+                backend.stopped().await;
+                sleep(delay).await;
+                let run_log = backend.shared.run_log.clone();
+                let next =
+                    Backend::start(&backend.name, backend.address, backend.behaviour(), run_log);
+                // The address may still be in use for a moment.
+                if let Ok(next) = next.await {
+                    backend = next;
+                }
+            }
+        });
+        Supervisor(task.abort_handle())
+    }
+
     /// Returns the number of calls shed since the start.
     #[must_use]
     pub fn shed(&self) -> u32 {
@@ -207,6 +236,15 @@
     }
 }
 
+/// Restarts a backend server until it is dropped.
+pub struct Supervisor(tokio::task::AbortHandle);
+
+impl Drop for Supervisor {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     let mut stopped = shared.stopped.subscribe();
     loop {
--- a/standin/src/backend/record.rs
+++ b/standin/src/backend/record.rs
@@ -14,6 +14,8 @@
     Cancelled,
     /// The deadline passed before the work was done.
     Expired,
+    /// The run ended the backend server.
+    Crashed,
 }
 
 /// One execution of a call.
@@ -88,6 +90,16 @@
         found
     }
 
+    /// Returns the runs of all calls whose request ids start with a prefix, in the order of their start.
+    #[must_use]
+    pub fn with_prefix(&self, prefix: &str) -> Vec<Run> {
+        let runs = lock(&self.runs);
+        let matching = runs.iter().filter(|(id, _)| id.starts_with(prefix));
+        let mut found: Vec<Run> = matching.flat_map(|(_, list)| list.clone()).collect();
+        found.sort_by_key(|run| run.started);
+        found
+    }
+
     /// Returns the number of runs that ended in the given manner.
     #[must_use]
     pub fn ended(&self, end: RunEnd) -> usize {
--- a/standin/src/backend/response.rs
+++ b/standin/src/backend/response.rs
@@ -19,6 +19,9 @@
 /// Length of a chunk of a response body, in bytes.
 const CHUNK_LEN: usize = 16 * 1024;
 
+/// The end of the paths of calls that end the server.
+const CRASH_PATH: &str = "/crash";
+
 /// Deadline of calls without the `x-baobab-deadline-ms` header.
 const DEFAULT_DEADLINE: Duration = Duration::from_hours(1);
 
@@ -99,6 +102,12 @@
             run.end(RunEnd::Expired);
             return Ok(plain(StatusCode::GATEWAY_TIMEOUT, "deadline passed\n"));
         }
+        if path.ends_with(CRASH_PATH) {
+            run.end(RunEnd::Crashed);
+            self.stopped.send_replace(true);
+            // The connection ends with the server, before a response.
+            return std::future::pending().await;
+        }
         let mut response_id = id.to_owned();
         match fault {
             Fault::Stuck => std::future::pending().await,
