Quarantine requests under which backend servers end

Callers saw a service without a backend server: a request that ends each backend server that runs it was sent to the next one again and again, 12 and 9 times after the third end.

Cause: nothing related the copies of a request. Each was a first attempt for all limits, and a lost run was a fault of the upstream alone. Class: state that is kept for a call where it belongs to what the call asks for.

The daemon beside a backend server now detects that it has ended (a lost run and a refused connection, or another instance soon after) and blames the requests that ran, but for those that have completed on this instance. Suspects run alone; from the second end on a request is refused with a growing hold time, after which one run is tried. A completed run clears it. Records go to all daemons of the service at once, are compared with random ones, and are received at start before the daemon is announced. The next attempts of the same call carry the instance that ended.

Found on the way: call_answers failed while a daemon was announced before it had the records; it is announced afterwards now.

--- a/src/call.rs
+++ b/src/call.rs
@@ -7,11 +7,13 @@
 pub mod budget;
 pub mod bulk;
 pub mod fence;
+pub mod fingerprint;
 pub mod gate;
 pub mod idempotency;
 pub mod metrics;
 pub mod read_ahead;
 pub mod request;
+pub mod suspects;
 pub mod upstream;
 pub mod view;
 
@@ -66,6 +68,13 @@
 /// The version of the configuration in force at the sender, on requests and responses of daemons.
 pub const VERSION: HeaderName = HeaderName::from_static("x-baobab-version");
 
+/// Marks a request as a report of crashes between daemons; see [`quarantine`](crate::quarantine).
+pub const QUARANTINE: HeaderName = HeaderName::from_static("x-baobab-quarantine");
+
+/// The instance of a backend server that ended while it ran the call: on the response to the attempt, and on
+/// further attempts of the call.
+pub const CRASHED: HeaderName = HeaderName::from_static("x-baobab-crashed");
+
 /// The service on the VM where a call began; sent between daemons only.
 pub const CALLER: HeaderName = HeaderName::from_static("x-baobab-caller");
 
@@ -125,19 +134,22 @@
     Down,
     /// The backend server itself refused the call: it sheds load, or is not the expected instance.
     Shed,
+    /// Backend servers have ended under this request; it is refused everywhere for some time.
+    Quarantined,
     /// A reason that concerns this attempt only, such as a wrong incarnation or a cancellation.
     #[default]
     Other,
 }
 
 impl RefusalReason {
-    const ALL: [RefusalReason; 7] = [
+    const ALL: [RefusalReason; 8] = [
         RefusalReason::Busy,
         RefusalReason::RateLimited,
         RefusalReason::Full,
         RefusalReason::Leaving,
         RefusalReason::Down,
         RefusalReason::Shed,
+        RefusalReason::Quarantined,
         RefusalReason::Other,
     ];
 
@@ -151,6 +163,7 @@
             RefusalReason::Leaving => "leaving",
             RefusalReason::Down => "down",
             RefusalReason::Shed => "shed",
+            RefusalReason::Quarantined => "quarantined",
             RefusalReason::Other => "other",
         }
     }
@@ -178,6 +191,8 @@
     pub retry_after: Option<Duration>,
     /// The refusal reason, as reported to other daemons.
     pub reason_code: RefusalReason,
+    /// The instance of the backend server that ended while it ran the call, as reported to other daemons.
+    pub crashed: Option<String>,
 }
 
 impl Refusal {
@@ -189,6 +204,7 @@
             reason: reason.to_string(),
             retry_after: None,
             reason_code: RefusalReason::Other,
+            crashed: None,
         }
     }
 
@@ -200,6 +216,7 @@
             reason: reason.to_string(),
             retry_after: None,
             reason_code: RefusalReason::Other,
+            crashed: None,
         }
     }
 
@@ -217,6 +234,13 @@
         self
     }
 
+    /// Sets the instance of the backend server that ended while it ran the call.
+    #[must_use]
+    pub fn with_crashed(mut self, instance: Option<String>) -> Self {
+        self.crashed = instance;
+        self
+    }
+
     /// Builds the response to the caller; its JSON body has the message, outcome and request id.
     #[must_use]
     pub fn into_response(self, request_id: &str, names: &HeaderNames) -> Response<Body> {
--- a/src/call/body.rs
+++ b/src/call/body.rs
@@ -282,12 +282,12 @@
     }
 }
 
-/// Reads a body up to its end or at least `limit` bytes, and returns the whole body.
+/// Reads a body up to its end or at least `limit` bytes, and returns the whole body with what was read.
 ///
 /// # Errors
 ///
 /// Fails if the body is cut off.
-pub async fn prefetch(mut body: Body, limit: usize) -> Result<Body, BodyError> {
+pub async fn prefetch(mut body: Body, limit: usize) -> Result<Prefixed, BodyError> {
     let mut frames = VecDeque::new();
     let mut len = 0;
     while len < limit
@@ -298,7 +298,7 @@
         len += frame.data_ref().map_or(0, Bytes::len);
         frames.push_back(frame);
     }
-    Ok(Body::new(Prefixed::new(frames, body)))
+    Ok(Prefixed::new(frames, body))
 }
 
 /// A body whose first frames have already been read.
@@ -313,6 +313,11 @@
     pub fn new(frames: VecDeque<Frame<Bytes>>, rest: Body) -> Self {
         Prefixed { frames, rest }
     }
+
+    /// Returns the data of the frames that have been read.
+    pub fn data(&self) -> impl Iterator<Item = &Bytes> {
+        self.frames.iter().filter_map(Frame::data_ref)
+    }
 }
 
 impl HttpBody for Prefixed {
--- a/src/call/idempotency.rs
+++ b/src/call/idempotency.rs
@@ -48,9 +48,7 @@
     /// weight owns the key.
     #[must_use]
     pub fn rendezvous_weight(self, daemon: &str) -> u128 {
-        let mut text = self.0.to_be_bytes().to_vec();
-        text.extend_from_slice(daemon.as_bytes());
-        xxh3_128(&text)
+        rendezvous_weight(self.0, daemon)
     }
 
     /// Returns the key as 32 hexadecimal digits, as sent between daemons.
@@ -66,6 +64,14 @@
     }
 }
 
+/// Returns a daemon's weight for a hash in rendezvous hashing.
+#[must_use]
+pub fn rendezvous_weight(hash: u128, daemon: &str) -> u128 {
+    let mut text = hash.to_be_bytes().to_vec();
+    text.extend_from_slice(daemon.as_bytes());
+    xxh3_128(&text)
+}
+
 /// A stored response.
 #[derive(Clone, Debug)]
 pub struct StoredResponse {
--- a/src/call/request.rs
+++ b/src/call/request.rs
@@ -96,11 +96,9 @@
     {
         headers.remove(name);
     }
-    if let Some(name) = &names.caller
-        && let Some(service) = service
-    {
+    if let Some(service) = service {
         let service = HeaderValue::from_str(service).map_err(|err| bad_request(&err))?;
-        headers.insert(name, service);
+        headers.insert(names.calling_service(), service);
     }
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let host = headers.remove(header::HOST);
--- a/src/event.rs
+++ b/src/event.rs
@@ -90,6 +90,10 @@
     RemovalRefuted = 415, Info, "A peer had removed this daemon's record; the next one outranks the removal.";
     BackendRateLimit = 416, Info, "This daemon's backend server has changed the rate of calls that it takes.";
 
+    BackendCrashed = 417, Warn, "This daemon's backend server ended while it ran calls.";
+    CrashReportFailed = 418, Debug, "A report of crashes could not be exchanged with another daemon.";
+    SuspectsReceived = 419, Info, "The records of crashes were received from another daemon at start.";
+
     CallRefused = 500, Info, "A call was refused; it was not run.";
     CallUnknown = 501, Warn, "A call ended without a known outcome.";
     UpstreamEjected = 502, Warn, "An upstream was ejected and receives no calls for a limited time.";
@@ -105,6 +109,11 @@
     AttemptRan = 512, Debug, "The backend server beside this daemon has answered.";
     RouteAwaited = 513, Info, "A call waited for a newer version, since the one in force lacks its route.";
 
+    RequestSuspected = 514, Warn, "A backend server ended while it ran this request.";
+    RequestHeld = 515, Info, "Backend servers have ended under this request; it is refused.";
+    SuspectRuns = 516, Info, "A suspected request runs, alone among suspects.";
+    SuspectCleared = 517, Info, "A suspected request completed a run, or was released by an operator.";
+
     OperatorRefused = 600, Warn, "An operator's request was refused.";
 }
 
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -6,7 +6,7 @@
 
 mod peer;
 
-pub use peer::{ExchangeError, serve, with_peer};
+pub use peer::{ExchangeError, post, serve, with_peer};
 
 use crate::call::number;
 use crate::daemon::Daemon;
@@ -99,6 +99,12 @@
         self.queried.send_replace(true);
     }
 
+    /// Tests whether the platform has been queried for the members, whether it responded or not.
+    #[must_use]
+    pub fn is_queried(&self) -> bool {
+        *self.queried.borrow()
+    }
+
     /// Waits until the platform has been queried for the members, whether it responded or not.
     pub async fn wait_queried(&self) {
         // The sender lives as long as `self`.
--- a/src/exchange/peer.rs
+++ b/src/exchange/peer.rs
@@ -11,7 +11,8 @@
 use crate::sync::lock;
 use crate::transfer::{ReceiveError, receive};
 use crate::tree::session::MAX_FRAME_LEN;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use prost::Message;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -78,25 +79,40 @@
     message: wire::Exchange,
     limit: Duration,
 ) -> Result<wire::Exchange, ExchangeError> {
+    let data = post(peer, EXCHANGE, message.encode_to_vec(), limit).await?;
+    wire::Exchange::decode(data).map_err(|err| ExchangeError::Unreadable(peer, err.to_string()))
+}
+
+/// Sends a message, marked by a header, to the daemon whose inbound listener has the address `peer`, and
+/// returns the response.
+///
+/// # Errors
+///
+/// Fails when the response does not begin within `limit`, or is not complete.
+pub async fn post(
+    peer: SocketAddr,
+    mark: HeaderName,
+    message: Vec<u8>,
+    limit: Duration,
+) -> Result<Bytes, ExchangeError> {
     let request = async {
-        // Each exchange opens its own connection, so that an unresponsive one is never reused.
+        // Each message opens its own connection, so that an unresponsive one is never reused.
         let pool = BackendPool::new(peer).with_connect_timeout(limit);
         pool.set_limit(1);
-        let mut request = Request::new(full_body(message.encode_to_vec()));
+        let mut request = Request::new(full_body(message));
         *request.method_mut() = http::Method::POST;
         let headers = request.headers_mut();
-        headers.insert(EXCHANGE, HeaderValue::from_static("1"));
+        headers.insert(mark, HeaderValue::from_static("1"));
         headers.insert(header::HOST, HeaderValue::from_static("inbound"));
         pool.connection(Reuse::Never).await?.send(request).await
     };
     let response = timeout(limit, request).await;
     let response = response.map_err(|_| ExchangeError::TimedOut(peer, 0))??;
     let data = receive(response.into_body(), MAX_FRAME_LEN, STALL_TIMEOUT).await;
-    let data = data.map_err(|err| match err {
+    data.map_err(|err| match err {
         ReceiveError::Stalled(received) => ExchangeError::TimedOut(peer, received),
         err => UpstreamError::Lost(peer, err.to_string()).into(),
-    })?;
-    wire::Exchange::decode(data).map_err(|err| ExchangeError::Unreadable(peer, err.to_string()))
+    })
 }
 
 /// Serves a message of another daemon; responds with 400 when it is invalid or late.
--- a/src/header_names.rs
+++ b/src/header_names.rs
@@ -32,6 +32,14 @@
     pub fractional_retry: bool,
 }
 
+impl HeaderNames {
+    /// Returns the name of the header that states the calling service between daemons.
+    #[must_use]
+    pub fn calling_service(&self) -> HeaderName {
+        self.caller.clone().unwrap_or(call::CALLER)
+    }
+}
+
 impl Default for HeaderNames {
     fn default() -> Self {
         HeaderNames {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,8 @@
 //!   compare-and-swap of `head` in the key-value service behind [`platform`].
 //! - [`tree`] distributes versions and the records of the daemons in the fleet (members);
 //!   [`member`] holds the set of these records. [`exchange`] synchronises both between two daemons.
+//! - [`quarantine`] holds the requests under which backend servers have ended, and reports them to the
+//!   other daemons of the service.
 //! - [`call`] makes the routing, retry and admission decisions for calls, outbound and inbound.
 //! - [`daemon`] is the state that the [roles](role) share: the long-running tasks of a daemon, one
 //!   for each listener or source of state. [`kernel`] starts the roles and restarts failed ones.
@@ -91,6 +93,7 @@
 pub mod member;
 pub mod platform;
 pub mod prelude;
+pub mod quarantine;
 pub mod resource;
 pub mod role;
 pub mod serve;
--- a/src/role.rs
+++ b/src/role.rs
@@ -7,4 +7,5 @@
 pub mod mesh;
 pub mod operator;
 pub mod outbound;
+pub mod quarantine;
 pub mod reports;
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 mod bounded;
+mod crash;
 pub(super) mod health;
 mod keyed;
 mod reachability;
@@ -14,6 +15,7 @@
 use crate::call::body::{CutOffError, prefetch};
 use crate::call::bulk::{BulkCalls, BulkGuard};
 use crate::call::fence::{self, ArrivalError, Record};
+use crate::call::fingerprint::{self, Fingerprint};
 use crate::call::gate::{Gate, Rejected};
 use crate::call::idempotency::{KeyId, Keys};
 use crate::call::metrics::InboundMetrics;
@@ -24,10 +26,12 @@
 use crate::event;
 use crate::exchange::{self, ExchangeState};
 use crate::kernel::{Plugin, RoleFuture};
+use crate::quarantine::{self, Quarantine};
 use crate::serve::{Body, BodyError, full_body, serve_calls};
 use crate::sync::lock;
 use backend::{check_response, max_body_len, note_leaving, stated_rate, to_backend};
 use bounded::Bounded;
+use crash::{CrashMonitor, MonitoredRun};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use hyper::body::{Body as _, Bytes};
 use prometheus_client::registry::Registry;
@@ -72,6 +76,7 @@
         let inbound = component(&daemon);
         tokio::spawn(refuse_waiting(Arc::clone(&daemon), Arc::clone(&inbound)));
         tokio::spawn(watch_health(Arc::clone(&daemon)));
+        tokio::spawn(Arc::clone(&inbound.crashes).watch_instances());
         let shared = Arc::clone(&daemon);
         let handler = move |request: Request<hyper::body::Incoming>| {
             let (daemon, inbound) = (Arc::clone(&shared), Arc::clone(&inbound));
@@ -88,7 +93,9 @@
 /// Returns a daemon's inbound side.
 #[must_use]
 pub fn component(daemon: &Daemon) -> Arc<Inbound> {
-    daemon.component(|| Inbound::new(daemon))
+    // Created first, since the creation of a component cannot create another one.
+    let quarantine = Quarantine::of(daemon);
+    daemon.component(|| Inbound::new(daemon, quarantine))
 }
 
 /// Refuses the queued calls as soon as the daemon or its backend server starts to drain.
@@ -151,25 +158,39 @@
     bulk_calls: BulkCalls,
     /// Whether the backend server can be given calls.
     reachability: Arc<Reachability>,
+    crashes: Arc<CrashMonitor>,
+    quarantine: Arc<Quarantine>,
     /// The rate limit that the backend server states, in calls per second.
     rate_limit: Mutex<Option<f64>>,
 }
 
 impl Inbound {
-    fn new(daemon: &Daemon) -> Self {
+    fn new(daemon: &Daemon, quarantine: Arc<Quarantine>) -> Self {
         let backend = daemon.settings.backend.as_ref();
         let unused = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+        let address = backend.map_or(unused, |backend| backend.address);
+        let pool = BackendPool::new(address);
+        let reachability = Arc::<Reachability>::default();
+        let crashes = CrashMonitor::new(
+            daemon,
+            address,
+            pool.clone(),
+            Arc::clone(&reachability),
+            Arc::clone(&quarantine),
+        );
         Inbound {
             metrics: InboundMetrics::default(),
             service: backend.map(|backend| backend.service.clone()),
-            pool: BackendPool::new(backend.map_or(unused, |backend| backend.address)),
+            pool,
             gate: Gate::default(),
             record: Arc::new(Mutex::new(Record::new(Instant::now(), fence::CAPACITY))),
             keys: Mutex::default(),
             body_buffers: Arc::new(Semaphore::new(MAX_BUFFERED_BODIES)),
             transfers: Transfers::default(),
             bulk_calls: BulkCalls::default(),
-            reachability: Arc::default(),
+            reachability,
+            crashes,
+            quarantine,
             rate_limit: Mutex::default(),
         }
     }
@@ -200,6 +221,9 @@
         if request.headers().contains_key(call::EXCHANGE) {
             return exchange::serve(daemon, request).await;
         }
+        if request.headers().contains_key(call::QUARANTINE) {
+            return quarantine::serve(daemon, request).await;
+        }
         ExchangeState::of(daemon).note_version(daemon, request.headers(), None);
         let call_guard = daemon.drain.begin_call();
         let id = request.headers().get(&daemon.names.request).cloned();
@@ -208,7 +232,7 @@
             Some(key) => self.run_keyed(daemon, key, request, call_guard).await,
             None => self.forward(daemon, request, call_guard).await,
         };
-        let mut response = response.unwrap_or_else(|refusal| {
+        let mut response = response.unwrap_or_else(|mut refusal| {
             let id = id.as_ref().and_then(|id| id.to_str().ok());
             let id = id.unwrap_or_default();
             let load = self.gate.load();
@@ -226,9 +250,13 @@
                 );
             }
             let why = refusal.reason_code.as_str();
+            let crashed = refusal.crashed.take();
             let mut response = refusal.into_response(id, &daemon.names);
             let headers = response.headers_mut();
             headers.insert(call::WHY, HeaderValue::from_static(why));
+            if let Some(Ok(crashed)) = crashed.map(HeaderValue::try_from) {
+                headers.insert(call::CRASHED, crashed);
+            }
             response
         });
         let headers = response.headers_mut();
@@ -284,6 +312,7 @@
             ));
         }
         check_accepting(daemon)?;
+        self.check_synced()?;
         self.reachability.check()?;
         self.update_limits(daemon)?;
         let receiver = receiver(&request);
@@ -291,7 +320,9 @@
         let recorded = self.record_attempt(&attempt)?;
         let deadline = deadline(request.headers());
         let admission = admission_request(&attempt, deadline);
-        let (request, buffer) = self.buffer_body(request, &admission).await?;
+        let (request, fingerprint, buffer) = self.buffer_body(daemon, request, &admission).await?;
+        let monitored = self.crashes.start(&request, fingerprint);
+        let monitored = monitored.admit(daemon, deadline).await?;
         let queued_at = Instant::now();
         let permit = self.gate.admit(&admission).await;
         let permit = permit.map_err(admission_refusal)?;
@@ -305,27 +336,35 @@
             guards: (call_guard, bulk_guard),
             receiver,
         };
-        let response = self.run(daemon, run, &attempt, request, deadline);
+        let response = self.run(daemon, run, monitored, &attempt, request, deadline);
         let response = timeout_at(deadline, response).await;
         response.map_err(|_| Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))?
     }
 
     /// Buffers a request's body before its call takes a slot, as the slot would be idle until the
-    /// body has arrived. A call that would be refused now is refused before its body is read.
+    /// body has arrived, and returns the fingerprint of the request. A call that would be refused now is
+    /// refused before its body is read. Of a body that is not buffered, the part in the fingerprint is read.
     async fn buffer_body(
         &self,
+        daemon: &Daemon,
         request: Request<Body>,
         admission: &AdmissionRequest,
-    ) -> Result<(Request<Body>, Option<OwnedSemaphorePermit>), Refusal> {
-        if request.body().is_end_stream() {
-            return Ok((request, None));
+    ) -> Result<(Request<Body>, Fingerprint, Option<OwnedSemaphorePermit>), Refusal> {
+        let (head, body) = request.into_parts();
+        let caller = call::text(&head.headers, &daemon.names.calling_service());
+        let caller = caller.unwrap_or_default();
+        if body.is_end_stream() {
+            let fingerprint = Fingerprint::new(&head, caller, None);
+            return Ok((Request::from_parts(head, body), fingerprint, None));
         }
         self.gate.check(admission).map_err(admission_refusal)?;
-        let Ok(permit) = Arc::clone(&self.body_buffers).try_acquire_owned() else {
-            return Ok((request, None));
+        let permit = Arc::clone(&self.body_buffers).try_acquire_owned().ok();
+        let len = if permit.is_some() {
+            MAX_BUFFERED_LEN
+        } else {
+            fingerprint::BODY_LEN
         };
-        let (head, body) = request.into_parts();
-        let body = timeout_at(admission.deadline, prefetch(body, MAX_BUFFERED_LEN)).await;
+        let body = timeout_at(admission.deadline, prefetch(body, len)).await;
         let late = |_| {
             Refusal::not_run(
                 StatusCode::GATEWAY_TIMEOUT,
@@ -333,7 +372,20 @@
             )
         };
         let body = body.map_err(late)?.map_err(|err| body_refusal(&err))?;
-        Ok((Request::from_parts(head, body), Some(permit)))
+        let fingerprint = Fingerprint::new(&head, caller, Some(&body));
+        let request = Request::from_parts(head, Body::new(body));
+        Ok((request, fingerprint, permit))
+    }
+
+    /// Checks that this daemon has the records of crashes that the others have.
+    fn check_synced(&self) -> Result<(), Refusal> {
+        if self.quarantine.is_synced() {
+            return Ok(());
+        }
+        Err(unavailable(
+            "daemon has not received the records of crashes yet",
+            RefusalReason::Down,
+        ))
     }
 
     /// Records that the backend server has responded or has reported that it is ready.
@@ -346,6 +398,7 @@
         &self,
         daemon: &Daemon,
         mut run: RunningCall,
+        mut monitored: MonitoredRun,
         attempt: &Attempt,
         request: Request<Body>,
         deadline: Instant,
@@ -359,8 +412,9 @@
         };
         let connection = self.pool.connection(reuse).await;
         let lease = connection.map_err(|err| self.mark_unreachable(&err))?;
-        // A drain may have been reported while the connection was opened.
+        // A drain or a crash may have been reported while the connection was opened.
         check_accepting(daemon)?;
+        monitored.check(daemon)?;
         if !run.recorded.dispatch() {
             let reason = "attempt was cancelled by its sender";
             return Err(unavailable(reason, RefusalReason::Other));
@@ -368,20 +422,15 @@
         run.permit.mark_used();
         let instance = backend.instance.as_deref();
         let (request, id) = to_backend(request, deadline, names, instance)?;
-        let response = lease.send(request).await.map_err(|err| {
-            run.permit.exclude_sample();
-            match err {
-                // The backend server has just closed the idle connection; the next one will be new.
-                UpstreamError::NotSent(..) => unavailable(err, RefusalReason::Other),
-                UpstreamError::Lost(..) => Refusal::unknown(StatusCode::BAD_GATEWAY, err),
-                UpstreamError::Endless(_) => {
-                    self.pool.clear();
-                    self.reachability.mark_down(&err);
-                    Refusal::unknown(StatusCode::BAD_GATEWAY, err)
-                }
+        let response = match lease.send(request).await {
+            Ok(response) => response,
+            Err(err) => {
+                run.permit.exclude_sample();
+                return Err(self.no_response(err, monitored).await);
             }
-        })?;
+        };
         self.mark_reachable();
+        monitored.set_status(response.status());
         let failed = response.status().is_server_error();
         self.metrics
             .note_run(run.waited, run.permit.service_time(), failed);
@@ -414,10 +463,27 @@
         }
         let limit = max_body_len(names, response.headers());
         let reachability = Arc::clone(&self.reachability);
-        let response = response.map(|body| Bounded::new(body, limit, reachability));
+        let response = response.map(|body| Bounded::new(body, limit, reachability, monitored));
         Ok(to_outbound(response, run, deadline, &self.transfers))
     }
 
+    /// Makes the refusal of a call that the backend server did not respond to.
+    async fn no_response(&self, err: UpstreamError, run: MonitoredRun) -> Refusal {
+        match err {
+            // The backend server has just closed the idle connection; the next one will be new.
+            UpstreamError::NotSent(..) => unavailable(err, RefusalReason::Other),
+            UpstreamError::Lost(..) => {
+                let crashed = run.lose().await;
+                Refusal::unknown(StatusCode::BAD_GATEWAY, err).with_crashed(crashed)
+            }
+            UpstreamError::Endless(_) => {
+                self.pool.clear();
+                self.reachability.mark_down(&err);
+                Refusal::unknown(StatusCode::BAD_GATEWAY, err)
+            }
+        }
+    }
+
     /// Marks the backend server as down, and makes the refusal of a call that was not sent.
     fn mark_unreachable(&self, err: &UpstreamError) -> Refusal {
         self.pool.clear();
--- a/src/role/inbound/bounded.rs
+++ b/src/role/inbound/bounded.rs
@@ -1,5 +1,6 @@
 //! A limit for the length of a backend server's response.
 
+use super::crash::MonitoredRun;
 use super::reachability::Reachability;
 use crate::call::body::CutOffError;
 use crate::call::upstream::PooledBody;
@@ -19,15 +20,33 @@
     /// Bytes that may still follow.
     left: u64,
     reachability: Arc<Reachability>,
+    /// The run, until the body has ended.
+    run: Option<MonitoredRun>,
 }
 
 impl Bounded {
-    pub(super) fn new(body: PooledBody, limit: u64, reachability: Arc<Reachability>) -> Self {
-        Bounded {
+    pub(super) fn new(
+        body: PooledBody,
+        limit: u64,
+        reachability: Arc<Reachability>,
+        run: MonitoredRun,
+    ) -> Self {
+        let mut bounded = Bounded {
             body,
             limit,
             left: limit,
             reachability,
+            run: Some(run),
+        };
+        bounded.end_if_complete();
+        bounded
+    }
+
+    fn end_if_complete(&mut self) {
+        if self.body.is_end_stream()
+            && let Some(run) = self.run.take()
+        {
+            run.complete();
         }
     }
 }
@@ -41,14 +60,27 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(cx));
-        if let Some(Ok(frame)) = &frame {
-            let len = frame.data_ref().map_or(0, Bytes::len) as u64;
-            let Some(left) = self.left.checked_sub(len) else {
-                let err = CutOffError::TooLong(self.limit);
-                self.reachability.mark_down(err);
-                return Poll::Ready(Some(Err(err.into())));
-            };
-            self.left = left;
+        match &frame {
+            Some(Ok(frame)) => {
+                let len = frame.data_ref().map_or(0, Bytes::len) as u64;
+                let Some(left) = self.left.checked_sub(len) else {
+                    let err = CutOffError::TooLong(self.limit);
+                    self.reachability.mark_down(err);
+                    return Poll::Ready(Some(Err(err.into())));
+                };
+                self.left = left;
+                self.end_if_complete();
+            }
+            Some(Err(_)) => {
+                if let Some(run) = self.run.take() {
+                    run.lose_body();
+                }
+            }
+            None => {
+                if let Some(run) = self.run.take() {
+                    run.complete();
+                }
+            }
         }
         Poll::Ready(frame)
     }
--- /dev/null
+++ b/src/role/inbound/crash.rs
@@ -0,0 +1,371 @@
+//! Detects that the backend server has ended while it ran calls, and limits the runs of suspects.
+
+use super::reachability::Reachability;
+use super::unavailable;
+use crate::backend::{Backend, Stage};
+use crate::call::fingerprint::Fingerprint;
+use crate::call::suspects::{Description, Verdict};
+use crate::call::upstream::BackendPool;
+use crate::call::{self, Refusal, RefusalReason};
+use crate::daemon::Daemon;
+use crate::event;
+use crate::quarantine::Quarantine;
+use crate::serve::Body;
+use crate::sync::lock;
+use http::{HeaderName, HeaderValue, Request, StatusCode, Uri};
+use std::collections::{BTreeSet, VecDeque};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Time limit for the connection that tells whether the backend server still listens.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Longest wait of a suspect for another one to end.
+const SUSPECT_WAIT: Duration = Duration::from_secs(1);
+
+/// Time after a lost run in which a new instance proves that it ended the previous one. A supervisor may
+/// restart a backend server before its absence is noticed.
+const REPLACED_WITHIN: Duration = Duration::from_secs(3);
+
+/// Maximum number of lost runs that wait for this.
+const MAX_LOST: usize = 64;
+
+/// Maximum number of requests that are known to have completed a run on the instance.
+const MAX_COMPLETED: usize = 4_096;
+
+/// Detects crashes of the backend server beside this daemon.
+pub(super) struct CrashMonitor {
+    /// The name of this daemon, which names the ends of a backend server that does not report.
+    daemon: String,
+    /// The header that states the calling service.
+    caller_name: HeaderName,
+    address: SocketAddr,
+    backend: watch::Receiver<Arc<Backend>>,
+    pool: BackendPool,
+    reachability: Arc<Reachability>,
+    quarantine: Arc<Quarantine>,
+    /// The permit of the suspect that runs.
+    suspect: Arc<Semaphore>,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    /// The instance that the other fields are about.
+    instance: Option<String>,
+    /// Requests that have completed a run on it, oldest first in `order`.
+    completed: BTreeSet<Fingerprint>,
+    order: VecDeque<Fingerprint>,
+    /// Runs that were lost while the backend server still listened.
+    lost: Vec<LostRun>,
+    /// The name of the last end of the backend server, until it responds again.
+    last_end: Option<String>,
+}
+
+struct LostRun {
+    request: Fingerprint,
+    description: Description,
+    at: Instant,
+}
+
+impl CrashMonitor {
+    pub(super) fn new(
+        daemon: &Daemon,
+        address: SocketAddr,
+        pool: BackendPool,
+        reachability: Arc<Reachability>,
+        quarantine: Arc<Quarantine>,
+    ) -> Arc<Self> {
+        Arc::new(CrashMonitor {
+            daemon: daemon.identity.name.clone(),
+            caller_name: daemon.names.calling_service(),
+            address,
+            backend: daemon.backend.subscribe(),
+            pool,
+            reachability,
+            quarantine,
+            suspect: Arc::new(Semaphore::new(1)),
+            state: Mutex::default(),
+        })
+    }
+
+    /// Creates the run of a request that has arrived, and records the crashes that earlier attempts of its call
+    /// have met, as the sender states them.
+    pub(super) fn start(
+        self: &Arc<Self>,
+        request: &Request<Body>,
+        fingerprint: Fingerprint,
+    ) -> MonitoredRun {
+        let headers = request.headers();
+        let run = MonitoredRun {
+            monitor: Arc::clone(self),
+            request: fingerprint,
+            caller: headers.get(&self.caller_name).cloned(),
+            uri: request.uri().clone(),
+            permit: None,
+            clears: false,
+        };
+        for instance in headers.get_all(call::CRASHED) {
+            if let Ok(instance) = instance.to_str() {
+                self.quarantine
+                    .record(fingerprint, &run.description(), instance);
+            }
+        }
+        run
+    }
+
+    /// Tests whether the backend server has ended, after a run was lost, and blames the run if so. Returns the
+    /// instance that ended.
+    async fn blame(&self, run: &MonitoredRun) -> Option<String> {
+        let backend = Arc::clone(&self.backend.borrow());
+        if backend.stage == Stage::Leaving {
+            return None;
+        }
+        let probe = timeout(PROBE_TIMEOUT, TcpStream::connect(self.address)).await;
+        let refused = |err: &std::io::Error| err.kind() == ErrorKind::ConnectionRefused;
+        if !matches!(&probe, Ok(Err(err)) if refused(err)) {
+            self.remember_lost(run, &backend);
+            return None;
+        }
+        self.pool.clear();
+        self.reachability
+            .mark_down("connection refused after a run was lost");
+        let instance = self.end_of(&backend);
+        if self.has_completed(run.request, &backend) {
+            return None;
+        }
+        self.quarantine
+            .record(run.request, &run.description(), &instance);
+        Some(instance)
+    }
+
+    /// Returns the name of the end of the backend server, the same for all runs that were lost by it.
+    fn end_of(&self, backend: &Backend) -> String {
+        let mut state = lock(&self.state);
+        let name = instance_name(backend).or_else(|| state.last_end.clone());
+        let name =
+            name.unwrap_or_else(|| format!("{}.{:016x}", self.daemon, rand::random::<u64>()));
+        if state.last_end.as_ref() != Some(&name) {
+            event!(BackendCrashed, instance = name);
+            state.last_end = Some(name.clone());
+        }
+        name
+    }
+
+    fn remember_lost(&self, run: &MonitoredRun, backend: &Backend) {
+        let mut state = lock(&self.state);
+        state.set_instance(instance_name(backend));
+        if state.lost.len() < MAX_LOST {
+            state.lost.push(LostRun {
+                request: run.request,
+                description: run.description(),
+                at: Instant::now(),
+            });
+        }
+    }
+
+    fn has_completed(&self, request: Fingerprint, backend: &Backend) -> bool {
+        let mut state = lock(&self.state);
+        state.set_instance(instance_name(backend));
+        state.completed.contains(&request)
+    }
+
+    fn note_completed(&self, request: Fingerprint) {
+        let backend = Arc::clone(&self.backend.borrow());
+        let mut state = lock(&self.state);
+        if state.last_end.take().is_some() {
+            state.forget_completed();
+        }
+        state.set_instance(instance_name(&backend));
+        if state.completed.insert(request) {
+            state.order.push_back(request);
+        }
+        if state.order.len() > MAX_COMPLETED
+            && let Some(oldest) = state.order.pop_front()
+        {
+            state.completed.remove(&oldest);
+        }
+        drop(state);
+        self.quarantine.clear(request);
+    }
+
+    /// Blames the lost runs of an instance that another one has replaced without leaving.
+    pub(super) async fn watch_instances(self: Arc<Self>) {
+        let mut backend = self.backend.clone();
+        let mut previous = Arc::clone(&backend.borrow_and_update());
+        while backend.changed().await.is_ok() {
+            let next = Arc::clone(&backend.borrow_and_update());
+            let is_replaced = instance_name(&previous) != instance_name(&next);
+            if is_replaced && previous.stage == Stage::Ready {
+                self.blame_lost(&previous);
+            }
+            previous = next;
+        }
+    }
+
+    fn blame_lost(&self, ended: &Backend) {
+        let Some(instance) = instance_name(ended) else {
+            return;
+        };
+        let lost = {
+            let mut state = lock(&self.state);
+            state.set_instance(Some(instance.clone()));
+            let mut lost = std::mem::take(&mut state.lost);
+            lost.retain(|run| {
+                run.at.elapsed() < REPLACED_WITHIN && !state.completed.contains(&run.request)
+            });
+            lost
+        };
+        for run in lost {
+            self.quarantine
+                .record(run.request, &run.description, &instance);
+        }
+    }
+}
+
+impl State {
+    fn forget_completed(&mut self) {
+        self.completed.clear();
+        self.order.clear();
+    }
+
+    /// Forgets what is known of another instance.
+    fn set_instance(&mut self, instance: Option<String>) {
+        if self.instance != instance {
+            *self = State {
+                instance,
+                ..State::default()
+            };
+        }
+    }
+}
+
+/// Returns a name of an instance that no other start has; `None` if the backend server does not report.
+fn instance_name(backend: &Backend) -> Option<String> {
+    let instance = backend.instance.as_ref()?;
+    Some(format!("{instance}.{}", backend.born_ms))
+}
+
+/// A run of a request on the backend server, from its arrival to the end of its response.
+pub(super) struct MonitoredRun {
+    monitor: Arc<CrashMonitor>,
+    request: Fingerprint,
+    /// The calling service.
+    caller: Option<HeaderValue>,
+    uri: Uri,
+    /// Held by a suspect.
+    permit: Option<OwnedSemaphorePermit>,
+    /// Whether a complete response proves that the request does not crash backend servers.
+    clears: bool,
+}
+
+impl MonitoredRun {
+    /// Admits the request: at once, as the only suspect, or not at all while it is held.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request is held or another suspect runs for too long; it was not run.
+    pub(super) async fn admit(
+        mut self,
+        daemon: &Daemon,
+        deadline: Instant,
+    ) -> Result<Self, Refusal> {
+        if self.verdict(daemon)? == Verdict::Free {
+            return Ok(self);
+        }
+        let until = deadline.min(Instant::now() + SUSPECT_WAIT);
+        let permit = Arc::clone(&self.monitor.suspect).acquire_owned();
+        let permit = timeout_at(until, permit).await;
+        self.set_permit(permit.ok().and_then(Result::ok))?;
+        self.verdict(daemon)?;
+        Ok(self)
+    }
+
+    /// Checks again, just before the request is sent, that it is not held and that no other suspect runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails otherwise; the request was not run.
+    pub(super) fn check(&mut self, daemon: &Daemon) -> Result<(), Refusal> {
+        if self.verdict(daemon)? == Verdict::Free {
+            return Ok(());
+        }
+        if self.permit.is_none() {
+            let permit = Arc::clone(&self.monitor.suspect).try_acquire_owned();
+            self.set_permit(permit.ok())?;
+        }
+        let description = self.description();
+        event!(
+            SuspectRuns,
+            content = format_args!("{:032x}", self.request.content),
+            caller = description.caller,
+            path = description.path,
+        );
+        Ok(())
+    }
+
+    fn set_permit(&mut self, permit: Option<OwnedSemaphorePermit>) -> Result<(), Refusal> {
+        self.permit = permit;
+        if self.permit.is_some() {
+            return Ok(());
+        }
+        Err(unavailable("another suspect runs", RefusalReason::Other))
+    }
+
+    fn verdict(&self, daemon: &Daemon) -> Result<Verdict, Refusal> {
+        let verdict = self.monitor.quarantine.verdict(daemon, self.request);
+        let Verdict::Held(time) = verdict else {
+            return Ok(verdict);
+        };
+        let description = self.description();
+        event!(
+            RequestHeld,
+            content = format_args!("{:032x}", self.request.content),
+            caller = description.caller,
+            path = description.path,
+            left_ms = time.as_millis(),
+        );
+        let reason = "backend servers have ended under this request";
+        let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+        Err(refusal
+            .with_retry_after(time)
+            .with_reason(RefusalReason::Quarantined))
+    }
+
+    fn description(&self) -> Description {
+        let caller = self.caller.as_ref().and_then(|caller| caller.to_str().ok());
+        Description {
+            caller: caller.unwrap_or_default().to_owned(),
+            path: self.uri.path().to_owned(),
+        }
+    }
+
+    /// Records the status of the response that has begun.
+    pub(super) fn set_status(&mut self, status: StatusCode) {
+        self.clears = !status.is_server_error();
+    }
+
+    /// Records that the response is complete.
+    pub(super) fn complete(mut self) {
+        self.permit = None;
+        if self.clears {
+            self.monitor.note_completed(self.request);
+        }
+    }
+
+    /// Records that the connection was lost before the response, and returns the instance that ended, if it
+    /// has.
+    pub(super) async fn lose(self) -> Option<String> {
+        self.monitor.blame(&self).await
+    }
+
+    /// Records that the connection was lost during the response.
+    pub(super) fn lose_body(self) {
+        tokio::spawn(async move { self.monitor.blame(&self).await });
+    }
+}
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -13,6 +13,7 @@
 use crate::kernel::{Plugin, RoleFuture};
 use crate::member::registry::MemberRegistry;
 use crate::platform::{self, Entry, KeyUpdate, PlatformError, PrefixWatcher, Swap};
+use crate::quarantine::Quarantine;
 use crate::settings::Distribution;
 use crate::tree::Tree;
 use crate::tree::actor::Message;
@@ -104,6 +105,7 @@
         let actor = tree.wait_started().await?;
         tree.wait_caught_up(daemon).await?;
         daemon.caught_up.store(true, Ordering::Relaxed);
+        Quarantine::of(daemon).wait_synced().await;
         actors.mark_unchanged();
         phases.mark_unchanged();
         backend.mark_unchanged();
@@ -128,6 +130,8 @@
     } else {
         entry.load_previous(daemon).await;
     }
+    // Others send calls as soon as this daemon is announced.
+    Quarantine::of(daemon).wait_synced().await;
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
     let mut failing_since = None;
     loop {
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -17,6 +17,7 @@
 use crate::kernel::{Plugin, RoleFuture};
 use crate::role::inbound;
 use crate::serve::{Body, serve_calls, streaming_body};
+use crate::sync::lock;
 use attempt::{Call, FailedAttempt, StopReason, classify_response, no_upstream};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -274,9 +275,11 @@
             let now = Instant::now();
             let mut retry_limits = call.retry_limits;
             retry_limits.replayable = call.body.is_replayable();
-            let failure = failed.failure;
+            let (failure, reason) = (failed.failure, failed.reason_code);
+            lock(&call.crashed).extend(failed.crashed.clone());
             let failed = more_uncertain(failed_before.take(), failed);
-            if call.daemon.drain.phase() >= Phase::Ending
+            if reason == RefusalReason::Quarantined
+                || call.daemon.drain.phase() >= Phase::Ending
                 || refusals > MAX_REFUSALS
                 || full_refusals >= MAX_FULL_REFUSALS
                 || !retry_limits.allows(now, attempts, failure)
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -14,10 +14,11 @@
 use crate::exchange::ExchangeState;
 use crate::resource::KeyRecord;
 use crate::serve::{Body, streaming_body};
+use crate::sync::lock;
 use crate::table::{RouteEntry, ServiceId};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::{Body as _, Incoming};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -66,6 +67,8 @@
     short_body: bool,
     /// The idempotency key, if an inbound side keeps a record of it.
     pub(super) key: Option<KeyId>,
+    /// The instances of backend servers that ended while they ran earlier attempts.
+    pub(super) crashed: Mutex<Vec<HeaderValue>>,
 }
 
 /// An attempt that did not yield the call's response.
@@ -74,6 +77,8 @@
     pub(super) reason_code: RefusalReason,
     /// The response to the caller when no other attempt follows.
     pub(super) response: Box<Response<Body>>,
+    /// The instance of the backend server that ended while it ran the attempt.
+    pub(super) crashed: Option<HeaderValue>,
 }
 
 /// Why waiting for an attempt was stopped.
@@ -134,6 +139,7 @@
             objective: entry.objective.map(|time| now + time),
             short_body: max_len.is_some_and(|len| len <= MAX_OFFERED_LEN),
             key,
+            crashed: Mutex::default(),
         })
     }
 
@@ -237,6 +243,9 @@
     /// Builds the request of an attempt.
     pub(super) fn request(&self, attempt: &Attempt) -> Result<Request<Body>, Refusal> {
         let mut head = self.head.clone();
+        for instance in &*lock(&self.crashed) {
+            head.headers.append(call::CRASHED, instance.clone());
+        }
         let value = HeaderValue::from_str(&attempt.to_string());
         let value = value.map_err(|err| Refusal::not_run(StatusCode::BAD_REQUEST, err))?;
         head.headers.insert(call::ATTEMPT, value);
@@ -263,6 +272,7 @@
             failure,
             reason_code,
             response,
+            crashed: None,
         }
     }
 
@@ -439,6 +449,7 @@
         let reason = "response belongs to another call";
         return Err(call.unknown(upstream, StatusCode::BAD_GATEWAY, reason));
     }
+    let crashed = response.headers_mut().remove(call::CRASHED);
     call::drop_reserved_headers(response.headers_mut(), &[call::OUTCOME]);
     let failure = match (outcome, response.status()) {
         (Some(Outcome::NotRun), _) if refusal_reason == RefusalReason::Shed => Failure::NotRun,
@@ -485,6 +496,7 @@
         failure,
         reason_code: refusal_reason,
         response,
+        crashed,
     })
 }
 
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -200,8 +200,10 @@
     /// the returned guard lives.
     #[must_use]
     pub fn supervise(&self, delay: Duration) -> Supervisor {
-        let mut backend = self.clone();
+        let current = Arc::new(Mutex::new(self.clone()));
+        let shared = Arc::clone(&current);
         let task = tokio::spawn(async move {
+            let mut backend = lock(&shared).clone();
             loop {
                 backend.stopped().await;
                 sleep(delay).await;
@@ -211,10 +213,14 @@
                 // The address may still be in use for a moment.
                 if let Ok(next) = next.await {
                     backend = next;
+                    *lock(&shared) = backend.clone();
                 }
             }
         });
-        Supervisor(task.abort_handle())
+        Supervisor {
+            current,
+            task: task.abort_handle(),
+        }
     }
 
     /// Returns the number of calls shed since the start.
@@ -237,11 +243,21 @@
 }
 
 /// Restarts a backend server until it is dropped.
-pub struct Supervisor(tokio::task::AbortHandle);
+pub struct Supervisor {
+    current: Arc<Mutex<Backend>>,
+    task: tokio::task::AbortHandle,
+}
+
+impl Supervisor {
+    /// Stops the backend server that runs now, as [`Backend::stop`] does.
+    pub fn stop(&self) {
+        lock(&self.current).stop();
+    }
+}
 
 impl Drop for Supervisor {
     fn drop(&mut self) {
-        self.0.abort();
+        self.task.abort();
     }
 }
 
--- a/standin/src/bench/calls/mesh.rs
+++ b/standin/src/bench/calls/mesh.rs
@@ -85,7 +85,27 @@
         let index = self.backends.len();
         let name = format!("{}-{index}", self.profile.service);
         let backend = Backend::start(&name, LOOPBACK, behaviour, self.run_log.clone()).await?;
-        let mut flags = self.flags(&name, self.profile.domain(index));
+        let flags = self.upstream_flags(index, &backend);
+        self.daemons.push(self.launcher.start(&flags).await?);
+        self.backends.push(backend);
+        Ok(())
+    }
+
+    /// Kills the daemon of a backend server, given by its index, and starts it again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be killed or started.
+    pub async fn restart(&mut self, index: usize) -> anyhow::Result<()> {
+        self.daemons[index].kill().await?;
+        let flags = self.upstream_flags(index, &self.backends[index]);
+        self.daemons[index] = self.launcher.start(&flags).await?;
+        Ok(())
+    }
+
+    fn upstream_flags(&self, index: usize, backend: &Backend) -> Vec<String> {
+        let name = &backend.name;
+        let mut flags = self.flags(name, self.profile.domain(index));
         flags.extend([
             "--service".into(),
             self.profile.service.into(),
@@ -94,9 +114,7 @@
             "--backend-health".into(),
             "/health".into(),
         ]);
-        self.daemons.push(self.launcher.start(&flags).await?);
-        self.backends.push(backend);
-        Ok(())
+        flags
     }
 
     /// Waits until every daemon has `count` members.
--- a/tests/crash_calls.rs
+++ b/tests/crash_calls.rs
@@ -119,8 +119,8 @@
     daemons.map(|daemon| daemon.outbound).collect()
 }
 
-/// Returns when the third backend server ended under a request.
-fn third_crash(runs: &[Run]) -> Instant {
+/// Returns when the third backend server ended under a request, if three did.
+fn third_crash(runs: &[Run]) -> Option<Instant> {
     let mut ends: Vec<Instant> = runs
         .iter()
         .filter_map(|run| run.ended)
@@ -128,20 +128,34 @@
         .map(|(at, _)| at)
         .collect();
     ends.sort();
-    ends[2]
+    ends.get(2).copied()
 }
 
-/// Returns the number of runs that started late enough to be known as harmful.
-fn late_runs(runs: &[Run]) -> usize {
-    let known = third_crash(runs) + KNOWN_AFTER;
-    runs.iter().filter(|run| run.started > known).count()
+/// Asserts that a request no longer ran once it was known as harmful, but for a few tries.
+fn assert_quarantined(request: Repeated, mesh: &Mesh) {
+    let runs = request.runs(mesh);
+    assert!(!runs.is_empty());
+    let Some(third) = third_crash(&runs) else {
+        return;
+    };
+    let late = runs.iter().filter(|run| run.started > third + KNOWN_AFTER);
+    let late = late.count();
+    assert!(late <= MAX_LATE_RUNS, "{late} of {} runs", runs.len());
 }
 
-/// Returns the share of calls sent from `from` on that were served, in percent.
-fn served_percent(calls: &[(Instant, Option<StatusCode>)], from: Instant) -> usize {
+/// Asserts that of the calls sent from `from` on, at least `percent` were served.
+fn assert_served(calls: &[(Instant, Option<StatusCode>)], from: Instant, percent: usize) {
     let later: Vec<_> = calls.iter().filter(|(sent, _)| *sent > from).collect();
     let served = later.iter().filter(|(_, s)| *s == Some(StatusCode::OK));
-    100 * served.count() / later.len().max(1)
+    let failed = later.iter().filter(|(_, s)| *s != Some(StatusCode::OK));
+    let failed: Vec<_> = failed
+        .map(|(sent, status)| (*sent - from, status))
+        .collect();
+    assert!(
+        100 * served.count() >= percent * later.len(),
+        "of {} calls: {failed:?}",
+        later.len()
+    );
 }
 
 /// Guards against a request that ends every backend server of its service again and again, since nothing
@@ -154,8 +168,91 @@
     let harmless = HARMLESS.repeat(&addresses(&mesh), 40, time);
     crashing.await.unwrap();
     let harmless = harmless.await.unwrap();
+    assert_quarantined(CRASHING, &mesh);
+    let third = third_crash(&CRASHING.runs(&mesh)).unwrap();
+    assert_served(&harmless, third + KNOWN_AFTER, 95);
+}
+
+/// Two requests that end backend servers, one of them with a body and not idempotent, at the same time.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_two_requests() {
+    let (mesh, _supervisors) = start(4).await;
+    let other = Repeated {
+        method: "POST",
+        path: "/certs/issue/crash",
+        body: "serial",
+        id: "issue-",
+    };
+    let time = Duration::from_secs(10);
+    let requests = [CRASHING, other].map(|request| (request, addresses(&mesh)));
+    let calls = requests.map(|(request, addresses)| request.repeat(&addresses, 20, time));
+    for calls in calls {
+        calls.await.unwrap();
+    }
+    for request in [CRASHING, other] {
+        assert_quarantined(request, &mesh);
+    }
+}
+
+/// Guards against one call that ends one backend server after another by its retries.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_single_call() {
+    let (mesh, _supervisors) = start(4).await;
+    let address = mesh.entries[0].outbound;
+    let response = CRASHING.send(address, 0).await.unwrap();
+    // It has run, so the response must not state otherwise.
+    assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
     let runs = CRASHING.runs(&mesh);
-    assert!(late_runs(&runs) <= MAX_LATE_RUNS, "{}", late_runs(&runs));
-    let restored = third_crash(&runs) + KNOWN_AFTER;
-    assert!(served_percent(&harmless, restored) >= 95);
+    assert!(runs.len() <= 2, "{}", runs.len());
+    // The next copy is refused at once, as not run, with the time when to come back.
+    let response = CRASHING.send(mesh.entries[1].outbound, 1).await.unwrap();
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(response.headers()["x-baobab-outcome"], "not-run");
+    assert!(response.headers().contains_key("retry-after"));
+    assert_eq!(mesh.run_log.runs("crashing-1"), 0);
+}
+
+/// Guards against daemons that forget a crashing request when they restart, one after another.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_daemons_restarted() {
+    let (mut mesh, _supervisors) = start(4).await;
+    let entries: Vec<_> = mesh.entries.iter().map(|entry| entry.outbound).collect();
+    CRASHING
+        .repeat(&entries, 40, Duration::from_secs(3))
+        .await
+        .unwrap();
+    let crashing = CRASHING.repeat(&entries, 40, Duration::from_secs(12));
+    for index in 0..mesh.daemons.len() {
+        mesh.restart(index).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+    crashing.await.unwrap();
+    assert_quarantined(CRASHING, &mesh);
+}
+
+/// A popular harmless request is in progress at all backend servers when they end, three times in a row, and is
+/// still served each time they are back.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_waves_popular_request() {
+    let (mesh, supervisors) = start(4).await;
+    let time = Duration::from_secs(13);
+    let started = Instant::now();
+    let harmless = HARMLESS.repeat(&addresses(&mesh), 80, time);
+    let mut back = Vec::new();
+    for wave in 1..=3 {
+        tokio::time::sleep_until(started + Duration::from_secs(4 * wave - 2)).await;
+        supervisors.iter().for_each(Supervisor::stop);
+        back.push(Instant::now() + RESTART_TIME + Duration::from_secs(1));
+    }
+    let calls = harmless.await.unwrap();
+    for from in back {
+        // The next wave cuts off the calls that are in progress then.
+        let until = from + Duration::from_millis(1_800);
+        let wave: Vec<_> = calls
+            .iter()
+            .filter(|(sent, _)| *sent < until)
+            .copied()
+            .collect();
+        assert_served(&wave, from, 98);
+    }
 }
