Let operators list quarantined requests and release one

GET /v1/quarantine and DELETE /v1/quarantine/HASH, at any daemon of the service; also where the configuration is managed externally.

--- a/src/role/operator.rs
+++ b/src/role/operator.rs
@@ -8,8 +8,10 @@
 mod watch;
 
 use crate::daemon::{Daemon, Phase};
+use crate::error::{Category, Error};
 use crate::event;
 use crate::kernel::{Plugin, RoleFuture};
+use crate::quarantine::Quarantine;
 use crate::serve::{Body, serve};
 use crate::site::Source;
 use http::request::Parts;
@@ -88,6 +90,7 @@
     }
     if let Source::External(external) = &daemon.source
         && head.method != Method::GET
+        && endpoint.is_configuration()
     {
         return Err(ApiError::externally_managed(&external.key));
     }
@@ -107,9 +110,22 @@
         },
         Endpoint::Change(id) => status::get(daemon, &id, &query).await,
         Endpoint::Revert(id) => changes::revert(daemon, id, &query).await,
+        Endpoint::Quarantine => Ok(reply::json(&Quarantine::of(daemon).state())),
+        Endpoint::Quarantined(content) => release(daemon, content),
     }
 }
 
+/// Lets a request run again under which backend servers have ended.
+fn release(daemon: &Daemon, content: u128) -> Result<Response<Body>, ApiError> {
+    if Quarantine::of(daemon).release(content) {
+        return Ok(reply::json(
+            &json!({ "released": format!("{content:032x}") }),
+        ));
+    }
+    let message = format!("request {content:032x} is not suspected at this daemon");
+    Err(Error::new(Category::Missing, message).into())
+}
+
 async fn post_change(
     daemon: &Arc<Daemon>,
     head: &Parts,
--- a/src/role/operator/request.rs
+++ b/src/role/operator/request.rs
@@ -28,6 +28,10 @@
     Change(String),
     /// The revert of a change, by the change's id.
     Revert(String),
+    /// The requests under which backend servers have ended.
+    Quarantine,
+    /// One of them, by its content hash.
+    Quarantined(u128),
 }
 
 impl Endpoint {
@@ -54,6 +58,8 @@
             ["v1", "changes"] => Ok(Endpoint::Changes),
             ["v1", "changes", id] => Ok(Endpoint::Change(change_id(id)?)),
             ["v1", "changes", id, "revert"] => Ok(Endpoint::Revert(change_id(id)?)),
+            ["v1", "quarantine"] => Ok(Endpoint::Quarantine),
+            ["v1", "quarantine", hash] => Ok(Endpoint::Quarantined(content_hash(hash)?)),
             _ => {
                 let message = format!("path {path:?} is not part of this API");
                 Err(Error::new(Category::Missing, message).into())
@@ -64,9 +70,12 @@
     /// Returns the supported methods, as written in the `Allow` header.
     pub fn allow(&self) -> &'static str {
         match self {
-            Endpoint::Version | Endpoint::Resources(_) | Endpoint::Watch | Endpoint::Change(_) => {
-                "GET"
-            }
+            Endpoint::Version
+            | Endpoint::Resources(_)
+            | Endpoint::Watch
+            | Endpoint::Change(_)
+            | Endpoint::Quarantine => "GET",
+            Endpoint::Quarantined(_) => "DELETE",
             Endpoint::Resource(_) => "GET, PUT, DELETE",
             Endpoint::Changes => "GET, POST",
             Endpoint::Revert(_) => "POST",
@@ -78,10 +87,18 @@
         self.allow().split(", ").any(|allowed| method == allowed)
     }
 
+    /// Tests whether the endpoint concerns the configuration.
+    pub fn is_configuration(&self) -> bool {
+        !matches!(self, Endpoint::Quarantine | Endpoint::Quarantined(_))
+    }
+
     /// Returns the names of the supported query parameters.
     pub fn parameters(&self) -> &'static [&'static str] {
         match self {
-            Endpoint::Version | Endpoint::Resources(_) => &[],
+            Endpoint::Version
+            | Endpoint::Resources(_)
+            | Endpoint::Quarantine
+            | Endpoint::Quarantined(_) => &[],
             Endpoint::Resource(_) => &["change"],
             Endpoint::Watch => &["kind", "name"],
             Endpoint::Changes => &["check", "limit"],
@@ -97,6 +114,12 @@
     kind.map_err(|err| ApiError::from(err).with_status(StatusCode::NOT_FOUND))
 }
 
+/// Parses the hash of a request's content, as the state dump and the log write it.
+fn content_hash(text: &str) -> Result<u128, ApiError> {
+    let hash = u128::from_str_radix(text, 16);
+    hash.map_err(|err| Error::new(Category::Input, format!("hash {text:?}: {err}")).into())
+}
+
 fn change_id(id: &str) -> Result<String, ApiError> {
     check::name("change", "id", id)?;
     Ok(id.to_owned())
