--- a/src/call/suspects.rs
+++ b/src/call/suspects.rs
@@ -146,6 +146,14 @@
         copies.flat_map(|(_, suspect)| suspect.active()).count()
     }
 
+    /// Tests whether a request has had crashes enough to be held, cleared ones included.
+    #[must_use]
+    pub fn has_been_held(&self, content: u128) -> bool {
+        let copies = self.copies(content);
+        let crashes = copies.map(|(_, suspect)| suspect.crashes.len());
+        crashes.sum::<usize>() >= HELD_FROM
+    }
+
     /// Tests whether a backend server has ended under a request of this caller.
     #[must_use]
     pub fn is_suspected(&self, request: Fingerprint) -> bool {
--- a/src/event.rs
+++ b/src/event.rs
@@ -93,6 +93,7 @@
     BackendCrashed = 417, Warn, "This daemon's backend server ended while it ran calls.";
     CrashReportFailed = 418, Debug, "A report of crashes could not be exchanged with another daemon.";
     SuspectsReceived = 419, Info, "The records of crashes were received from another daemon at start.";
+    SuspectsUnsaved = 420, Warn, "A record of crashes could not be read from the platform or written to it.";
 
     CallRefused = 500, Info, "A call was refused; it was not run.";
     CallUnknown = 501, Warn, "A call ended without a known outcome.";
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -36,7 +36,9 @@
     suspects: Mutex<Suspects>,
     /// Requests whose records have changed here and were not reported to the other daemons yet.
     unreported: Mutex<BTreeSet<Fingerprint>>,
-    /// Counts the changes of `unreported`.
+    /// Requests that are or were held, whose records have changed here and were not stored in the platform yet.
+    unsaved: Mutex<BTreeSet<Fingerprint>>,
+    /// Counts the changes of `unreported` and `unsaved`.
     reports: watch::Sender<u64>,
     /// When a record last changed, here or by a report.
     changed: Mutex<Option<Instant>>,
@@ -153,6 +155,30 @@
         })
     }
 
+    /// Takes the requests whose records are to be stored in the platform.
+    #[must_use]
+    pub fn take_unsaved(&self) -> Vec<(Fingerprint, wire::CrashRecord)> {
+        let unsaved = std::mem::take(&mut *lock(&self.unsaved));
+        let suspects = lock(&self.suspects);
+        let now = Instant::now();
+        let records = unsaved.into_iter();
+        let records = records.filter_map(|key| Some((key, suspects.record_of(now, key)?)));
+        records.collect()
+    }
+
+    /// Puts a request back whose record could not be stored.
+    pub fn mark_unsaved(&self, request: Fingerprint) {
+        lock(&self.unsaved).insert(request);
+    }
+
+    /// Merges records that were stored in the platform.
+    pub fn restore(&self, records: Vec<wire::CrashRecord>) {
+        self.merge(wire::CrashReport {
+            records,
+            ..wire::CrashReport::default()
+        });
+    }
+
     /// Forgets old records. Returns whether any is left, and how long ago one last changed.
     #[must_use]
     pub fn expire(&self) -> Option<Duration> {
@@ -240,6 +266,9 @@
     /// Schedules the report of a request's record.
     fn report(&self, request: Fingerprint) {
         *lock(&self.changed) = Some(Instant::now());
+        if lock(&self.suspects).has_been_held(request.content) {
+            self.mark_unsaved(request);
+        }
         lock(&self.unreported).insert(request);
         self.reports.send_modify(|count| *count += 1);
     }
--- a/src/role/quarantine.rs
+++ b/src/role/quarantine.rs
@@ -1,5 +1,7 @@
 //! The role that spreads the records of crashes among the daemons of a service.
 
+mod saved;
+
 use crate::daemon::{Daemon, Phase};
 use crate::event;
 use crate::exchange::ExchangeState;
@@ -45,18 +47,22 @@
 fn run(daemon: Arc<Daemon>) -> RoleFuture {
     Box::pin(async move {
         let quarantine = Quarantine::of(&daemon);
-        if daemon.settings.backend.is_none() {
+        let Some(backend) = &daemon.settings.backend else {
             quarantine.mark_synced();
             daemon.drain.reached(Phase::Stopped).await;
             return Ok(());
-        }
+        };
         // No daemon has records when all start for the first time.
         if !daemon.settings.first_start && !quarantine.is_synced() {
-            sync(&daemon, &quarantine).await;
+            tokio::join!(
+                saved::load(&daemon, &backend.service, &quarantine),
+                sync(&daemon, &quarantine)
+            );
         }
         quarantine.mark_synced();
         tokio::select! {
             () = report(&daemon, &quarantine) => {}
+            () = saved::save(&daemon, &backend.service, &quarantine) => {}
             () = compare(&daemon, &quarantine) => {}
             () = daemon.drain.reached(Phase::Stopped) => {}
         }
--- a/standin/src/bench/calls/mesh.rs
+++ b/standin/src/bench/calls/mesh.rs
@@ -103,6 +103,22 @@
         Ok(())
     }
 
+    /// Kills the daemons of all backend servers at once, and starts them again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot be killed or started.
+    pub async fn restart_all(&mut self) -> anyhow::Result<()> {
+        for daemon in &mut self.daemons {
+            daemon.kill().await?;
+        }
+        for index in 0..self.daemons.len() {
+            let flags = self.upstream_flags(index, &self.backends[index]);
+            self.daemons[index] = self.launcher.start(&flags).await?;
+        }
+        Ok(())
+    }
+
     fn upstream_flags(&self, index: usize, backend: &Backend) -> Vec<String> {
         let name = &backend.name;
         let mut flags = self.flags(name, self.profile.domain(index));
--- a/tests/crash_calls.rs
+++ b/tests/crash_calls.rs
@@ -256,3 +256,43 @@
         assert_served(&wave, from, 98);
     }
 }
+
+/// Guards against a crashing request that is forgotten when all daemons of its service end at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_all_daemons_killed() {
+    let (mut mesh, _supervisors) = start(4).await;
+    let entries: Vec<_> = mesh.entries.iter().map(|entry| entry.outbound).collect();
+    let storm = CRASHING.repeat(&entries, 40, Duration::from_secs(4));
+    storm.await.unwrap();
+    mesh.restart_all().await.unwrap();
+    let storm = CRASHING.repeat(&entries, 40, Duration::from_secs(8));
+    storm.await.unwrap();
+    assert_quarantined(CRASHING, &mesh);
+}
+
+/// An operator lets a held request run again, by any daemon of the service.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_released_by_operator() {
+    let (mesh, _supervisors) = start(4).await;
+    let address = mesh.entries[0].outbound;
+    for number in 0..2 {
+        CRASHING.send(address, number).await.unwrap();
+    }
+    let operator = mesh.daemons[0].operator;
+    let response = caller::get(operator, "/v1/quarantine").await.unwrap();
+    let suspects: serde_json::Value = serde_json::from_slice(response.body()).unwrap();
+    let hash = suspects[0]["request"].as_str().unwrap().to_owned();
+    assert_eq!(suspects[0]["path"], CRASHING.path);
+    assert_eq!(suspects[0]["held"], true);
+    let release = || {
+        let request = Request::delete(format!("/v1/quarantine/{hash}")).header("host", "operator");
+        caller::call(operator, request.body(Full::default()).unwrap())
+    };
+    assert_eq!(release().await.unwrap().status(), StatusCode::OK);
+    assert_eq!(release().await.unwrap().status(), StatusCode::NOT_FOUND);
+    let before = CRASHING.runs(&mesh).len();
+    // Until the report has reached the other daemons.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    CRASHING.send(address, 9).await.unwrap();
+    assert!(CRASHING.runs(&mesh).len() > before);
+}
