--- a/src/call/fingerprint.rs
+++ b/src/call/fingerprint.rs
@@ -45,6 +45,15 @@
         Fingerprint::of_caller(hasher.digest128(), caller)
     }
 
+    /// Returns a shorter hash, for a set where a rare collision does no harm.
+    #[must_use]
+    pub fn short(self) -> u64 {
+        // The lower half of a hash is a hash.
+        #[allow(clippy::cast_possible_truncation)]
+        let content = self.content as u64;
+        content ^ self.caller
+    }
+
     /// Combines a content hash with a caller's name.
     #[must_use]
     pub fn of_caller(content: u128, caller: &str) -> Self {
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -84,8 +84,14 @@
         lock(&self.suspects).verdict(Instant::now(), request, earlier)
     }
 
-    /// Records that an instance ended while it ran a request, for this daemon to report.
-    pub fn record(&self, request: Fingerprint, description: &Description, instance: &str) {
+    /// Records that an instance ended while it ran a request with this id, for this daemon to report.
+    pub fn record(
+        &self,
+        request: Fingerprint,
+        id: &str,
+        description: &Description,
+        instance: &str,
+    ) {
         let mut suspects = lock(&self.suspects);
         if !suspects.record(Instant::now(), request, description, instance) {
             return;
@@ -94,6 +100,7 @@
         drop(suspects);
         event!(
             RequestSuspected,
+            request = id,
             content = format_args!("{:032x}", request.content),
             caller = description.caller,
             path = description.path,
--- a/src/role/inbound/crash.rs
+++ b/src/role/inbound/crash.rs
@@ -36,12 +36,14 @@
 const MAX_LOST: usize = 64;
 
 /// Maximum number of requests that are known to have completed a run on the instance.
-const MAX_COMPLETED: usize = 4_096;
+const MAX_COMPLETED: usize = 1_024;
 
 /// Detects crashes of the backend server beside this daemon.
 pub(super) struct CrashMonitor {
     /// The name of this daemon, which names the ends of a backend server that does not report.
     daemon: String,
+    /// The header of the request id.
+    id_name: HeaderName,
     /// The header that states the calling service.
     caller_name: HeaderName,
     address: SocketAddr,
@@ -56,11 +58,11 @@
 
 #[derive(Default)]
 struct State {
-    /// The instance that the other fields are about.
-    instance: Option<String>,
-    /// Requests that have completed a run on it, oldest first in `order`.
-    completed: BTreeSet<Fingerprint>,
-    order: VecDeque<Fingerprint>,
+    /// The instance that the other fields are about, and its start time.
+    instance: (Option<String>, u64),
+    /// Hashes of the requests that have completed a run on it, oldest first in `order`.
+    completed: BTreeSet<u64>,
+    order: VecDeque<u64>,
     /// Runs that were lost while the backend server still listened.
     lost: Vec<LostRun>,
     /// The name of the last end of the backend server, until it responds again.
@@ -69,6 +71,7 @@
 
 struct LostRun {
     request: Fingerprint,
+    id: String,
     description: Description,
     at: Instant,
 }
@@ -83,6 +86,7 @@
     ) -> Arc<Self> {
         Arc::new(CrashMonitor {
             daemon: daemon.identity.name.clone(),
+            id_name: daemon.names.request.clone(),
             caller_name: daemon.names.calling_service(),
             address,
             backend: daemon.backend.subscribe(),
@@ -105,6 +109,7 @@
         let run = MonitoredRun {
             monitor: Arc::clone(self),
             request: fingerprint,
+            id: headers.get(&self.id_name).cloned(),
             caller: headers.get(&self.caller_name).cloned(),
             uri: request.uri().clone(),
             permit: None,
@@ -113,7 +118,7 @@
         for instance in headers.get_all(call::CRASHED) {
             if let Ok(instance) = instance.to_str() {
                 self.quarantine
-                    .record(fingerprint, &run.description(), instance);
+                    .record(fingerprint, run.id(), &run.description(), instance);
             }
         }
         run
@@ -140,7 +145,7 @@
             return None;
         }
         self.quarantine
-            .record(run.request, &run.description(), &instance);
+            .record(run.request, run.id(), &run.description(), &instance);
         Some(instance)
     }
 
@@ -159,10 +164,11 @@
 
     fn remember_lost(&self, run: &MonitoredRun, backend: &Backend) {
         let mut state = lock(&self.state);
-        state.set_instance(instance_name(backend));
+        state.set_instance(backend);
         if state.lost.len() < MAX_LOST {
             state.lost.push(LostRun {
                 request: run.request,
+                id: run.id().to_owned(),
                 description: run.description(),
                 at: Instant::now(),
             });
@@ -171,8 +177,8 @@
 
     fn has_completed(&self, request: Fingerprint, backend: &Backend) -> bool {
         let mut state = lock(&self.state);
-        state.set_instance(instance_name(backend));
-        state.completed.contains(&request)
+        state.set_instance(backend);
+        state.completed.contains(&request.short())
     }
 
     fn note_completed(&self, request: Fingerprint) {
@@ -181,9 +187,9 @@
         if state.last_end.take().is_some() {
             state.forget_completed();
         }
-        state.set_instance(instance_name(&backend));
-        if state.completed.insert(request) {
-            state.order.push_back(request);
+        state.set_instance(&backend);
+        if state.completed.insert(request.short()) {
+            state.order.push_back(request.short());
         }
         if state.order.len() > MAX_COMPLETED
             && let Some(oldest) = state.order.pop_front()
@@ -214,16 +220,17 @@
         };
         let lost = {
             let mut state = lock(&self.state);
-            state.set_instance(Some(instance.clone()));
+            state.set_instance(ended);
             let mut lost = std::mem::take(&mut state.lost);
             lost.retain(|run| {
-                run.at.elapsed() < REPLACED_WITHIN && !state.completed.contains(&run.request)
+                let recent = run.at.elapsed() < REPLACED_WITHIN;
+                recent && !state.completed.contains(&run.request.short())
             });
             lost
         };
         for run in lost {
             self.quarantine
-                .record(run.request, &run.description, &instance);
+                .record(run.request, &run.id, &run.description, &instance);
         }
     }
 }
@@ -235,10 +242,10 @@
     }
 
     /// Forgets what is known of another instance.
-    fn set_instance(&mut self, instance: Option<String>) {
-        if self.instance != instance {
+    fn set_instance(&mut self, backend: &Backend) {
+        if self.instance.0 != backend.instance || self.instance.1 != backend.born_ms {
             *self = State {
-                instance,
+                instance: (backend.instance.clone(), backend.born_ms),
                 ..State::default()
             };
         }
@@ -255,6 +262,8 @@
 pub(super) struct MonitoredRun {
     monitor: Arc<CrashMonitor>,
     request: Fingerprint,
+    /// The request id.
+    id: Option<HeaderValue>,
     /// The calling service.
     caller: Option<HeaderValue>,
     uri: Uri,
@@ -302,6 +311,7 @@
         let description = self.description();
         event!(
             SuspectRuns,
+            request = self.id(),
             content = format_args!("{:032x}", self.request.content),
             caller = description.caller,
             path = description.path,
@@ -325,6 +335,7 @@
         let description = self.description();
         event!(
             RequestHeld,
+            request = self.id(),
             content = format_args!("{:032x}", self.request.content),
             caller = description.caller,
             path = description.path,
@@ -337,6 +348,11 @@
             .with_reason(RefusalReason::Quarantined))
     }
 
+    fn id(&self) -> &str {
+        let id = self.id.as_ref().and_then(|id| id.to_str().ok());
+        id.unwrap_or_default()
+    }
+
     fn description(&self) -> Description {
         let caller = self.caller.as_ref().and_then(|caller| caller.to_str().ok());
         Description {
