--- a/tests/crash_soak.rs
+++ b/tests/crash_soak.rs
@@ -1,7 +1,7 @@
 //! Requests that end backend servers, under random restarts and pauses of daemons and random ends of backend
 //! servers.
 //!
-//! `BAOBAB_SOAK_SEED` sets the first seed and `BAOBAB_SOAK_RUNS` the number of runs.
+//! `CRASH_SOAK_SEED` sets the first seed and `CRASH_SOAK_RUNS` the number of runs.
 
 #[path = "support/repeated.rs"]
 mod repeated;
@@ -91,8 +91,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn crash_random_faults() {
-    let first = number("BAOBAB_SOAK_SEED", 1);
-    for seed in first..first + number("BAOBAB_SOAK_RUNS", 1) {
+    let first = number("CRASH_SOAK_SEED", 1);
+    for seed in first..first + number("CRASH_SOAK_RUNS", 1) {
         run(seed).await;
     }
 }
