Compare records of crashes with the first peer known, and drop stale lost runs

Found by reading. A daemon that starts while the platform is away knows no member, so it took itself for synced and compared its records only once it had some of its own; it now compares as soon as it knows a daemon of the service. Runs lost without a crash filled a list of 64 for good, after which the quick restart of a backend server was no longer noticed; they are dropped after 3 s. No test brings these two to failure.

--- a/src/role/inbound/crash.rs
+++ b/src/role/inbound/crash.rs
@@ -165,6 +165,9 @@
     fn remember_lost(&self, run: &MonitoredRun, backend: &Backend) {
         let mut state = lock(&self.state);
         state.set_instance(backend);
+        state
+            .lost
+            .retain(|lost| lost.at.elapsed() < REPLACED_WITHIN);
         if state.lost.len() < MAX_LOST {
             state.lost.push(LostRun {
                 request: run.request,
--- a/src/role/quarantine.rs
+++ b/src/role/quarantine.rs
@@ -137,22 +137,23 @@
     }
 }
 
-/// Compares the records with those of random daemons of the service, as long as there are any.
+/// Compares the records with those of random daemons of the service: once, since none may have been known at
+/// start, and then as long as there are records.
 async fn compare(daemon: &Daemon, quarantine: &Quarantine) {
-    let mut compared = Instant::now();
+    let mut compared: Option<Instant> = None;
     loop {
         sleep(jitter_around(COMPARE_INTERVAL)).await;
-        let Some(age) = quarantine.expire() else {
+        let age = quarantine.expire();
+        let is_due = compared.is_none_or(|at| match age {
+            None => false,
+            Some(age) => age <= NEW_TIME || at.elapsed() >= IDLE_COMPARE_INTERVAL,
+        });
+        let Some((name, address)) = random_peer(daemon).filter(|_| is_due) else {
             continue;
         };
-        if age > NEW_TIME && compared.elapsed() < IDLE_COMPARE_INTERVAL {
-            continue;
-        }
-        compared = Instant::now();
-        if let Some((name, address)) = random_peer(daemon)
-            && let Err(err) = quarantine.compare(address, RESPONSE_TIMEOUT).await
-        {
-            event!(CrashReportFailed, peer = name, error = err);
+        match quarantine.compare(address, RESPONSE_TIMEOUT).await {
+            Ok(()) => compared = Some(Instant::now()),
+            Err(err) => event!(CrashReportFailed, peer = name, error = err),
         }
     }
 }
