--- a/tests/crash_calls.rs
+++ b/tests/crash_calls.rs
@@ -160,3 +160,16 @@
     CRASHING.send(address, 9).await.unwrap();
     assert!(CRASHING.runs(&mesh).len() > before);
 }
+
+/// Guards against a harmless request that is refused for minutes, since its first runs were in progress at all
+/// backend servers when these ended at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_first_runs_of_popular_request() {
+    let (mesh, supervisors) = start(4).await;
+    let harmless = HARMLESS.repeat(&addresses(&mesh), 200, Duration::from_secs(12));
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    supervisors.iter().for_each(Supervisor::stop);
+    // The backend servers are back, and the request can have been tried by several daemons.
+    let again = Instant::now() + Duration::from_secs(8);
+    assert_served(&harmless.await.unwrap(), again, 95);
+}
