Continue calls at the daemon that has replaced an upstream

Callers: after all daemons had lost power, calls were refused for about two seconds.

Cause: a daemon that starts lists the entries of the processes before. The daemon at such an address says in its response to a hello that it is another incarnation; that was thrown away and counted as a failed attempt. After four of them the call was refused, and upstreams were ejected.

Change: the response to a hello for another incarnation carries the member record. It is merged like any record, the connection is kept for the new incarnation, and the call chooses again without an attempt, a retry or an ejection. A daemon that starts exchanges with three peers within half a second, so that others learn of it before its first regular exchange.

--- a/src/call.rs
+++ b/src/call.rs
@@ -45,7 +45,8 @@
 /// status.
 pub const FENCE: HeaderName = HeaderName::from_static("x-baobab-fence");
 
-/// Queries an inbound side's incarnation and clock; the response carries both.
+/// Queries an inbound side's incarnation and clock; the response carries both. The value is the
+/// incarnation that the sender expects; if another one answers, the body is its member record.
 pub const HELLO: HeaderName = HeaderName::from_static("x-baobab-hello");
 
 /// Queries whether an inbound side has a record of an idempotency key; `1` in the response if so,
--- a/src/call/metrics.rs
+++ b/src/call/metrics.rs
@@ -5,9 +5,15 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
+use tokio::time::Instant;
+
+/// The outcome of a call to which the backend server responded.
+pub const ANSWERED: &str = "answered";
 
 /// Upper bounds of the buckets, in seconds: from the overhead of a daemon to the longest timeouts.
 const BUCKETS: [f64; 12] = [
@@ -40,6 +46,9 @@
 pub struct OutboundMetrics {
     calls: LatencyFamily,
     attempts: Family<OutcomeLabel, Counter>,
+    created: Instant,
+    /// The time from the start until the first call was answered, in seconds; zero before.
+    first_answer: Gauge<f64, AtomicU64>,
 }
 
 impl Default for OutboundMetrics {
@@ -47,6 +56,8 @@
         OutboundMetrics {
             calls: latency_family(),
             attempts: Family::default(),
+            created: Instant::now(),
+            first_answer: Gauge::default(),
         }
     }
 }
@@ -57,6 +68,9 @@
     pub fn note_call(&self, outcome: &'static str, response_time: Duration) {
         let histogram = self.calls.get_or_create(&OutcomeLabel { outcome });
         histogram.observe(response_time.as_secs_f64());
+        if outcome == ANSWERED && self.first_answer.get() == 0.0 {
+            self.first_answer.set(self.created.elapsed().as_secs_f64());
+        }
     }
 
     /// Records an attempt that did not yield the complete response to its call.
@@ -76,6 +90,9 @@
         registry.register_with_unit("call", help, Unit::Seconds, self.calls.clone());
         let help = "Attempts that were not the answer to their calls, by outcome";
         registry.register("attempt_failures", help, self.attempts.clone());
+        let help = "Time from the start until the first call was answered; zero before";
+        let gauge = self.first_answer.clone();
+        registry.register_with_unit("first_answer", help, Unit::Seconds, gauge);
     }
 }
 
@@ -101,7 +118,7 @@
     /// response began, and whether that was a server error.
     pub fn note_run(&self, waited: Duration, service_time: Duration, failed: bool) {
         self.queue.observe(waited.as_secs_f64());
-        let outcome = if failed { "failed" } else { "answered" };
+        let outcome = if failed { "failed" } else { ANSWERED };
         let histogram = self.backend.get_or_create(&OutcomeLabel { outcome });
         histogram.observe(service_time.as_secs_f64());
     }
--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -3,14 +3,17 @@
 use super::{
     FENCE, HELLO, KEY_KNOWN, attempt::Attempt, fence::ExecutionStatus, idempotency::KeyId,
 };
+use crate::generated::mesh as wire;
 use crate::serve::{Body, BodyError, full_body};
 use crate::sync::lock;
+use crate::transfer::receive;
 use arc_swap::ArcSwapOption;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::{http1, http2};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use prost::Message as _;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -47,6 +50,9 @@
 /// Greatest length of the head of a server's response, in bytes.
 const MAX_HEAD_LEN: usize = 64 * 1024;
 
+/// Greatest length of a member record in the response to a hello, in bytes.
+const MAX_RECORD_LEN: usize = 16 * 1024;
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// How long before the end of a server's keep-alive timeout an idle connection is discarded.
@@ -66,6 +72,17 @@
     Endless(SocketAddr),
 }
 
+/// The reason for which a [`Link`] cannot send.
+#[derive(Debug, Error)]
+pub enum LinkError {
+    /// The daemon cannot be reached.
+    #[error(transparent)]
+    Unreachable(#[from] UpstreamError),
+    /// Another incarnation of the daemon answers, whose record this is.
+    #[error("another incarnation answers: {}", .0.incarnation)]
+    Replaced(Box<wire::Member>),
+}
+
 async fn connect(
     address: SocketAddr,
     limit: Duration,
@@ -360,6 +377,8 @@
     address: SocketAddr,
     incarnation: u64,
     session: ArcSwapOption<Session>,
+    /// The daemon that has replaced the one that this link is for, once a hello has shown it.
+    successor: Mutex<Option<Successor>>,
     /// Held while a connection is opened, so that calls share one attempt to connect.
     connect_lock: tokio::sync::Mutex<()>,
     /// The number of failed attempts to connect. A call that waits for the lock detects by it that
@@ -370,6 +389,13 @@
     created: Instant,
 }
 
+/// The record of a daemon's later incarnation, and the connection on which it sent it.
+struct Successor {
+    record: wire::Member,
+    /// Until the link to that incarnation takes it over.
+    session: Option<Arc<Session>>,
+}
+
 /// An open connection, with the inbound side's clock when it was opened.
 struct Session {
     sender: http2::SendRequest<Body>,
@@ -386,6 +412,7 @@
             address,
             incarnation,
             session: ArcSwapOption::empty(),
+            successor: Mutex::default(),
             connect_lock: tokio::sync::Mutex::default(),
             failures: AtomicU64::new(0),
             used_ms: AtomicU64::new(0),
@@ -393,6 +420,20 @@
         }
     }
 
+    /// Creates a link to a later incarnation of the daemon at the same address. The connection on which a
+    /// hello found that incarnation is used again.
+    #[must_use]
+    pub fn succeeded_by(&self, incarnation: u64) -> Self {
+        let link = Link::new(self.address, incarnation);
+        let mut successor = lock(&self.successor);
+        let successor = successor
+            .as_mut()
+            .filter(|successor| successor.record.incarnation == incarnation);
+        link.session
+            .store(successor.and_then(|successor| successor.session.take()));
+        link
+    }
+
     /// Closes the connection if it has not been used for `time`. Calls in flight are not cut off.
     pub fn close_idle(&self, time: Duration) {
         let used = Duration::from_millis(self.used_ms.load(Ordering::Relaxed));
@@ -411,8 +452,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`UpstreamError::NotSent`].
-    pub async fn ready(&self) -> Result<Ready, UpstreamError> {
+    /// Fails when the daemon cannot be reached or has been replaced; nothing was sent.
+    pub async fn ready(&self) -> Result<Ready, LinkError> {
         let used = u64::try_from(self.created.elapsed().as_millis()).unwrap_or(u64::MAX);
         self.used_ms.store(used, Ordering::Relaxed);
         let session = self.open().await?;
@@ -478,7 +519,7 @@
         self.session.store(None);
     }
 
-    async fn open(&self) -> Result<Arc<Session>, UpstreamError> {
+    async fn open(&self) -> Result<Arc<Session>, LinkError> {
         if let Some(session) = self.current() {
             return Ok(session);
         }
@@ -487,12 +528,13 @@
         if let Some(session) = self.current() {
             return Ok(session);
         }
+        self.check_replaced()?;
         // Calls that waited for the same attempt to connect share its failure.
         if self.failures.load(Ordering::Relaxed) != failures {
-            return Err(self.not_sent("connection attempt failed"));
+            return Err(self.not_sent("connection attempt failed").into());
         }
         let session = tokio::time::timeout(CONNECT_TIMEOUT, self.connect()).await;
-        let session = session.unwrap_or_else(|_| Err(self.not_sent("no answer in time")));
+        let session = session.unwrap_or_else(|_| Err(self.not_sent("no answer in time").into()));
         if session.is_err() {
             self.failures.fetch_add(1, Ordering::Relaxed);
         }
@@ -502,12 +544,20 @@
         Ok(session)
     }
 
+    /// Fails once a hello has shown that another incarnation uses the address.
+    fn check_replaced(&self) -> Result<(), LinkError> {
+        match &*lock(&self.successor) {
+            Some(successor) => Err(LinkError::Replaced(Box::new(successor.record.clone()))),
+            None => Ok(()),
+        }
+    }
+
     fn current(&self) -> Option<Arc<Session>> {
         let session = self.session.load_full()?;
         (!session.sender.is_closed()).then_some(session)
     }
 
-    async fn connect(&self) -> Result<Session, UpstreamError> {
+    async fn connect(&self) -> Result<Session, LinkError> {
         let io = connect(self.address, CONNECT_TIMEOUT).await?;
         let (mut sender, connection) = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
@@ -522,21 +572,27 @@
         tokio::spawn(connection);
         let mut request = Request::new(full_body(Bytes::new()));
         *request.uri_mut() = http::Uri::from_static("http://inbound/");
-        let value = HeaderValue::from_static("1");
-        request.headers_mut().insert(HELLO, value);
+        request.headers_mut().insert(HELLO, self.incarnation.into());
         let response = sender.send_request(request).await;
         let response = response.map_err(|err| self.not_sent(&err.to_string()))?;
         let (incarnation, clock_ms) =
             read_hello(&response).ok_or_else(|| self.not_sent("invalid response to hello"))?;
-        if incarnation != self.incarnation {
-            return Err(self.not_sent("incarnation does not match"));
-        }
-        let at = Instant::now();
-        Ok(Session {
+        let session = Session {
             sender,
             clock_ms,
-            at,
-        })
+            at: Instant::now(),
+        };
+        if incarnation == self.incarnation {
+            return Ok(session);
+        }
+        let record = read_record(response, incarnation).await;
+        let record = record.ok_or_else(|| self.not_sent("incarnation does not match"))?;
+        let err = LinkError::Replaced(Box::new(record.clone()));
+        *lock(&self.successor) = Some(Successor {
+            record,
+            session: Some(Arc::new(session)),
+        });
+        Err(err)
     }
 
     fn not_sent(&self, reason: &str) -> UpstreamError {
@@ -550,6 +606,13 @@
     format!("{incarnation}.{clock_ms}")
 }
 
+/// Reads the record of the daemon that has answered a hello for another incarnation.
+async fn read_record(response: Response<Incoming>, incarnation: u64) -> Option<wire::Member> {
+    let body = receive(response.into_body(), MAX_RECORD_LEN, CONNECT_TIMEOUT);
+    let record = wire::Member::decode(body.await.ok()?).ok()?;
+    (record.incarnation == incarnation).then_some(record)
+}
+
 fn read_hello<B>(response: &Response<B>) -> Option<(u64, u64)> {
     let (incarnation, clock_ms) = super::text(response.headers(), &HELLO)?.split_once('.')?;
     Some((incarnation.parse().ok()?, clock_ms.parse().ok()?))
--- a/src/call/view.rs
+++ b/src/call/view.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwapOption;
 use slotmap::SecondaryMap;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -31,6 +32,8 @@
 
 /// The upstreams of a service with the connections to them.
 pub struct ServiceView {
+    /// The name of the service.
+    pub name: String,
     /// The upstreams to balance calls over.
     pub group: Group,
     /// The retry budget of the service.
@@ -125,10 +128,16 @@
         self.services.get(id)
     }
 
+    /// Returns the view of a service by its name.
+    #[must_use]
+    pub fn service_named(&self, name: &str) -> Option<&Arc<ServiceView>> {
+        self.service(self.table.service_id(name)?)
+    }
+
     /// Iterates over all services with their names.
     pub fn services(&self) -> impl Iterator<Item = (&str, &ServiceView)> {
-        let services = self.services.iter();
-        services.map(|(id, view)| (self.table.service(id).name.as_str(), view.as_ref()))
+        let services = self.services.values();
+        services.map(|view| (view.name.as_str(), view.as_ref()))
     }
 }
 
@@ -271,6 +280,7 @@
             let stats = Arc::clone(self.stats.entry(entry.name.clone()).or_default());
             let changed = self.record_change(&entry.name, &group, now);
             let view = ServiceView {
+                name: entry.name.clone(),
                 group,
                 budget,
                 stats,
@@ -317,12 +327,25 @@
             return Some(state.clone());
         }
         let address = member.inbound.parse().ok()?;
+        let before = self.predecessor(member, address);
+        let link = before.map_or_else(
+            || Link::new(address, member.incarnation),
+            |before| before.link.succeeded_by(member.incarnation),
+        );
         Some(UpstreamState {
-            link: Arc::new(Link::new(address, member.incarnation)),
+            link: Arc::new(link),
             health: Arc::new(Health::new(now)),
             joined,
         })
     }
+
+    /// Returns the state of the earlier incarnation of a daemon at the same address, if it is known.
+    fn predecessor(&self, member: &wire::Member, address: SocketAddr) -> Option<&UpstreamState> {
+        let from = (member.name.clone(), 0, String::new());
+        let mut states = self.states.range(from..);
+        let (key, state) = states.next()?;
+        (key.0 == member.name && state.link.address() == address).then_some(state)
+    }
 }
 
 fn upstream_key(member: &wire::Member) -> UpstreamKey {
--- a/src/event.rs
+++ b/src/event.rs
@@ -115,6 +115,8 @@
     SuspectRuns = 516, Info, "A suspected request runs, alone among suspects.";
     SuspectCleared = 517, Info, "A suspected request completed a run, or was released by an operator.";
 
+    UpstreamReplaced = 518, Info, "Another incarnation of a daemon answered; its record replaces the one known before.";
+
     OperatorRefused = 600, Warn, "An operator's request was refused.";
 }
 
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -35,6 +35,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use hyper::body::{Body as _, Bytes};
 use prometheus_client::registry::Registry;
+use prost::Message as _;
 use reachability::Reachability;
 pub use running::LocalCall;
 use running::{RecordedAttempt, RunningCall, receiver, to_outbound};
@@ -207,9 +208,8 @@
         daemon: &Arc<Daemon>,
         mut request: Request<Body>,
     ) -> Response<Body> {
-        if request.headers().contains_key(call::HELLO) {
-            let value = hello(daemon.identity.incarnation, self.clock_ms());
-            return header_response(call::HELLO, &value);
+        if let Some(expected) = call::text(request.headers(), &call::HELLO) {
+            return self.hello_response(daemon, expected.parse().ok());
         }
         if let Some(attempt) = call::text(request.headers(), &call::FENCE) {
             return self.fence_response(daemon, attempt);
@@ -270,6 +270,17 @@
         response
     }
 
+    /// Returns the response to a hello. Its body is this daemon's member record if another incarnation was
+    /// expected: the sender then knows this one from an old record.
+    fn hello_response(&self, daemon: &Daemon, expected: Option<u64>) -> Response<Body> {
+        let own = daemon.identity.incarnation;
+        let mut response = header_response(call::HELLO, &hello(own, self.clock_ms()));
+        if expected != Some(own) {
+            *response.body_mut() = full_body(daemon.record().encode_to_vec());
+        }
+        response
+    }
+
     /// Returns the execution status of an attempt made by this daemon's own outbound side, and
     /// prevents it from running if it has not started.
     pub fn fence_attempt(&self, attempt: &Attempt) -> Option<fence::ExecutionStatus> {
--- a/src/role/members/peers.rs
+++ b/src/role/members/peers.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Time between exchanges with a random peer.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
@@ -30,6 +30,15 @@
 const FETCH_INTERVAL: Duration = Duration::from_millis(250);
 const FETCH_PAUSE: Duration = Duration::from_millis(50);
 
+/// Exchanges soon after a start, and the time between them. If many daemons have started together, the
+/// platform's entries are those of earlier processes until each has written its own, and the first
+/// regular exchanges come after calls.
+const START_EXCHANGES: usize = 3;
+const START_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Longest wait for the first listing of the members before these exchanges.
+const LISTING_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Number of peers asked for a newer version before the pause of a regular exchange.
 const MAX_FETCHES: usize = 5;
 
@@ -47,6 +56,9 @@
 pub(super) async fn exchange(daemon: &Daemon) -> anyhow::Result<()> {
     let state = ExchangeState::of(daemon);
     let mut hints = state.hints();
+    if !daemon.settings.first_start {
+        exchange_at_start(daemon, &state).await;
+    }
     loop {
         tokio::select! {
             () = sleep(jitter_around(EXCHANGE_INTERVAL)) => {}
@@ -74,6 +86,17 @@
     }
 }
 
+/// Exchanges with a few random peers, which also tells them of this process.
+async fn exchange_at_start(daemon: &Daemon, state: &ExchangeState) {
+    let _ = timeout(LISTING_TIMEOUT, state.wait_queried()).await;
+    for _ in 0..START_EXCHANGES {
+        if let Some(peer) = random_member(daemon, &BTreeSet::new(), |_| true) {
+            exchange_with(daemon, peer, RESPONSE_TIMEOUT).await;
+        }
+        sleep(jitter_around(START_INTERVAL)).await;
+    }
+}
+
 /// Runs a regular exchange.
 async fn exchange_regularly(daemon: &Daemon) {
     if let Some(peer) = exchange_peer(daemon) {
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -4,16 +4,18 @@
 mod newer;
 
 use crate::call::attempt::{Attempt, AttemptIds};
-use crate::call::balance::{BalancePolicy, Health, Index, Upstream};
+use crate::call::balance::{BalancePolicy, Health, Index, Upstream, UpstreamInfo};
 use crate::call::body::Guarded;
 use crate::call::budget::{Failure, backoff};
 use crate::call::idempotency::{KEY_TTL, KeyId};
-use crate::call::metrics::OutboundMetrics;
-use crate::call::upstream::{Link, UpstreamError};
+use crate::call::metrics::{ANSWERED, OutboundMetrics};
+use crate::call::upstream::{Link, LinkError, UpstreamError};
 use crate::call::view::{LocalDaemon, ServiceView, ViewCache};
 use crate::call::{Outcome, Refusal, RefusalReason, request};
 use crate::daemon::{Daemon, InFlightGuard, Phase};
 use crate::event;
+use crate::exchange::ExchangeState;
+use crate::generated::mesh as wire;
 use crate::kernel::{Plugin, RoleFuture};
 use crate::role::inbound;
 use crate::serve::{Body, serve_calls, streaming_body};
@@ -165,7 +167,7 @@
             );
             refusal.into_response(&id, names)
         });
-        let outcome = Outcome::of(response.headers()).map_or("answered", Outcome::as_str);
+        let outcome = Outcome::of(response.headers()).map_or(ANSWERED, Outcome::as_str);
         self.metrics.note_call(outcome, call_log.started.elapsed());
         call_log.end(response.status());
         *response.version_mut() = version;
@@ -191,7 +193,7 @@
         call.check_time_left()?;
         // Boxed, since each idle connection would otherwise reserve memory for this large future,
         // which is needed only while a call is in flight.
-        Box::pin(self.run(&call, call_guard)).await
+        Box::pin(self.run(call, call_guard)).await
     }
 
     /// Routes a request. The call keeps its service's view but not the routing table: calls may last
@@ -224,31 +226,36 @@
     /// Makes attempts until one yields the caller's response or no retry is allowed.
     async fn run(
         &self,
-        call: &Call<'_>,
+        mut call: Call<'_>,
         call_guard: InFlightGuard,
     ) -> Result<Response<Body>, Refusal> {
-        let group = &call.service.group;
         let mut call_guard = Some(call_guard);
         let mut tried = Vec::new();
         let (mut attempts, mut refusals, mut busy_refusals, mut full_refusals) = (0, 0, 0, 0);
         let mut failed_before: Option<FailedAttempt> = None;
         loop {
             let index = match call.key {
-                Some(key) => key_holder(call, key).await,
-                None => self.choose(call, &tried, attempts),
+                Some(key) => key_holder(&call, key).await,
+                None => self.choose(&call, &tried, attempts),
             };
             let Some(index) = index else {
                 return failed_before
                     .map(|failed| *failed.response)
                     .ok_or_else(no_upstream);
             };
-            let untried = group.upstreams().len().saturating_sub(tried.len());
+            let upstreams = call.service.group.upstreams();
+            let untried = upstreams.len().saturating_sub(tried.len());
             let wait_limit = call.wait_limit(busy_refusals, untried);
-            let attempt = self.attempt(call, index, wait_limit, &mut call_guard);
-            let failed = match attempt.await {
+            let attempt = self.attempt(&call, index, wait_limit, &mut call_guard);
+            let mut failed = match attempt.await {
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
+            if let Some(record) = failed.replaced_by.take()
+                && self.replace_upstream(&mut call, index, *record, &mut tried)
+            {
+                continue;
+            }
             self.metrics.note_failure(failed.failure);
             match failed.failure {
                 // A busy upstream may be chosen again, to wait in its queue.
@@ -310,6 +317,55 @@
         })
     }
 
+    /// Merges the record of the daemon that has replaced an upstream, and updates the call's upstreams.
+    ///
+    /// Returns false if the upstream is still known as it was: the record is an old one.
+    fn replace_upstream(
+        &self,
+        call: &mut Call<'_>,
+        index: Index,
+        record: wire::Member,
+        tried: &mut Vec<Index>,
+    ) -> bool {
+        let daemon = call.daemon;
+        let old = call.service.group.upstreams()[index.0].info.clone();
+        event!(
+            UpstreamReplaced,
+            request = call.id,
+            upstream = old.name,
+            incarnation = record.incarnation,
+            before = old.incarnation,
+            service = record.service,
+        );
+        ExchangeState::of(daemon)
+            .update_members(daemon, |registry, now| registry.merge_reported(record, now));
+        let limits = **daemon.limits.load();
+        let view = self
+            .views
+            .get(daemon.config.table(), daemon.fleet.load(), limits);
+        let Some(service) = view.service_named(&call.service.name) else {
+            return false;
+        };
+        let is_same = |new: &Upstream, known: &UpstreamInfo| {
+            new.info.name == known.name && new.info.incarnation == known.incarnation
+        };
+        let upstreams = service.group.upstreams();
+        if upstreams.iter().any(|new| is_same(new, &old)) {
+            return false;
+        }
+        let before = call.service.group.upstreams();
+        tried.retain_mut(|index| {
+            let known = &before[index.0].info;
+            let place = upstreams.iter().position(|new| is_same(new, known));
+            place.is_some_and(|place| {
+                *index = Index(place);
+                true
+            })
+        });
+        call.service = Arc::clone(service);
+        true
+    }
+
     /// Makes one attempt at an upstream and classifies its response.
     async fn attempt(
         &self,
@@ -342,7 +398,8 @@
     ) -> Result<Response<Body>, FailedAttempt> {
         let ready = match call.await_unsent(link.ready()).await {
             Ok(Ok(ready)) => ready,
-            Ok(Err(err)) => return Err(call.not_sent(upstream, &err)),
+            Ok(Err(LinkError::Replaced(record))) => return Err(call.replaced(record)),
+            Ok(Err(LinkError::Unreachable(err))) => return Err(call.not_sent(upstream, &err)),
             Err(StopReason::DeadlineExceeded) => return Err(call.connect_timed_out(upstream)),
             Err(StopReason::ShuttingDown | StopReason::CutOff) => {
                 return Err(call.shutting_down(upstream));
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -12,6 +12,7 @@
 use crate::daemon::{Daemon, Phase};
 use crate::event;
 use crate::exchange::ExchangeState;
+use crate::generated::mesh as wire;
 use crate::resource::KeyRecord;
 use crate::serve::{Body, streaming_body};
 use crate::sync::lock;
@@ -79,6 +80,8 @@
     pub(super) response: Box<Response<Body>>,
     /// The instance of the backend server that ended while it ran the attempt.
     pub(super) crashed: Option<HeaderValue>,
+    /// The record of the daemon that uses the upstream's address now, if another incarnation answered.
+    pub(super) replaced_by: Option<Box<wire::Member>>,
 }
 
 /// Why waiting for an attempt was stopped.
@@ -273,6 +276,7 @@
             reason_code,
             response,
             crashed: None,
+            replaced_by: None,
         }
     }
 
@@ -284,6 +288,17 @@
         self.failed_attempt(refusal.with_retry_after(UNREACHABLE_RETRY_AFTER))
     }
 
+    /// Reports that another incarnation of the daemon answers. That is no failure of the upstream.
+    pub(super) fn replaced(&self, record: Box<wire::Member>) -> FailedAttempt {
+        let reason = "daemon of the upstream was replaced";
+        let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+        let refusal = refusal.with_retry_after(UNREACHABLE_RETRY_AFTER);
+        FailedAttempt {
+            replaced_by: Some(record),
+            ..self.failed_attempt(refusal)
+        }
+    }
+
     /// Reports that no connection to the upstream was open by the deadline.
     pub(super) fn connect_timed_out(&self, upstream: &Upstream) -> FailedAttempt {
         note_failure(upstream);
@@ -497,6 +512,7 @@
         reason_code: refusal_reason,
         response,
         crashed,
+        replaced_by: None,
     })
 }
 
--- a/src/table.rs
+++ b/src/table.rs
@@ -184,6 +184,12 @@
         self.services.iter()
     }
 
+    /// Finds the key of a service by its name.
+    #[must_use]
+    pub fn service_id(&self, name: &str) -> Option<ServiceId> {
+        self.service_ids.get(name).copied()
+    }
+
     /// Finds a service by name.
     #[must_use]
     pub fn service_named(&self, name: &str) -> Option<&ServiceEntry> {
