--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 //!   [`member`] holds the set of these records. [`exchange`] synchronises both between two daemons.
 //! - [`quarantine`] holds the requests under which backend servers have ended, and reports them to the
 //!   other daemons of the service.
+//! - [`rollout`] decides how the traffic of a service moves to another version of its backend servers.
 //! - [`call`] makes the routing, retry and admission decisions for calls, outbound and inbound.
 //! - [`daemon`] is the state that the [roles](role) share: the long-running tasks of a daemon, one
 //!   for each listener or source of state. [`kernel`] starts the roles and restarts failed ones.
@@ -96,6 +97,7 @@
 pub mod quarantine;
 pub mod resource;
 pub mod role;
+pub mod rollout;
 pub mod serve;
 pub mod settings;
 pub mod site;
