Exchange with further peers once the backend server of a starting daemon is ready

After a restart of all daemons, a record that was learnt before the backend server had reported replaces one with a service, and the next regular exchange tells of the change a second later. The exchanges at the start now follow the first report. A member whose service becomes known is logged as joined; until now only its leave was logged.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -374,7 +374,10 @@
     }
     let differ = |member: &wire::Member, other: &Fleet| {
         let known = other.members().get(&member.name);
-        !member.service.is_empty() && known.is_none_or(|k| k.incarnation != member.incarnation)
+        let is_same = |known: &Arc<wire::Member>| {
+            known.incarnation == member.incarnation && known.service == member.service
+        };
+        !member.service.is_empty() && !known.is_some_and(is_same)
     };
     for member in before.members().values().filter(|m| differ(m, after)) {
         event!(MemberLeft, member = member.name, service = member.service);
--- a/src/role/members/peers.rs
+++ b/src/role/members/peers.rs
@@ -30,14 +30,15 @@
 const FETCH_INTERVAL: Duration = Duration::from_millis(250);
 const FETCH_PAUSE: Duration = Duration::from_millis(50);
 
-/// Exchanges soon after a start, and the time between them. If many daemons have started together, the
-/// platform's entries are those of earlier processes until each has written its own, and the first
-/// regular exchanges come after calls.
+/// Exchanges as soon as the backend server of a daemon that starts is ready, and the time between them. If many
+/// daemons have started together, the platform's entries are those of earlier processes, and the others
+/// learn of the new ones too late by regular exchanges.
 const START_EXCHANGES: usize = 3;
 const START_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Longest wait for the first listing of the members before these exchanges.
+/// Longest waits for the first listing of the members, and for the backend server, before these exchanges.
 const LISTING_TIMEOUT: Duration = Duration::from_secs(1);
+const BACKEND_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Number of peers asked for a newer version before the pause of a regular exchange.
 const MAX_FETCHES: usize = 5;
@@ -86,17 +87,25 @@
     }
 }
 
-/// Exchanges with a few random peers, which also tells them of this process.
+/// Exchanges with a random peer, and with a few more once the backend server is ready, which tells them so.
 async fn exchange_at_start(daemon: &Daemon, state: &ExchangeState) {
     let _ = timeout(LISTING_TIMEOUT, state.wait_queried()).await;
+    exchange_with_any(daemon).await;
+    let mut backend = daemon.backend.subscribe();
+    let ready = backend.wait_for(|backend| backend.is_ready());
+    let _ = timeout(BACKEND_TIMEOUT, ready).await;
     for _ in 0..START_EXCHANGES {
-        if let Some(peer) = random_member(daemon, &BTreeSet::new(), |_| true) {
-            exchange_with(daemon, peer, RESPONSE_TIMEOUT).await;
-        }
+        exchange_with_any(daemon).await;
         sleep(jitter_around(START_INTERVAL)).await;
     }
 }
 
+async fn exchange_with_any(daemon: &Daemon) {
+    if let Some(peer) = random_member(daemon, &BTreeSet::new(), |_| true) {
+        exchange_with(daemon, peer, RESPONSE_TIMEOUT).await;
+    }
+}
+
 /// Runs a regular exchange.
 async fn exchange_regularly(daemon: &Daemon) {
     if let Some(peer) = exchange_peer(daemon) {
