Fetch a reported version while the first exchanges wait for peers

Cause: the exchanges after a start run before the loop that handles reported versions. Where their peers are silent they take up to 1.5 s each, and a version that is reported meanwhile is not fetched.

Change: they run at the same time as that loop.

--- a/src/role/members/peers.rs
+++ b/src/role/members/peers.rs
@@ -19,7 +19,7 @@
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time limit for the response of a regular exchange to begin. The next one is with another peer.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Time limit for the response with a newer version to begin. On a congested link every response is late,
 /// and other peers are asked in the meantime.
@@ -51,14 +51,23 @@
 /// a peer reported, before it requests that version from a peer.
 const HINT_GRACE: Duration = Duration::from_millis(200);
 
-/// Exchanges with a random peer at intervals, and with a daemon that has a newer version as soon as
-/// that version is reported.
+/// Exchanges with random peers, and with a daemon that has a newer version as soon as that version is
+/// reported.
 pub(super) async fn exchange(daemon: &Daemon) -> anyhow::Result<()> {
     let state = ExchangeState::of(daemon);
+    // At the same time, since the peers of the first exchanges may be silent and a version may be reported.
+    let at_start = async {
+        if !daemon.settings.first_start {
+            exchange_at_start(daemon, &state).await;
+        }
+        Ok(())
+    };
+    let ((), ()) = tokio::try_join!(at_start, exchange_continuously(daemon, &state))?;
+    Ok(())
+}
+
+async fn exchange_continuously(daemon: &Daemon, state: &ExchangeState) -> anyhow::Result<()> {
     let mut hints = state.hints();
-    if !daemon.settings.first_start {
-        exchange_at_start(daemon, &state).await;
-    }
     loop {
         tokio::select! {
             () = sleep(jitter_around(EXCHANGE_INTERVAL)) => {}
@@ -104,7 +113,7 @@
     }
 }
 
-async fn exchange_with(daemon: &Daemon, peer: SocketAddr, limit: Duration) {
+pub(super) async fn exchange_with(daemon: &Daemon, peer: SocketAddr, limit: Duration) {
     if let Err(err) = exchange::with_peer(daemon, peer, limit).await {
         event!(ExchangeFailed, peer = peer, error = err);
     }
