Search for a daemon that the platform answers with several at once

Callers: when the platform turns four fifths of the VMs away, no daemon of the site has a new version for over 4 s.

Cause, from a run of member_upkeep follow_external_most_refused with a line for each read (13 of 16 daemons turned away): the four readers fail within 0.1 s and state it after 1.4 to 2.7 s, since only failing renewals counted. The next ones by name learn of it by regular exchanges, try to read after 2.8 s, are turned away as well and state it 1 s later. The first daemon that the platform answers reads after 5.4 s.

Change: - A reader states that it is turned away after a listing, which is repeated, or two watches in a row have failed, and after 150 ms of failing renewals. - It tells those that read in its place by an exchange with each, and these wake on the change of the members. - While all usual readers of a failure domain are turned away and none is known to be answered, more daemons try at once: two more for each one turned away. - A daemon that is answered meanwhile states it (platform_answers) and goes on reading, though daemons precede it that have not been tried. That ends the search, and slow daemons stand in only, as beside a fast reader.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -126,6 +126,9 @@
     pub caught_up: AtomicBool,
     /// Whether the platform has not answered this daemon for some time.
     pub platform_lost: AtomicBool,
+    /// Whether this daemon reads the configuration from the platform while the platform does not answer others
+    /// of the failure domain.
+    pub platform_answers: AtomicBool,
     /// When calls in flight are cut off; set once the process drains.
     cutoff: OnceLock<Instant>,
     /// The member record last announced.
@@ -194,6 +197,7 @@
             drain: Drain::default(),
             caught_up: AtomicBool::new(false),
             platform_lost: AtomicBool::new(false),
+            platform_answers: AtomicBool::new(false),
             components: Mutex::default(),
             settings,
         }))
@@ -328,6 +332,7 @@
             warm_ms: 0,
             link_mbps: self.settings.link_mbps,
             platform_lost: self.platform_lost.load(Ordering::Relaxed),
+            platform_answers: self.platform_answers.load(Ordering::Relaxed),
             left: backend.stage == Stage::Leaving,
         }
     }
--- a/src/event.rs
+++ b/src/event.rs
@@ -94,6 +94,7 @@
     CrashReportFailed = 418, Debug, "A report of crashes could not be exchanged with another daemon.";
     SuspectsReceived = 419, Info, "The records of crashes were received from another daemon at start.";
     SuspectsUnsaved = 420, Warn, "A record of crashes could not be read from the platform or written to it.";
+    ReadingHandedOver = 421, Info, "The platform does not answer this reader; a daemon that reads in its place is told.";
 
     CallRefused = 500, Info, "A call was refused; it was not run.";
     CallUnknown = 501, Warn, "A call ended without a known outcome.";
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -61,6 +61,8 @@
     needed_since: Mutex<Option<Instant>>,
     /// Whether the platform has been queried for the members at least once.
     queried: watch::Sender<bool>,
+    /// Whether this daemon read from the platform until that no longer answered it.
+    turned_away: watch::Sender<bool>,
 }
 
 /// All resources of a version as sent to daemons that have none of them, compressed.
@@ -140,6 +142,36 @@
         }
     }
 
+    /// Records whether the platform answers this daemon, and whether it reads in place of others.
+    pub fn record_platform(&self, daemon: &Daemon, is_lost: bool, answers: bool) {
+        let was_lost = daemon.platform_lost.swap(is_lost, Ordering::Relaxed);
+        let answered = daemon.platform_answers.swap(answers, Ordering::Relaxed);
+        if (was_lost, answered) != (is_lost, answers) {
+            self.update_own(daemon);
+        }
+    }
+
+    /// Records whether others are to be told to read in place of this daemon.
+    pub fn set_turned_away(&self, turned_away: bool) {
+        self.turned_away
+            .send_if_modified(|current| std::mem::replace(current, turned_away) != turned_away);
+    }
+
+    /// Returns a receiver that is notified when others are to be told to read in place of this daemon.
+    #[must_use]
+    pub fn turned_away(&self) -> watch::Receiver<bool> {
+        self.turned_away.subscribe()
+    }
+
+    /// Merges this daemon's own record into the registry, and returns it.
+    fn update_own(&self, daemon: &Daemon) -> wire::Member {
+        let own = daemon.record();
+        self.update_members(daemon, |registry, now| {
+            registry.merge_reported(own.clone(), now)
+        });
+        own
+    }
+
     /// Records that this daemon no longer follows the platform's listing of the members.
     pub fn stop_following(&self) {
         lock(&self.registry).stop_following();
@@ -301,12 +333,8 @@
 
     /// Returns a message with this daemon's own record, stamp and digest, without member records.
     fn summary(&self, daemon: &Daemon) -> wire::Exchange {
-        let own = daemon.record();
-        self.update_members(daemon, |registry, now| {
-            registry.merge_reported(own.clone(), now)
-        });
         wire::Exchange {
-            sender: Some(own),
+            sender: Some(self.update_own(daemon)),
             stamp: Some(daemon.config.stamp().to_wire()),
             buckets: lock(&self.registry).buckets(),
             whole: self.mismatched.load(Ordering::Relaxed),
--- a/src/member.rs
+++ b/src/member.rs
@@ -2,6 +2,7 @@
 
 pub mod batch;
 mod liveness;
+mod readers;
 pub mod registry;
 mod set;
 
@@ -9,8 +10,8 @@
 
 use crate::generated::mesh as wire;
 use crate::generated::mesh::MemberState;
+use readers::{DomainReaders, ReaderOrder};
 use serde_json::{Value, json};
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -42,39 +43,6 @@
     readers: BTreeMap<String, DomainReaders>,
 }
 
-/// Who reads from the platform for a failure domain.
-#[derive(Clone, Debug, Default)]
-struct DomainReaders {
-    /// The daemons that come first, at most [`READERS`], in order.
-    first: Vec<ReaderOrder>,
-    /// The first of those that the platform does not answer.
-    lost: Option<ReaderOrder>,
-}
-
-/// The order in which daemons become readers: those first that the platform answers, then by the rates of
-/// their links in powers of two, then by name.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct ReaderOrder {
-    platform_lost: bool,
-    link: Reverse<u32>,
-    name: String,
-}
-
-impl ReaderOrder {
-    fn of(member: &wire::Member) -> Self {
-        let rate = member.link_mbps.checked_ilog2();
-        ReaderOrder {
-            platform_lost: member.platform_lost,
-            link: Reverse(rate.map_or(0, |log| log + 1)),
-            name: member.name.clone(),
-        }
-    }
-
-    fn is_much_slower(&self, other: &ReaderOrder) -> bool {
-        self.link.0 + 1 < other.link.0
-    }
-}
-
 impl Fleet {
     /// Creates a fleet from records, keeping the one with the greatest rank for each name.
     #[must_use]
@@ -105,7 +73,7 @@
             }
         }
         Fleet {
-            readers: domain_readers(&members),
+            readers: DomainReaders::by_domain(&members),
             members,
             services,
         }
@@ -128,43 +96,65 @@
     /// It does while few enough daemons that are not draining precede it: those that the platform
     /// answers, those with faster links, and then by name. Up to [`READERS`] may read; where a daemon's
     /// link is slower than half of the first one's, up to [`MIN_READERS`].
+    ///
+    /// So do those that state that the platform answers them while it turns others away.
     #[must_use]
     pub fn is_reader(&self, name: &str, domain: &str) -> bool {
-        let Some(DomainReaders { first, .. }) = self.readers.get(domain) else {
+        let Some(readers) = self.readers.get(domain) else {
             return true;
         };
-        let own = self.reader_order(name);
-        let is_slow = first
-            .first()
-            .is_some_and(|fastest| own.is_much_slower(fastest));
-        let limit = if is_slow { MIN_READERS } else { READERS };
-        first.iter().filter(|reader| **reader < own).count() < limit
+        readers.is_reader(&self.reader_order(name))
     }
 
-    /// Tests whether a reader only stands in for others while they are away: the platform answers a daemon
-    /// whose link is more than twice as fast, in any failure domain, and turns no such daemon of the own
-    /// one away. Versions arrive from there in the meantime.
+    /// Tests whether a daemon that is no reader tries to read: the platform answers none of the daemons that
+    /// would read if it answered all, and is not known to answer any other.
+    ///
+    /// The number of these daemons grows with that of the ones turned away, so that the search takes a few steps
+    /// whatever their share.
+    #[must_use]
+    pub fn is_candidate(&self, name: &str, domain: &str) -> bool {
+        let readers = self.readers.get(domain);
+        readers.is_some_and(|readers| readers.is_candidate(&self.reader_order(name)))
+    }
+
+    /// Tests whether the platform is known not to answer some daemon of a failure domain.
+    #[must_use]
+    pub fn has_lost_platform(&self, domain: &str) -> bool {
+        let readers = self.readers.get(domain);
+        readers.is_some_and(DomainReaders::has_lost)
+    }
+
+    /// Returns the daemons that are to learn at once that the platform no longer answers a reader of their
+    /// failure domain, since they read in its place. There are none once the platform is known to answer one
+    /// of them.
+    #[must_use]
+    pub fn successors(&self, domain: &str) -> Vec<Arc<wire::Member>> {
+        let readers = self.readers.get(domain);
+        let names = readers.into_iter().flat_map(DomainReaders::successors);
+        names
+            .filter_map(|name| self.members.get(name).cloned())
+            .collect()
+    }
+
+    /// Tests whether a reader only stands in for others while they are away: a daemon whose link is more than
+    /// twice as fast, in any failure domain, states that the platform answers it while it turns others away,
+    /// or is not known to be turned away, as no such daemon of the own one is. Versions arrive from there in
+    /// the meantime.
     #[must_use]
     pub fn is_stand_in(&self, name: &str, domain: &str) -> bool {
         let own = self.reader_order(name);
-        let lost = self.readers.get(domain).and_then(|own| own.lost.as_ref());
-        let mut fastest = self
-            .readers
-            .values()
-            .filter_map(|other| other.first.first());
-        lost.is_none_or(|lost| !own.is_much_slower(lost))
-            && fastest.any(|reader| !reader.platform_lost && own.is_much_slower(reader))
+        let mut domains = self.readers.values();
+        if domains.clone().any(|other| other.has_answered_faster(&own)) {
+            return true;
+        }
+        let readers = self.readers.get(domain);
+        !readers.is_some_and(|readers| readers.has_lost_faster(&own))
+            && domains.any(|other| other.has_faster(&own))
     }
 
     fn reader_order(&self, name: &str) -> ReaderOrder {
-        match self.members.get(name) {
-            Some(member) => ReaderOrder::of(member),
-            None => ReaderOrder {
-                platform_lost: false,
-                link: Reverse(0),
-                name: name.to_owned(),
-            },
-        }
+        let member = self.members.get(name);
+        member.map_or_else(|| ReaderOrder::unknown(name), |m| ReaderOrder::of(m))
     }
 
     /// Returns the fleet as JSON for the state dump.
@@ -175,26 +165,6 @@
     }
 }
 
-/// Returns who reads for each failure domain.
-fn domain_readers(
-    members: &BTreeMap<String, Arc<wire::Member>>,
-) -> BTreeMap<String, DomainReaders> {
-    let mut domains: BTreeMap<String, DomainReaders> = BTreeMap::new();
-    for member in members.values() {
-        if member.state() != MemberState::Draining {
-            let readers = domains.entry(member.domain.clone()).or_default();
-            readers.first.push(ReaderOrder::of(member));
-        }
-    }
-    for readers in domains.values_mut() {
-        readers.first.sort();
-        let mut lost = readers.first.iter().filter(|reader| reader.platform_lost);
-        readers.lost = lost.next().cloned();
-        readers.first.truncate(READERS);
-    }
-    domains
-}
-
 /// Tests whether new calls may be sent to a member: it has a service and is ready or suspected.
 #[must_use]
 pub fn takes_calls(member: &wire::Member) -> bool {
@@ -235,5 +205,6 @@
         "mesh": member.mesh,
         "link_mbps": member.link_mbps,
         "platform_lost": member.platform_lost,
+        "platform_answers": member.platform_answers,
     })
 }
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -132,10 +132,17 @@
     let mut watcher = PrefixWatcher::new(&external.key);
     let mut backoff = Backoff::new(RETRY_MIN, EXTERNAL_RETRY_MAX);
     let mut read_time = Duration::ZERO;
+    let mut fleet = daemon.fleet.subscribe();
+    let mut has_failed = false;
     fetch_from_peer(daemon).await;
     loop {
+        fleet.mark_unchanged();
         if is_served_by_peers(daemon) {
-            sleep(READER_CHECK_INTERVAL).await;
+            has_failed = false;
+            let state = ExchangeState::of(daemon);
+            state.record_platform(daemon, daemon.platform_lost.load(Ordering::Relaxed), false);
+            // A reader that the platform turns away tells this daemon by an exchange, which changes the fleet.
+            let _ = timeout(READER_CHECK_INTERVAL, fleet.changed()).await;
             // A new watcher skips the versions written meanwhile and reads only the newest.
             watcher = PrefixWatcher::new(&external.key);
             continue;
@@ -147,6 +154,11 @@
             Ok(KeyUpdate::Events(events)) => events.into_iter().filter_map(put_entry).collect(),
             Err(err) => {
                 event!(ConfigUnread, error = err, version = daemon.config.stamp());
+                // A failed listing has been repeated, a failed watch has not.
+                if (lists || has_failed) && is_configured(daemon) && is_reader(daemon) {
+                    record_loss(daemon);
+                }
+                has_failed = true;
                 let delay = if is_configured(daemon) && !is_reader(daemon) {
                     jitter_around(FALLBACK_RETRY)
                 } else {
@@ -157,6 +169,8 @@
             }
         };
         backoff.reset();
+        has_failed = false;
+        record_answer(daemon);
         if lists {
             read_time = started.elapsed();
         }
@@ -219,11 +233,34 @@
     daemon.config.stamp().version > 0
 }
 
+/// Records that the platform has answered this daemon, and whether it reads in place of others that the platform
+/// does not answer.
+pub(super) fn record_answer(daemon: &Daemon) {
+    let state = ExchangeState::of(daemon);
+    state.set_turned_away(false);
+    let answers = daemon.platform_answers.load(Ordering::Relaxed);
+    state.record_platform(daemon, false, answers);
+    let has_lost = daemon
+        .fleet
+        .load()
+        .has_lost_platform(&daemon.identity.domain);
+    state.record_platform(daemon, false, has_lost && is_reader(daemon));
+}
+
+/// Records that the platform does not answer this daemon, which reads from it: others are told, and read in its
+/// place.
+pub(super) fn record_loss(daemon: &Daemon) {
+    let state = ExchangeState::of(daemon);
+    state.record_platform(daemon, true, false);
+    state.set_turned_away(true);
+}
+
 /// Tests whether this daemon reads from the platform for its failure domain.
-fn is_reader(daemon: &Daemon) -> bool {
+pub(super) fn is_reader(daemon: &Daemon) -> bool {
     let own = &daemon.identity;
     let fleet = daemon.fleet.load();
-    let is_chosen = fleet.is_reader(&own.name, &own.domain);
+    let is_chosen =
+        fleet.is_reader(&own.name, &own.domain) || fleet.is_candidate(&own.name, &own.domain);
     let stands_in = is_chosen && fleet.is_stand_in(&own.name, &own.domain);
     let is_due = ExchangeState::of(daemon).stands_in_for(stands_in, STAND_IN_DELAY);
     is_chosen && (!stands_in || is_due)
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -1,5 +1,6 @@
 //! The role that announces this daemon and follows the records of the other members.
 
+mod hand_over;
 mod peers;
 
 pub(super) use peers::reader_or_any;
@@ -55,6 +56,9 @@
 /// that peers do not remove it.
 const LOST_AFTER: Duration = Duration::from_secs(1);
 
+/// The same for a daemon that reads from the platform for others. A second renewal has failed by then.
+const READER_LOST_AFTER: Duration = Duration::from_millis(150);
+
 /// Time for which a daemon that starts together with all others waits for the first report of its
 /// backend server before it announces itself.
 const FIRST_REPORT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -79,7 +83,8 @@
                 tokio::try_join!(
                     announce(&daemon),
                     follow_members(&daemon),
-                    peers::exchange(&daemon)
+                    peers::exchange(&daemon),
+                    hand_over::run(&daemon)
                 )?;
                 Ok(())
             }
@@ -138,11 +143,12 @@
         phases.mark_unchanged();
         backend.mark_unchanged();
         let noticed = *restores.borrow_and_update();
+        let started = Instant::now();
         let pause = match entry.refresh(daemon, noticed).await {
             Ok(()) => {
                 backoff.reset();
                 failing_since = None;
-                daemon.platform_lost.store(false, Ordering::Relaxed);
+                config::record_answer(daemon);
                 let reads = !config::is_served_by_peers(daemon);
                 jitter_around(if reads {
                     READER_RENEW_INTERVAL
@@ -151,14 +157,20 @@
                 })
             }
             Err(err) => {
-                let since = *failing_since.get_or_insert_with(Instant::now);
+                let since = *failing_since.get_or_insert(started);
+                let reads = config::is_reader(daemon);
+                let limit = if reads { READER_LOST_AFTER } else { LOST_AFTER };
                 event!(
                     AnnouncementFailed,
                     error = err,
                     ms = since.elapsed().as_millis()
                 );
-                if since.elapsed() > LOST_AFTER {
-                    daemon.platform_lost.store(true, Ordering::Relaxed);
+                if since.elapsed() > limit {
+                    if reads {
+                        config::record_loss(daemon);
+                    } else {
+                        ExchangeState::of(daemon).record_platform(daemon, true, false);
+                    }
                     // A record with a higher sequence renews this daemon's entry at its peers.
                     daemon.increment_sequence();
                 }
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -125,6 +125,90 @@
     assert_eq!(all, ["vm-00", "vm-01", "vm-02", "vm-03"]);
 }
 
+/// Returns a failure domain of 40 daemons, of which the platform does not answer the first ones, and states that
+/// it answers the given ones.
+fn turned_away(lost: usize, answered: &[usize]) -> Fleet {
+    Fleet::new((0..40).map(|index| wire::Member {
+        platform_lost: index < lost,
+        platform_answers: answered.contains(&index),
+        ..member(&format!("vm-{index:02}"), 1, 1, Ready)
+    }))
+}
+
+/// Guards against a search for a daemon that the platform answers which takes a step for every four that it turns
+/// away: more try at once with each step. While one of the usual readers is not turned away, or one that the
+/// platform answers is known, nobody searches.
+#[test_case(0, &[], 0; "none turned away")]
+#[test_case(3, &[], 0; "a usual reader left")]
+#[test_case(4, &[], 8; "usual readers turned away")]
+#[test_case(16, &[], 20; "first candidates turned away")]
+#[test_case(40, &[], 0; "all turned away")]
+#[test_case(4, &[15], 0; "one answered")]
+#[test_case(16, &[15], 20; "that one turned away")]
+fn is_candidate_turned_away(lost: usize, answered: &[usize], expected: usize) {
+    let fleet = turned_away(lost, answered);
+    let names: Vec<&String> = fleet.members().keys().collect();
+    let candidates = names
+        .iter()
+        .filter(|name| fleet.is_candidate(name, "espoo") && !fleet.is_reader(name, "espoo"));
+    assert_eq!(candidates.count(), expected);
+    let lost = names[..lost].iter();
+    assert_eq!(
+        lost.filter(|name| fleet.is_candidate(name, "espoo"))
+            .count(),
+        0
+    );
+}
+
+/// Guards against a daemon that stops reading in place of others because daemons precede it of which it is not
+/// known whether the platform answers them, and against the statement having an effect while it answers all.
+#[test_case(4, &[30], &[4, 5, 6, 7, 30]; "one")]
+#[test_case(4, &[20, 21, 22, 23, 24], &[4, 5, 6, 7, 20, 21, 22, 23]; "more than needed")]
+#[test_case(0, &[30], &[0, 1, 2, 3]; "none turned away")]
+fn is_reader_answered(lost: usize, answered: &[usize], expected: &[usize]) {
+    let fleet = turned_away(lost, answered);
+    let names = fleet.members().keys().enumerate();
+    let readers = names.filter(|(_, name)| fleet.is_reader(name, "espoo"));
+    let readers: Vec<usize> = readers.map(|(index, _)| index).collect();
+    assert_eq!(readers, expected);
+}
+
+/// A reader that the platform turns away tells those that read in its place, and not the whole failure domain; none
+/// once one is known that the platform answers.
+#[test_case(1, &[], &[1, 2, 3, 4]; "usual readers left")]
+#[test_case(4, &[], &[4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15]; "search")]
+#[test_case(4, &[15], &[]; "one answered")]
+#[test_case(40, &[], &[]; "all turned away")]
+fn successors_turned_away(lost: usize, answered: &[usize], expected: &[usize]) {
+    let fleet = turned_away(lost, answered);
+    let successors = fleet.successors("espoo");
+    let names: Vec<&str> = successors.iter().map(|member| &*member.name).collect();
+    let expected: Vec<_> = expected.iter().map(|i| format!("vm-{i:02}")).collect();
+    assert_eq!(names, expected);
+    assert!(fleet.successors("lahti").is_empty());
+}
+
+/// Guards against slow daemons reading in place of fast ones that the platform turns away, while it is known to
+/// answer another fast daemon.
+#[test_case("vm-01", true, false, true; "in the failure domain")]
+#[test_case("vm-20", true, false, true; "in another failure domain")]
+#[test_case("vm-20", true, true, false; "turned away again")]
+#[test_case("vm-20", false, false, false; "not known to be answered")]
+fn is_stand_in_fast_answered(fast: &str, answers: bool, lost: bool, expected: bool) {
+    let fleet = Fleet::new((0..21).map(|index| {
+        let name = format!("vm-{index:02}");
+        let is_other = name == fast;
+        wire::Member {
+            link_mbps: if index == 0 || is_other { 100 } else { 5 },
+            platform_lost: index == 0 || is_other && lost,
+            platform_answers: is_other && answers,
+            domain: if index == 20 { "lahti" } else { "espoo" }.into(),
+            ..member(&name, 1, 1, Ready)
+        }
+    }));
+    assert_eq!(fleet.is_stand_in("vm-05", "espoo"), expected);
+}
+
 /// A few daemons of a large failure domain read the configuration; when one of them drains, another
 /// replaces it.
 #[test]
