Check API keys and name the organisation to the backend server

Calls of organisations with API keys were forwarded with their keys, and a backend server could not rely on who a caller is.

A version with a key of two organisations is refused.
- `src/call/access.rs` decides by digest, as pure code.
The outbound side removes the key and the caller's own organisation header, and states the organisation to the inbound side in an internal header.
The inbound side removes a caller's headers again where it checks keys itself.
- An unknown key waits for a known newer version, as unknown routes do, and is then refused with 503; otherwise with 401.
- `check_keys` of a policy, set by the adapter where the list of organisations is present, keeps the check on when the last one is removed.
Without it and without organisations, headers are forwarded as before.
- `--fail-closed` and `--revoke-ms`: keyed calls are refused with 503 once the daemon has not had proof for that time that its configuration is the newest.
The proof is a read of the platform that ended, or the response of a peer with such proof; its age travels in exchanges.
- Changes between daemons state a format, so that versions decoded by earlier builds, which lack the organisations, are not put in force.

--- a/src/call.rs
+++ b/src/call.rs
@@ -1,5 +1,6 @@
 //! Headers, refusals and building blocks that the outbound and inbound sides of a call share.
 
+pub mod access;
 pub mod admission;
 pub mod attempt;
 pub mod balance;
@@ -79,6 +80,9 @@
 /// The service on the VM where a call began; sent between daemons only.
 pub const CALLER: HeaderName = HeaderName::from_static("x-baobab-caller");
 
+/// The name of the organisation whose API key a call presented; sent between daemons only.
+pub const ORGANISATION: HeaderName = HeaderName::from_static("x-baobab-organisation");
+
 /// Marks a request as an [`exchange`](crate::exchange) between daemons.
 pub const EXCHANGE: HeaderName = HeaderName::from_static("x-baobab-exchange");
 
--- a/src/check.rs
+++ b/src/check.rs
@@ -2,7 +2,8 @@
 
 use crate::error::{Category, Error, Result};
 use crate::resource::{
-    KeyRecord, Kind, MAX_NAME_LEN, Policy, Pool, ResourceKey, Route, Service, Spec,
+    KeyDigest, KeyRecord, Kind, MAX_NAME_LEN, Organisation, Policy, Pool, ResourceKey, Route,
+    Service, Spec,
 };
 use crate::snapshot::{MAX_SNAPSHOT_LEN, Snapshot};
 use std::collections::BTreeMap;
@@ -24,6 +25,8 @@
 const ATTEMPTS: RangeInclusive<u64> = 1..=10;
 const QUEUE: RangeInclusive<u64> = 0..=100_000;
 const BODY_BYTES: RangeInclusive<u64> = 0..=16 * 1024 * 1024 * 1024;
+/// The range of `rate_per_ks` and `burst`.
+const RATE: RangeInclusive<u64> = 0..=1_000_000_000_000;
 
 /// Checks that a name has 1 to [`MAX_NAME_LEN`] bytes, all of them from `a-z A-Z 0-9 . _ -`.
 ///
@@ -60,6 +63,9 @@
             Spec::Pool(pool) => check_pool(&mut problems, key, pool),
             Spec::Route(route) => check_route(&mut problems, key, route, &policies),
             Spec::Service(Service { .. }) => {}
+            Spec::Organisation(organisation) => {
+                check_organisation(&mut problems, key, organisation, &policies);
+            }
         }
         // Avoids building the list of references: a service with a policy is known to exist, and
         // most routes lead only to such services.
@@ -77,6 +83,7 @@
         }
     }
     check_overlaps(&mut problems, snapshot);
+    check_shared_keys(&mut problems, snapshot);
     problems.into_result()
 }
 
@@ -218,6 +225,39 @@
     }
 }
 
+fn check_organisation(
+    problems: &mut Problems,
+    key: &ResourceKey,
+    organisation: &Organisation,
+    policies: &BTreeMap<&str, &Policy>,
+) {
+    problems.check_range(key, "rate_per_ks", organisation.rate_per_ks, &RATE);
+    problems.check_range(key, "burst", organisation.burst, &RATE);
+    if let Some(kind) = &organisation.request_kind
+        && !policies
+            .values()
+            .any(|policy| policy.kinds.contains_key(kind))
+    {
+        let problem = format!("{kind:?} is not a request kind of the policy of any service");
+        problems.add(key, "request_kind", &problem);
+    }
+}
+
+/// Reports keys that several organisations hold. The problem leaves the key and its digest out.
+fn check_shared_keys(problems: &mut Problems, snapshot: &Snapshot) {
+    let mut holders: BTreeMap<KeyDigest, &ResourceKey> = BTreeMap::new();
+    for (key, res) in snapshot.resources() {
+        let Spec::Organisation(organisation) = res.spec.as_ref() else {
+            continue;
+        };
+        for digest in &organisation.keys {
+            if let Some(other) = holders.insert(*digest, key) {
+                problems.add(key, "keys", &format!("{other} holds one of the keys too"));
+            }
+        }
+    }
+}
+
 /// Maps each service to its policy. Services whose policy does not exist are left out.
 fn policies_by_service(snapshot: &Snapshot) -> BTreeMap<&str, &Policy> {
     let services = snapshot.resources().iter();
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,11 +1,13 @@
 //! The state that the roles of one daemon share.
 
 mod config;
+mod contact;
 mod drain;
 mod removals;
 mod socket;
 
 pub use config::ConfigCell;
+pub use contact::{ContactCell, renewal_time};
 pub use drain::{Drain, InFlightGuard, Phase};
 pub use socket::{Socket, Sockets};
 
@@ -77,6 +79,8 @@
     pub retry_extra: u32,
     /// The length of the window of `retry_extra`.
     pub retry_window: Duration,
+    /// Time without contact after which calls with an API key are refused; `None` to serve them.
+    pub contact_limit: Option<Duration>,
 }
 
 impl RuntimeLimits {
@@ -85,6 +89,7 @@
             grace: settings.grace,
             retry_extra: settings.retry_extra,
             retry_window: settings.retry_window,
+            contact_limit: settings.fail_closed.then_some(settings.revoke_time),
         }
     }
 }
@@ -117,6 +122,8 @@
     pub store: Store,
     /// The configuration in force.
     pub config: ConfigCell,
+    /// When the configuration in force was last known to be the newest.
+    pub contact: ContactCell,
     /// The known daemons.
     pub fleet: FleetCell,
     /// The shutdown phase, with counters of calls in flight and connections.
@@ -190,6 +197,7 @@
             cutoff: OnceLock::new(),
             announced: Mutex::default(),
             config: ConfigCell::default(),
+            contact: ContactCell::default(),
             fleet: FleetCell::default(),
             drain: Drain::default(),
             caught_up: AtomicBool::new(false),
--- /dev/null
+++ b/src/daemon/contact.rs
@@ -0,0 +1,91 @@
+//! When this daemon last had proof that its configuration is the newest.
+
+use super::RuntimeLimits;
+use crate::event;
+use crate::sync::lock;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Fraction of the revocation time after which proof is renewed: several attempts fit before keyed
+/// calls are refused.
+const RENEWAL_SHARE: u32 = 5;
+
+/// When this daemon last had proof that its configuration is the newest.
+///
+/// The proof is a read of the platform that has ended, or the response of a peer that has proof
+/// itself. Its time is that at which the read or the request began, so that delays on the way count
+/// as age.
+#[derive(Default)]
+pub struct ContactCell {
+    proven_at: Mutex<Option<Instant>>,
+    /// Whether keyed calls were refused at the last check.
+    closed: AtomicBool,
+}
+
+impl ContactCell {
+    /// Records that the configuration in force was the newest at `at`.
+    pub fn mark_current(&self, at: Instant) {
+        let mut proven_at = lock(&self.proven_at);
+        *proven_at = (*proven_at).max(Some(at));
+    }
+
+    /// Returns the age of the proof for a message to a peer: in milliseconds plus one, or zero without
+    /// proof.
+    #[must_use]
+    pub fn to_wire(&self) -> u64 {
+        let ms = self.age().map(|age| age.as_millis() + 1);
+        ms.map_or(0, |ms| u64::try_from(ms).unwrap_or(u64::MAX))
+    }
+
+    /// Records the proof that a peer stated in the response to a request, which began at `started`. It
+    /// covers the configuration in force here only if that is no older than the peer's.
+    pub fn mark_from_wire(&self, started: Instant, current_ms: u64) {
+        let age = current_ms.checked_sub(1).map(Duration::from_millis);
+        if let Some(at) = age.and_then(|age| started.checked_sub(age)) {
+            self.mark_current(at);
+        }
+    }
+
+    /// Returns the time since the configuration in force was last known to be the newest; `None` if it
+    /// never was.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        lock(&self.proven_at).map(|at| at.elapsed())
+    }
+
+    /// Tests whether keyed calls are refused: the settings require contact, and there has been none for
+    /// the revocation time.
+    pub fn is_closed(&self, limits: &RuntimeLimits) -> bool {
+        let Some(limit) = limits.contact_limit else {
+            return false;
+        };
+        let age = self.age();
+        let closed = age.is_none_or(|age| age >= limit);
+        if self.closed.swap(closed, Ordering::Relaxed) != closed {
+            let ms = age.map_or(0, |age| age.as_millis());
+            if closed {
+                event!(ContactLost, age_ms = ms, known = age.is_some());
+            } else {
+                event!(ContactRegained, age_ms = ms);
+            }
+        }
+        closed
+    }
+
+    /// Tests whether this daemon has to obtain proof itself, since its peers have not provided any for
+    /// half of the revocation time.
+    #[must_use]
+    pub fn is_due(&self, limits: &RuntimeLimits) -> bool {
+        let limit = limits.contact_limit;
+        limit.is_some_and(|limit| self.age().is_none_or(|age| age >= limit / 2))
+    }
+}
+
+/// Returns the longest time that a read of the platform may take, or be delayed, where the settings
+/// require contact.
+#[must_use]
+pub fn renewal_time(limits: &RuntimeLimits) -> Option<Duration> {
+    limits.contact_limit.map(|limit| limit / RENEWAL_SHARE)
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -117,6 +117,11 @@
 
     UpstreamReplaced = 518, Info, "Another incarnation of a daemon answered; its record replaces the one known before.";
 
+    KeyRefused = 520, Info, "A call was refused for its API key; it was not run.";
+    KeyAwaited = 521, Info, "A call waited for a newer version, since the one in force lacks its API key.";
+    ContactLost = 522, Warn, "Calls with an API key are refused: the configuration may be out of date.";
+    ContactRegained = 523, Info, "Calls with an API key are served again: the configuration is known to be the newest.";
+
     OperatorRefused = 600, Warn, "An operator's request was refused.";
 }
 
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -310,6 +310,7 @@
             stamp: Some(daemon.config.stamp().to_wire()),
             buckets: lock(&self.registry).buckets(),
             whole: self.mismatched.load(Ordering::Relaxed),
+            current_ms: daemon.contact.to_wire(),
             ..wire::Exchange::default()
         }
     }
--- a/src/exchange/peer.rs
+++ b/src/exchange/peer.rs
@@ -18,7 +18,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Time without a byte after which a transfer is given up.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -51,8 +51,10 @@
     limit: Duration,
 ) -> Result<(), ExchangeError> {
     let state = ExchangeState::of(daemon);
+    let started = Instant::now();
     let response = send(peer, state.summary(daemon), limit).await?;
     let other = Stamp::from_wire(response.stamp.as_ref());
+    let current_ms = response.current_ms;
     let (wants, whole) = (response.wants, response.whole);
     let buckets = response.buckets.clone();
     state.merge(daemon, response);
@@ -65,6 +67,9 @@
         let response = send(peer, more, limit).await?;
         state.merge(daemon, response);
     }
+    if daemon.config.stamp().version >= other.version {
+        daemon.contact.mark_from_wire(started, current_ms);
+    }
     // The peer has not sent its version.
     let report = Hint {
         version: other.version,
--- a/src/header_names.rs
+++ b/src/header_names.rs
@@ -25,6 +25,10 @@
     pub leaving: Option<HeaderName>,
     /// Sent to a backend server: the service on the VM where the call originated.
     pub caller: Option<HeaderName>,
+    /// Sent by callers: their API key, which is removed before the call leaves the daemon.
+    pub credential: Option<HeaderName>,
+    /// Sent to a backend server: the organisation that holds the caller's API key.
+    pub organisation: Option<HeaderName>,
     /// Sent by a backend server with each response of its own; a successful one without it is
     /// treated as incomplete.
     pub response_seal: Option<HeaderName>,
@@ -51,6 +55,8 @@
             rate_limit: None,
             leaving: None,
             caller: None,
+            credential: None,
+            organisation: None,
             response_seal: None,
             fractional_retry: false,
         }
--- a/src/resource.rs
+++ b/src/resource.rs
@@ -1,4 +1,8 @@
-//! The resources that operators declare: services, pools, routes and policies.
+//! The resources that operators declare: services, pools, routes, policies and organisations.
+
+mod organisation;
+
+pub use organisation::{InvalidDigest, KeyDigest, Organisation};
 
 use crate::error::{Category, Error, Result};
 use crate::strict::Strict;
@@ -22,11 +26,19 @@
     Route,
     /// A named service with its pool and policy.
     Service,
+    /// The API keys and the request kind of an organisation.
+    Organisation,
 }
 
 impl Kind {
     /// Every kind, ordered so that a resource refers only to kinds before its own.
-    pub const ALL: [Kind; 4] = [Kind::Policy, Kind::Pool, Kind::Service, Kind::Route];
+    pub const ALL: [Kind; 5] = [
+        Kind::Policy,
+        Kind::Pool,
+        Kind::Service,
+        Kind::Route,
+        Kind::Organisation,
+    ];
 
     /// Returns the kind's name as written in change files and API paths.
     #[must_use]
@@ -36,6 +48,7 @@
             Kind::Pool => "pool",
             Kind::Route => "route",
             Kind::Service => "service",
+            Kind::Organisation => "organisation",
         }
     }
 }
@@ -145,6 +158,9 @@
     /// Maximum number of attempts for a call, the first one included.
     #[serde(default = "default_attempts")]
     pub attempts: u32,
+    /// Whether calls need no valid API key where keys are checked.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub public: bool,
 }
 
 /// Where the record of an `Idempotency-Key` is stored.
@@ -182,6 +198,14 @@
     /// Where the record of an `Idempotency-Key` is stored.
     #[serde(default)]
     pub key_record: KeyRecord,
+    /// Whether API keys are checked, for all services, even if there is no organisation.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub check_keys: bool,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 #[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
@@ -232,6 +256,8 @@
     Route(Route),
     /// A named service with its pool and policy.
     Service(Service),
+    /// The API keys and the request kind of an organisation.
+    Organisation(Organisation),
 }
 
 impl Spec {
@@ -271,6 +297,7 @@
             Kind::Pool => Pool::deserialize(value).map(Spec::Pool),
             Kind::Route => Route::deserialize(value).map(Spec::Route),
             Kind::Service => Service::deserialize(value).map(Spec::Service),
+            Kind::Organisation => Organisation::deserialize(value).map(Spec::Organisation),
         };
         spec.map_err(|err| {
             let fields = value.as_object().cloned().unwrap_or_default();
@@ -290,6 +317,7 @@
             Spec::Pool(pool) => serde_json::to_vec(pool),
             Spec::Route(route) => serde_json::to_vec(route),
             Spec::Service(service) => serde_json::to_vec(service),
+            Spec::Organisation(organisation) => serde_json::to_vec(organisation),
         };
         body.expect("every map in a specification has string keys")
     }
@@ -302,6 +330,7 @@
             Spec::Pool(_) => Kind::Pool,
             Spec::Route(_) => Kind::Route,
             Spec::Service(_) => Kind::Service,
+            Spec::Organisation(_) => Kind::Organisation,
         }
     }
 
@@ -309,7 +338,7 @@
     #[must_use]
     pub fn references(&self) -> Vec<(&'static str, ResourceKey)> {
         match self {
-            Spec::Policy(_) | Spec::Pool(_) => Vec::new(),
+            Spec::Policy(_) | Spec::Pool(_) | Spec::Organisation(_) => Vec::new(),
             Spec::Route(route) => {
                 let split = route.split.keys().map(|name| ("split", name.as_str()));
                 let all = std::iter::once(("service", route.service.as_str())).chain(split);
@@ -356,6 +385,7 @@
             Kind::Pool => Pool::deserialize(&value).map(drop),
             Kind::Route => Route::deserialize(&value).map(drop),
             Kind::Service => Service::deserialize(&value).map(drop),
+            Kind::Organisation => Organisation::deserialize(&value).map(drop),
         };
         if result.is_err_and(|err| missing_field(&err).is_none()) {
             return Some(name.clone());
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -1,7 +1,7 @@
 //! The role that obtains accepted versions from the platform, from peers or through the
 //! distribution tree, and applies them.
 
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, renewal_time};
 use crate::error::{Category, Result};
 use crate::event;
 use crate::exchange::{self, ExchangeState};
@@ -142,7 +142,12 @@
         }
         let started = Instant::now();
         let lists = watcher.lists_next();
-        let entries = match follow_prefix(daemon, &mut watcher, EXTERNAL_WATCH_TIMEOUT).await {
+        // Where keyed calls depend on it, a watch ends early to prove that there is no newer version.
+        let renewal = renewal_time(&daemon.limits.load());
+        let wait = renewal.map_or(EXTERNAL_WATCH_TIMEOUT, |time| {
+            time.min(EXTERNAL_WATCH_TIMEOUT)
+        });
+        let entries = match follow_prefix(daemon, &mut watcher, wait).await {
             Ok(KeyUpdate::Listing(entries) | KeyUpdate::Restored(entries)) => entries,
             Ok(KeyUpdate::Events(events)) => events.into_iter().filter_map(put_entry).collect(),
             Err(err) => {
@@ -163,13 +168,17 @@
         let newest = entries.iter().rev().find(|entry| entry.key == external.key);
         if let Some(entry) = newest {
             apply_external(daemon, external, entry);
+            daemon.contact.mark_current(started);
             let applied = daemon.config.stamp().version;
-            sleep(read_pause(read_time)).await;
+            let pause = read_pause(read_time);
+            sleep(renewal.map_or(pause, |time| time.min(pause))).await;
             if ExchangeState::of(daemon).newest_known(daemon) > applied {
                 // A watch would deliver each version in between in full; a listing has only the
                 // newest.
                 watcher = PrefixWatcher::new(&external.key);
             }
+        } else {
+            daemon.contact.mark_current(started);
         }
     }
 }
@@ -212,6 +221,7 @@
     is_configured(daemon)
         && !is_reader(daemon)
         && state.exchanged_within(PEER_TIMEOUT)
+        && !daemon.contact.is_due(&daemon.limits.load())
         && !state.is_behind(daemon, PEER_TIMEOUT)
 }
 
@@ -277,8 +287,10 @@
     let mut seen = None;
     let mut delay = RETRY_MIN;
     loop {
+        let started = Instant::now();
         match follow_head(daemon, seen).await {
             Ok(revision) => {
+                daemon.contact.mark_current(started);
                 seen = Some(revision);
                 daemon.caught_up.store(true, Ordering::Relaxed);
                 delay = RETRY_MIN;
@@ -299,7 +311,11 @@
 /// to, and returns the revision of `head`.
 async fn follow_head(daemon: &Daemon, seen: Option<u64>) -> Result<u64> {
     let head = match seen {
-        Some(seen) => daemon.store.watch(seen, WATCH_TIMEOUT).await?,
+        Some(seen) => {
+            let renewal = renewal_time(&daemon.limits.load());
+            let wait = renewal.map_or(WATCH_TIMEOUT, |time| time.min(WATCH_TIMEOUT));
+            daemon.store.watch(seen, wait).await?
+        }
         None => daemon.store.head().await?,
     };
     if head.revision != 0 && head.stamp() != daemon.config.stamp() {
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -432,7 +432,8 @@
         }
         run.permit.mark_used();
         let instance = backend.instance.as_deref();
-        let (request, id) = to_backend(request, deadline, names, instance)?;
+        let checks_keys = daemon.config.table().checks_keys();
+        let (request, id) = to_backend(request, deadline, names, instance, checks_keys)?;
         let response = match lease.send(request).await {
             Ok(response) => response,
             Err(err) => {
--- a/src/role/inbound/backend.rs
+++ b/src/role/inbound/backend.rs
@@ -3,7 +3,7 @@
 use super::unavailable;
 use crate::backend::{Backend, Stage};
 use crate::call::upstream::PooledBody;
-use crate::call::{self, Refusal, RefusalReason, request};
+use crate::call::{self, Refusal, RefusalReason, access, request};
 use crate::daemon::Daemon;
 use crate::event;
 use crate::header_names::HeaderNames;
@@ -135,11 +135,15 @@
 }
 
 /// Turns an attempt into the request that the backend server receives; returns its request id too.
+///
+/// The organisation is the one that the outbound side states. If keys are checked here, a caller's
+/// headers are removed again: the outbound side may not have the version yet that checks them.
 pub(super) fn to_backend(
     request: Request<Body>,
     deadline: Instant,
     names: &HeaderNames,
     instance: Option<&str>,
+    checks_keys: bool,
 ) -> Result<(Request<Body>, Option<HeaderValue>), Refusal> {
     let (mut head, body) = request.into_parts();
     call::drop_hop_headers(&mut head.headers);
@@ -151,6 +155,13 @@
     let path = head.uri.path_and_query().cloned();
     head.uri = path.map_or_else(http::Uri::default, http::Uri::from);
     head.version = http::Version::HTTP_11;
+    let organisation = head.headers.remove(call::ORGANISATION);
+    if checks_keys || organisation.is_some() {
+        access::remove_headers(&mut head.headers, names);
+    }
+    if let (Some(name), Some(organisation)) = (&names.organisation, organisation) {
+        head.headers.insert(name, organisation);
+    }
     call::drop_reserved_headers(&mut head.headers, &[call::RETRY]);
     if names.response_seal.is_some() {
         head.headers.remove(call::RETRY);
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -1,8 +1,10 @@
 //! The outbound side: accepts calls from local callers and forwards each to an upstream.
 
 mod attempt;
+mod keys;
 mod newer;
 
+use crate::call::access::{AccessMetrics, PresentedKey};
 use crate::call::attempt::{Attempt, AttemptIds};
 use crate::call::balance::{BalancePolicy, Health, Index, Upstream, UpstreamInfo};
 use crate::call::body::Guarded;
@@ -23,7 +25,7 @@
 use attempt::{Call, FailedAttempt, StopReason, classify_response, no_upstream};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use newer::NewerRoutes;
+use newer::NewerVersions;
 use prometheus_client::registry::Registry;
 use serde_json::{Value, json};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -120,12 +122,14 @@
 fn metrics(daemon: &Daemon, registry: &mut Registry) {
     let outbound = component(daemon);
     outbound.metrics.register(registry);
-    outbound.newer_routes.register(registry);
+    outbound.access.register(registry);
+    outbound.newer.register(registry);
 }
 
 struct Outbound {
     metrics: OutboundMetrics,
-    newer_routes: NewerRoutes,
+    access: AccessMetrics,
+    newer: NewerVersions,
     views: ViewCache,
     policy: BalancePolicy,
     attempt_ids: AttemptIds,
@@ -142,7 +146,8 @@
         };
         Outbound {
             metrics: OutboundMetrics::default(),
-            newer_routes: NewerRoutes::default(),
+            access: AccessMetrics::default(),
+            newer: NewerVersions::default(),
             views: ViewCache::new(local_daemon),
             policy: read_policy(),
             attempt_ids: AttemptIds::default(),
@@ -186,22 +191,24 @@
         id: &str,
         call_guard: InFlightGuard,
     ) -> Result<Response<Body>, Refusal> {
-        if let Some(newest) = newer::awaited_version(daemon, &request) {
-            self.newer_routes.wait(daemon, id, newest).await;
+        let key = PresentedKey::of(request.headers(), &daemon.names);
+        if let Some(awaited) = newer::awaited_version(daemon, &request, key) {
+            self.newer.wait(daemon, id, awaited).await;
         }
-        let call = self.route(daemon, request, id)?;
+        let call = self.route(daemon, request, key, id)?;
         call.check_time_left()?;
         // Boxed, since each idle connection would otherwise reserve memory for this large future,
         // which is needed only while a call is in flight.
         Box::pin(self.run(call, call_guard)).await
     }
 
-    /// Routes a request. The call keeps its service's view but not the routing table: calls may last
+    /// Routes a request and checks its key. The call keeps its service's view but not the routing table: calls may last
     /// longer than many versions of it.
     fn route<'a>(
         &self,
         daemon: &'a Arc<Daemon>,
-        request: Request<Incoming>,
+        mut request: Request<Incoming>,
+        key: PresentedKey,
         id: &'a str,
     ) -> Result<Call<'a>, Refusal> {
         let limits = **daemon.limits.load();
@@ -210,8 +217,10 @@
             .get(daemon.config.table(), daemon.fleet.load(), limits);
         let entry = request::find_route(&view.table, &request);
         let entry = entry.map_err(|err| newer::refusal(daemon, err))?;
+        let headers = request.headers_mut();
+        let organisation = keys::check(daemon, &self.access, &view.table, entry, key, id, headers)?;
         let service = entry.service(self.split_point());
-        Call::new(daemon, &view, entry, service, request, id)
+        Call::new(daemon, &view, entry, service, organisation, request, id)
     }
 
     /// Returns the next number of a sequence that covers 0 to 1 evenly at any length.
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -1,5 +1,6 @@
 //! A call in progress, and the classification of its attempts' responses.
 
+use crate::call::access::CallOrganisation;
 use crate::call::attempt::{Attempt, Load};
 use crate::call::balance::{BodySize, Upstream};
 use crate::call::body::Replay;
@@ -58,6 +59,8 @@
     /// The request id.
     pub(super) id: &'a str,
     pub(super) retry_limits: RetryLimits,
+    /// The organisation whose API key the call presented, if any.
+    pub(super) organisation: Option<CallOrganisation>,
     /// The priority; calls of greater weight run first.
     pub(super) weight: u32,
     /// The class by which service times are averaged.
@@ -101,6 +104,7 @@
         view: &View,
         entry: &RouteEntry,
         service_id: ServiceId,
+        organisation: Option<CallOrganisation>,
         request: Request<Incoming>,
         id: &'a str,
     ) -> Result<Self, Refusal> {
@@ -130,6 +134,9 @@
         let max_len = body.size_hint().upper();
         let caller = daemon.settings.backend.as_ref();
         let caller = caller.map(|backend| backend.service.as_str());
+        let weight = organisation
+            .as_ref()
+            .and_then(|organisation| view.table.organisation_weight(organisation.id, service_id));
         Ok(Call {
             daemon,
             service: Arc::clone(service),
@@ -137,7 +144,8 @@
             body: Replay::new(streaming_body(body), policy.body_bytes),
             id,
             retry_limits,
-            weight: entry.weight,
+            weight: weight.unwrap_or(entry.weight),
+            organisation,
             time_class: entry.time_class,
             objective: entry.objective.map(|time| now + time),
             short_body: max_len.is_some_and(|len| len <= MAX_OFFERED_LEN),
@@ -256,6 +264,11 @@
             let record = HeaderValue::from_static("1");
             head.headers.insert(call::KEY_RECORD, record);
         }
+        if let Some(organisation) = &self.organisation {
+            let name = HeaderValue::from_str(&organisation.name);
+            let name = name.map_err(|err| Refusal::not_run(StatusCode::BAD_REQUEST, err))?;
+            head.headers.insert(call::ORGANISATION, name);
+        }
         let left = request::remaining_ms(self.retry_limits.deadline);
         head.headers.insert(call::DEADLINE_MS, left);
         let version = self.daemon.config.stamp().version;
--- a/src/role/outbound/newer.rs
+++ b/src/role/outbound/newer.rs
@@ -1,5 +1,7 @@
-//! Calls for routes that a newer version of the configuration may have.
+//! Calls for routes and API keys that a newer version of the configuration may have.
 
+use super::keys;
+use crate::call::access::{self, Access, KeyRefusal, PresentedKey};
 use crate::call::{Refusal, request};
 use crate::daemon::Daemon;
 use crate::event;
@@ -15,62 +17,118 @@
 /// Longest wait of a call for a version that a peer has reported.
 const MAX_WAIT: Duration = Duration::from_millis(300);
 
-/// Calls that may wait at once. The version is fetched whether calls wait or not, so unknown routes
-/// cause no exchanges.
+/// Calls that may wait at once, for routes and for keys each. The version is fetched whether calls wait
+/// or not, so unknown routes and keys cause no exchanges.
 const MAX_WAITING: usize = 32;
 
 /// The suggested delay before a call is repeated whose route the newer version may have.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Delays calls for unknown routes while this daemon knows that its configuration is out of date.
-pub(super) struct NewerRoutes {
-    waiting: Semaphore,
-    waits: Counter,
+/// What the version in force lacks for a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Missing {
+    Route,
+    Key,
+}
+
+/// A newer version that a call waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Awaited {
+    newest: u64,
+    missing: Missing,
+}
+
+/// Delays calls for unknown routes or keys while this daemon knows that its configuration is out of date.
+pub(super) struct NewerVersions {
+    routes: Waiting,
+    keys: Waiting,
 }
 
-impl Default for NewerRoutes {
+impl Default for NewerVersions {
     fn default() -> Self {
-        NewerRoutes {
-            waiting: Semaphore::new(MAX_WAITING),
+        NewerVersions {
+            routes: Waiting::new(),
+            keys: Waiting::new(),
+        }
+    }
+}
+
+/// The calls that wait for one reason.
+struct Waiting {
+    permits: Semaphore,
+    waits: Counter,
+}
+
+impl Waiting {
+    fn new() -> Self {
+        Waiting {
+            permits: Semaphore::new(MAX_WAITING),
             waits: Counter::default(),
         }
     }
 }
 
-impl NewerRoutes {
+impl NewerVersions {
     /// Waits for the newest version that was reported, for a limited time, if only that version may have
-    /// the route of a request.
-    pub(super) async fn wait(&self, daemon: &Daemon, id: &str, newest: u64) {
-        let Ok(_permit) = self.waiting.try_acquire() else {
+    /// what a call needs.
+    pub(super) async fn wait(&self, daemon: &Daemon, id: &str, awaited: Awaited) {
+        let Awaited { newest, missing } = awaited;
+        let waiting = match missing {
+            Missing::Route => &self.routes,
+            Missing::Key => &self.keys,
+        };
+        let Ok(_permit) = waiting.permits.try_acquire() else {
             return;
         };
-        self.waits.inc();
+        waiting.waits.inc();
         let mut applied = daemon.config.subscribe();
         let newer = applied.wait_for(|stamp| stamp.version >= newest);
         let in_force = timeout(MAX_WAIT, newer).await.is_ok();
-        event!(
-            RouteAwaited,
-            request = id,
-            newest = newest,
-            version = daemon.config.stamp().version,
-            applied = in_force
-        );
+        let version = daemon.config.stamp().version;
+        match missing {
+            Missing::Route => event!(
+                RouteAwaited,
+                request = id,
+                newest = newest,
+                version = version,
+                applied = in_force
+            ),
+            Missing::Key => event!(
+                KeyAwaited,
+                request = id,
+                newest = newest,
+                version = version,
+                applied = in_force
+            ),
+        }
     }
 
     /// Registers the metrics.
     pub(super) fn register(&self, registry: &mut Registry) {
         let help = "Calls that waited for a newer version, since their route was not known";
-        registry.register("route_waits", help, self.waits.clone());
+        registry.register("route_waits", help, self.routes.waits.clone());
+        let help = "Calls that waited for a newer version, since their API key was not known";
+        registry.register("key_waits", help, self.keys.waits.clone());
     }
 }
 
 /// Returns the newest version that was reported, if it is newer than the one in force and that one does
-/// not have the request's route.
-pub(super) fn awaited_version(daemon: &Daemon, request: &Request<Incoming>) -> Option<u64> {
+/// not have the request's route or key.
+pub(super) fn awaited_version(
+    daemon: &Daemon,
+    request: &Request<Incoming>,
+    key: PresentedKey,
+) -> Option<Awaited> {
     let newest = newer_version(daemon)?;
     let table = daemon.config.table();
-    let known = request::find_route(&table, request);
-    known.is_err_and(|err| is_unknown(&err)).then_some(newest)
+    let missing = match request::find_route(&table, request) {
+        Ok(entry) => {
+            let access = access::decide(&table, entry.route().public, key, keys::currency(daemon));
+            (access == Access::Refused(KeyRefusal::Outdated)).then_some(Missing::Key)
+        }
+        Err(err) => is_unknown(&err).then_some(Missing::Route),
+    };
+    missing.map(|missing| Awaited { newest, missing })
 }
 
 /// Turns the refusal of a call for an unknown route into one that allows a retry while a newer version
@@ -86,7 +144,7 @@
 }
 
 /// Returns the newest version that was reported, if it is newer than the one in force.
-fn newer_version(daemon: &Daemon) -> Option<u64> {
+pub(super) fn newer_version(daemon: &Daemon) -> Option<u64> {
     let newest = ExchangeState::of(daemon).newest_known(daemon);
     (newest > daemon.config.stamp().version).then_some(newest)
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -116,6 +116,11 @@
     pub retry_extra: u32,
     /// The length of the window of `retry_extra`.
     pub retry_window: Duration,
+    /// Whether calls with an API key are refused while the daemon is out of contact: for longer than
+    /// `revoke_time`, it has not known whether its configuration is the newest.
+    pub fail_closed: bool,
+    /// The time within which a withdrawn API key stops working.
+    pub revoke_time: Duration,
     /// Whether all daemons start together for the first time, so that the members are not complete
     /// at the start.
     pub first_start: bool,
@@ -215,6 +220,8 @@
             heartbeat: self.millis("heartbeat-ms", 3_000, 100, 60_000),
             retry_extra: self.number("retry-extra", 0, 0, 100_000),
             retry_window: self.millis("retry-window-ms", 10_000, 100, 600_000),
+            fail_closed: self.fail_closed(),
+            revoke_time: self.millis("revoke-ms", 5_000, 100, 600_000),
             first_start: self.choice("first-start", false, &[("true", true), ("false", false)]),
             link_mbps: self.number("link-mbps", 0, 0, 1_000_000),
             threads: self.number("threads", 1, 1, 64),
@@ -227,6 +234,15 @@
         }
     }
 
+    /// Reads whether keyed calls need contact, which daemons in the distribution tree cannot prove.
+    fn fail_closed(&mut self) -> bool {
+        let closed = self.choice("fail-closed", false, &[("true", true), ("false", false)]);
+        if closed && self.get("distribution").as_deref() != Some("direct") {
+            self.error("fail-closed", "requires --distribution direct");
+        }
+        closed
+    }
+
     fn token(&mut self) -> Option<String> {
         let token = self.variables.get(TOKEN_VARIABLE)?;
         if token.bytes().any(|byte| !byte.is_ascii_graphic()) {
--- a/src/settings/flags.rs
+++ b/src/settings/flags.rs
@@ -69,6 +69,11 @@
             optional --retry-extra count: String
             /// The length of the window of --retry-extra, in milliseconds.
             optional --retry-window-ms ms: String
+            /// Whether calls with an API key are refused while it is not known whether the
+            /// configuration is the newest: true or false. Requires direct distribution.
+            optional --fail-closed value: String
+            /// The time within which a withdrawn API key stops working, in milliseconds.
+            optional --revoke-ms ms: String
             /// Whether all daemons start together for the first time: true or false.
             optional --first-start value: String
             /// The rate of the VM's link, in Mbit/s; zero if it is not known. Daemons with the fastest
@@ -87,7 +92,7 @@
 }
 
 /// The flags that take a value, each with an environment variable.
-pub const FLAGS: [&str; 31] = [
+pub const FLAGS: [&str; 33] = [
     "name",
     "domain",
     "region",
@@ -114,6 +119,8 @@
     "heartbeat-ms",
     "retry-extra",
     "retry-window-ms",
+    "fail-closed",
+    "revoke-ms",
     "first-start",
     "link-mbps",
     "threads",
@@ -187,6 +194,8 @@
             flags.heartbeat_ms,
             flags.retry_extra,
             flags.retry_window_ms,
+            flags.fail_closed,
+            flags.revoke_ms,
             flags.first_start,
             flags.link_mbps,
             flags.threads,
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -15,6 +15,9 @@
 /// Maximum length of an encoded snapshot before compression, in bytes.
 pub const MAX_SNAPSHOT_LEN: usize = 16 * 1024 * 1024;
 
+/// The resource kinds of the changes that this build sends; see `Changes` of the protocol.
+const FORMAT: u32 = 1;
+
 /// A version number with the hash of its content.
 ///
 /// Two versions with equal stamps have equal content; equal version numbers alone do not prove it.
@@ -317,6 +320,7 @@
             external: self.external,
             upserts: changed.map(|(key, res)| res.to_wire(key)).collect(),
             removals: removed.collect(),
+            format: FORMAT,
         }
     }
 
@@ -327,8 +331,13 @@
     ///
     /// Fails with [`Category::Conflict`] when the changes start after a newer version or the result
     /// does not match the stated hash, so that the changes after version zero are needed, and with
-    /// [`Category::Input`] when a resource cannot be parsed.
+    /// [`Category::Input`] when a resource cannot be parsed, or when a build that cannot decode
+    /// organisations has decoded the version: without them, no API key would be checked.
     pub fn apply_changes(&self, changes: wire::Changes) -> Result<Self> {
+        if changes.external && changes.format < FORMAT {
+            let message = "changes of an earlier build lack the organisations";
+            return Err(Error::new(Category::Input, message));
+        }
         let (after, stamp) = (changes.after, Stamp::from_wire(changes.stamp.as_ref()));
         if after > self.stamp.version {
             let message = format!("changes after version {after} do not fit {}", self.stamp);
--- a/src/table.rs
+++ b/src/table.rs
@@ -2,7 +2,9 @@
 
 use crate::check;
 use crate::error::{Category, Error, Result};
-use crate::resource::{Kind, Policy, Pool, ResourceKey, Route, Service, Spec};
+use crate::resource::{
+    KeyDigest, Kind, Organisation, Policy, Pool, ResourceKey, Route, Service, Spec,
+};
 use crate::snapshot::{Snapshot, Stamp};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::BTreeMap;
@@ -13,6 +15,18 @@
 new_key_type! {
     /// The key of a service in the [`Table`] that issued it; not valid in any other table.
     pub struct ServiceId;
+
+    /// The key of an organisation in the [`Table`] that issued it; not valid in any other table.
+    pub struct OrganisationId;
+}
+
+/// An organisation whose callers present API keys.
+#[derive(Clone, Debug)]
+pub struct OrganisationEntry {
+    /// The organisation's name.
+    pub name: Arc<str>,
+    /// The request kind of its calls, if it takes precedence over the route's.
+    pub request_kind: Option<String>,
 }
 
 /// A service with its pool and policy resolved.
@@ -81,6 +95,11 @@
     snapshot: Arc<Snapshot>,
     services: SlotMap<ServiceId, ServiceEntry>,
     service_ids: BTreeMap<String, ServiceId>,
+    organisations: SlotMap<OrganisationId, OrganisationEntry>,
+    /// The organisation that holds each API key.
+    key_holders: BTreeMap<KeyDigest, OrganisationId>,
+    /// Whether a policy requires that API keys are checked.
+    check_keys: bool,
     /// Ordered so that among routes of one host and prefix the first match is the most specific.
     routes: Vec<RouteEntry>,
     /// Indexes into `routes` by host, `None` for any host, and then by prefix.
@@ -97,8 +116,11 @@
         check::snapshot(&snapshot)?;
         let mut table = Table::default();
         for (key, res) in snapshot.resources() {
-            if let Spec::Service(service) = res.spec.as_ref() {
-                table.add_service(&snapshot, key, service)?;
+            match res.spec.as_ref() {
+                Spec::Service(service) => table.add_service(&snapshot, key, service)?,
+                Spec::Organisation(organisation) => table.add_organisation(key, organisation),
+                Spec::Policy(policy) => table.check_keys |= policy.check_keys,
+                Spec::Pool(_) | Spec::Route(_) => {}
             }
         }
         for (key, res) in snapshot.resources() {
@@ -196,6 +218,54 @@
         self.service_ids.get(name).map(|id| &self.services[*id])
     }
 
+    /// Returns whether API keys are checked: there is an organisation, or a policy requires it.
+    #[must_use]
+    pub fn checks_keys(&self) -> bool {
+        self.check_keys || !self.organisations.is_empty()
+    }
+
+    /// Finds the organisation that holds an API key.
+    #[must_use]
+    pub fn organisation(&self, key: &KeyDigest) -> Option<OrganisationId> {
+        self.key_holders.get(key).copied()
+    }
+
+    /// Returns an organisation of this table.
+    ///
+    /// # Panics
+    ///
+    /// May panic when the id is from another table.
+    #[must_use]
+    pub fn organisation_entry(&self, id: OrganisationId) -> &OrganisationEntry {
+        &self.organisations[id]
+    }
+
+    /// Returns the weight of an organisation's calls to a service; `None` if the weight of the route
+    /// applies.
+    ///
+    /// # Panics
+    ///
+    /// May panic when an id is from another table.
+    #[must_use]
+    pub fn organisation_weight(&self, id: OrganisationId, service: ServiceId) -> Option<u32> {
+        let kind = self.organisations[id].request_kind.as_ref()?;
+        self.services[service].policy.kinds.get(kind).copied()
+    }
+
+    /// Returns every organisation, in no particular order.
+    pub fn organisations(&self) -> impl Iterator<Item = (OrganisationId, &OrganisationEntry)> {
+        self.organisations.iter()
+    }
+
+    fn add_organisation(&mut self, key: &ResourceKey, organisation: &Organisation) {
+        let id = self.organisations.insert(OrganisationEntry {
+            name: key.name.as_str().into(),
+            request_kind: organisation.request_kind.clone(),
+        });
+        let keys = organisation.keys.iter();
+        self.key_holders.extend(keys.map(|digest| (*digest, id)));
+    }
+
     fn add_service(
         &mut self,
         snapshot: &Snapshot,
--- a/tests/support/resources.rs
+++ b/tests/support/resources.rs
@@ -2,6 +2,7 @@
 
 use baobabstage::change::Operation;
 use baobabstage::prelude::*;
+use baobabstage::resource::KeyDigest;
 use proptest::prelude::*;
 use serde_json::json;
 
@@ -31,7 +32,7 @@
         2 => Just(BaseRevision::Current),
         1 => Just(BaseRevision::Stale),
     ];
-    let op = (0..4usize, 0..3u8, 0..3u8, 1..9u32, 0..6u8, based);
+    let op = (0..Kind::ALL.len(), 0..3u8, 0..3u8, 1..9u32, 0..6u8, based);
     let op = op.prop_map(|(kind, name, target, content, delete, based)| Op {
         kind,
         name,
@@ -56,6 +57,9 @@
             Kind::Service => json!({ "pool": target, "policy": target }),
             Kind::Route => json!({ "prefix": format!("/{}", self.name), "service": target,
                 "request_kind": "lookup", "idempotent": true, "timeout_ms": content * 100 }),
+            Kind::Organisation => {
+                json!({ "keys": [KeyDigest::of(target.as_bytes())], "burst": content })
+            }
         };
         Spec::from_value(Kind::ALL[self.kind], &value).unwrap()
     }
