Keep reading from callers for a while when a connection closes

A connection that is closed while bytes of the caller are unread is reset, and what the caller has not received yet is discarded. A connection counts as open meanwhile, so that a shutdown waits for it within its limits.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,5 +1,7 @@
 //! The accept loop of the HTTP listeners.
 
+mod linger;
+
 use crate::daemon::{Drain, InFlightGuard, Phase, Socket};
 use crate::event;
 use http::{Request, Response};
@@ -10,6 +12,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
+use linger::ReturnedStream;
 use std::convert::Infallible;
 use std::future::Future;
 use std::time::Duration;
@@ -181,12 +184,16 @@
         .max_header_list_size(u32::try_from(MAX_HEAD_LEN).unwrap_or(u32::MAX))
         .max_send_buf_size(STREAM_WINDOW as usize)
         .max_concurrent_streams(MAX_STREAMS);
+    let (stream, returned) = ReturnedStream::new(stream);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection.into_owned());
     tokio::spawn(async move {
         if let Err(err) = connection.await {
             event!(ConnectionFailed, error = err);
         }
+        if let Ok(stream) = returned.await {
+            linger::close(stream).await;
+        }
         drop(guard);
     });
 }
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -135,6 +135,31 @@
     assert!(!paths(&site).contains(&"/certs/1".to_owned()));
 }
 
+/// The same with a long response that the caller reads slowly: closing a connection with unread bytes
+/// discards what the caller has not received yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn behind_long_closing_response() {
+    const LEN: usize = 1_500_000;
+    let site = start().await;
+    let mut requests = request(&format!("/certs/0?0,{LEN}"), "connection: close\r\n");
+    requests += &request("/certs/1", "").repeat(20_000);
+    let stream = TcpStream::connect(site.vms[0].outbound()).await.unwrap();
+    let (mut reader, mut writer) = stream.into_split();
+    let write = tokio::spawn(async move { drop(writer.write_all(requests.as_bytes()).await) });
+    let mut received = 0;
+    let mut part = vec![0; 64 * 1024];
+    loop {
+        sleep(Duration::from_millis(20)).await;
+        match timeout(LIMIT, reader.read(&mut part)).await.unwrap() {
+            Ok(0) | Err(_) => break,
+            Ok(len) => received += len,
+        }
+    }
+    assert!(received > LEN, "{received} bytes of {LEN} received");
+    write.await.unwrap();
+    assert!(!paths(&site).contains(&"/certs/1".to_owned()));
+}
+
 /// A drain that begins while the first of several requests runs lets it end, states that the connection is
 /// closed, and forwards none of those behind it.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -99,7 +99,8 @@
 }
 
 /// A backend server that records the heads of its requests. It answers with the path, after the
-/// milliseconds that the query states.
+/// milliseconds that the query states; with a second number behind a comma, with a body of that many
+/// bytes instead.
 #[derive(Clone, Default)]
 pub struct Recorder {
     received: Arc<Mutex<Vec<Received>>>,
@@ -129,9 +130,14 @@
             path: path.clone(),
             headers,
         });
-        let delay = request.uri().query().and_then(|query| query.parse().ok());
-        sleep(Duration::from_millis(delay.unwrap_or(0))).await;
-        Response::builder().body(Full::from(path))
+        let numbers = request.uri().query().unwrap_or_default().split(',');
+        let mut numbers = numbers.map(|number| number.parse().unwrap_or(0));
+        sleep(Duration::from_millis(numbers.next().unwrap_or(0))).await;
+        let body = match numbers.next().and_then(|len| usize::try_from(len).ok()) {
+            Some(len) => Bytes::from(vec![b'a'; len]),
+            None => Bytes::from(path),
+        };
+        Response::builder().body(Full::from(body))
     }
 
     /// Returns the requests received so far.
