--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -100,6 +100,7 @@
     json!({
         "address": daemon.addresses().outbound,
         "services": services.collect::<serde_json::Map<_, _>>(),
+        "keys": keys::state(daemon),
     })
 }
 
--- a/src/role/outbound/keys.rs
+++ b/src/role/outbound/keys.rs
@@ -42,6 +42,17 @@
     }
 }
 
+/// Returns the state of the check for the state dump.
+pub(super) fn state(daemon: &Daemon) -> serde_json::Value {
+    let table = daemon.config.table();
+    serde_json::json!({
+        "checked": table.checks_keys(),
+        "organisations": table.organisations().count(),
+        "contact_ms_ago": daemon.contact.age().map(|age| age.as_millis()),
+        "closed": currency(daemon).closed,
+    })
+}
+
 fn log_refusal(table: &Table, entry: &RouteEntry, id: &str, refusal: KeyRefusal) {
     event!(
         KeyRefused,
--- a/tests/access.rs
+++ b/tests/access.rs
@@ -8,6 +8,7 @@
 use baobabstage::snapshot::{Resource, Snapshot};
 use baobabstage::{Category, Change, Table};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use prost::Message as _;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use test_case::test_case;
@@ -242,6 +243,8 @@
     let after = Snapshot::external(2, "r2", after);
     let changes = after.changes_after(1, Vec::new());
     assert_eq!(changes.upserts.len(), 1);
+    assert!(changes.encoded_len() < 1_024, "{}", changes.encoded_len());
+    println!("{} bytes", changes.encoded_len());
     assert_eq!(before.apply_changes(changes).unwrap(), after);
 }
 
--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -378,6 +378,14 @@
         assert_eq!(status(vm, "/certs", &keyed).await, 503);
         assert_eq!(status(vm, "/certs", &[(KEY_HEADER, "other")]).await, 503);
         assert_eq!(status(vm, "/certs", &[]).await, 200);
+        let state = page(vm.daemon.addresses().admin, "/state").await;
+        let state: Value = serde_json::from_str(&state).unwrap();
+        let keys = &state["outbound"]["keys"];
+        assert_eq!(
+            (&keys["checked"], &keys["closed"]),
+            (&true.into(), &true.into())
+        );
+        assert_eq!(keys["organisations"], 1);
     }
     for vm in &site.vms {
         vm.link.clear_faults();
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -79,6 +79,23 @@
     assert_eq!(err.lines().count(), 4, "{err}");
 }
 
+/// In the distribution tree, a daemon has no proof that its version is the newest: it would refuse every
+/// keyed call.
+#[test_case("direct" => Ok(true); "direct")]
+#[test_case("tree" => Err(1); "tree")]
+fn new_fail_closed(distribution: &str) -> Result<bool, usize> {
+    let variables = [
+        ("BAOBAB_FAIL_CLOSED", "true"),
+        ("BAOBAB_DISTRIBUTION", distribution),
+    ];
+    let read = settings(&[], &variables);
+    read.map(|read| read.fail_closed).map_err(|err| {
+        err.lines()
+            .filter(|line| line.contains("--fail-closed"))
+            .count()
+    })
+}
+
 #[test]
 fn new_operator_token() {
     let variables = [
