Carry the version of a backend server in its member record

Cause: a rollout selects backend servers by version, which was not read from their reports. It is empty where none is reported.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -35,6 +35,8 @@
     pub address: SocketAddr,
     /// The number of calls that it runs concurrently.
     pub slots: u32,
+    /// The version of the program, any text; empty when not stated.
+    pub version: String,
     /// The remaining time of its slow start; zero when it is at full speed.
     pub slow_start: Duration,
 }
@@ -64,6 +66,8 @@
     pub sequence: u64,
     /// The number of calls that it runs concurrently, if reported.
     pub slots: Option<u32>,
+    /// The version of the program, any text; empty when not reported.
+    pub version: String,
     /// The end of its slow start.
     pub slow_until: Option<Instant>,
 }
@@ -76,6 +80,7 @@
             born_ms: 0,
             sequence: 0,
             slots: None,
+            version: String::new(),
             slow_until: None,
         }
     }
@@ -198,6 +203,7 @@
             born_ms: report.born_ms,
             sequence: report.sequence,
             slots: Some(report.slots),
+            version: report.version.clone(),
             slow_until: (!report.slow_start.is_zero()).then(|| now + report.slow_start),
         });
         if stage == Stage::Unknown {
--- a/src/call/balance.rs
+++ b/src/call/balance.rs
@@ -126,6 +126,8 @@
     pub joined: Option<Instant>,
     /// Concurrent calls that it allows, if it reports a limit of its own.
     pub slots: Option<u32>,
+    /// The version of the backend server; empty if it has not reported one.
+    pub version: String,
 }
 
 /// The load, latency and failures observed at an upstream. Survives rebuilds of a [`Group`].
--- a/src/call/view.rs
+++ b/src/call/view.rs
@@ -363,6 +363,7 @@
         suspect: member.state() == MemberState::Suspect,
         joined: state.joined,
         slots: (member.slots > 0).then_some(member.slots),
+        version: member.version.clone(),
     };
     let health = Arc::clone(&state.health);
     Upstream { info, health }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -329,6 +329,7 @@
             link_mbps: self.settings.link_mbps,
             platform_lost: self.platform_lost.load(Ordering::Relaxed),
             left: backend.stage == Stage::Leaving,
+            version: backend.version.clone(),
         }
     }
 }
--- a/src/member.rs
+++ b/src/member.rs
@@ -235,5 +235,6 @@
         "mesh": member.mesh,
         "link_mbps": member.link_mbps,
         "platform_lost": member.platform_lost,
+        "version": member.version,
     })
 }
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -26,6 +26,7 @@
         service: SERVICE.into(),
         address: address(),
         slots: 12,
+        version: "v1".into(),
         slow_start: Duration::ZERO,
     }
 }
@@ -54,6 +55,7 @@
     let backend = cell.load();
     assert_eq!(backend.stage, Stage::Ready);
     assert_eq!(backend.slots, Some(12));
+    assert_eq!(backend.version, "v1");
     assert_eq!(backend.instance.as_deref(), Some("a"));
 }
 
--- a/tests/call_balance.rs
+++ b/tests/call_balance.rs
@@ -32,6 +32,7 @@
             suspect: false,
             joined: None,
             slots: None,
+            version: String::new(),
         },
         health: Arc::new(Health::new(now)),
     }
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -62,6 +62,7 @@
         service: "certs".into(),
         address: address(),
         slots: 4,
+        version: "v1".into(),
         slow_start: Duration::ZERO,
     };
     daemon.backend.report(Instant::now(), &report, true);
@@ -302,6 +303,7 @@
     let known = &fleet.members()["one"];
     assert_eq!(known.state(), MemberState::Ready);
     assert_eq!((known.slots, known.instance.as_str()), (4, "i-1"));
+    assert_eq!(known.version, "v1");
 }
 
 /// A daemon whose record a peer has removed outranks the removal with its next record.
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -81,6 +81,7 @@
             service: "certs".into(),
             address,
             slots: 4,
+            version: String::new(),
             slow_start: Duration::ZERO,
         })
     };
