Read orders of rollouts, keep their state and enforce steps

Cause: orders of the platform had no effect (docs/design/contention.md, part F). A registry merges orders by revision and steps by number and renewal; a final phase stays. Outbound sides divide a service's upstreams by version, and the inbound side beside a backend server of the ordered version takes only what the current step permits. Calls are counted for evidence.

--- a/src/call.rs
+++ b/src/call.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod read_ahead;
 pub mod request;
+pub mod split;
 pub mod suspects;
 pub mod upstream;
 pub mod view;
@@ -79,6 +80,13 @@
 /// The service on the VM where a call began; sent between daemons only.
 pub const CALLER: HeaderName = HeaderName::from_static("x-baobab-caller");
 
+/// Marks a request as a message about rollouts between daemons; see [`rollout`](crate::rollout).
+pub const ROLLOUT: HeaderName = HeaderName::from_static("x-baobab-rollout");
+
+/// On a call that is sent to the ordered version: the order and the number of the step. On a response: the same of
+/// the newest step known to the inbound side, and `1` if it is in force.
+pub const STEP: HeaderName = HeaderName::from_static("x-baobab-step");
+
 /// Marks a request as an [`exchange`](crate::exchange) between daemons.
 pub const EXCHANGE: HeaderName = HeaderName::from_static("x-baobab-exchange");
 
@@ -137,13 +145,15 @@
     Shed,
     /// Backend servers have ended under this request; it is refused everywhere for some time.
     Quarantined,
+    /// The backend server is of a version that takes no such calls now, by a rollout.
+    Version,
     /// A reason that concerns this attempt only, such as a wrong incarnation or a cancellation.
     #[default]
     Other,
 }
 
 impl RefusalReason {
-    const ALL: [RefusalReason; 8] = [
+    const ALL: [RefusalReason; 9] = [
         RefusalReason::Busy,
         RefusalReason::RateLimited,
         RefusalReason::Full,
@@ -151,6 +161,7 @@
         RefusalReason::Down,
         RefusalReason::Shed,
         RefusalReason::Quarantined,
+        RefusalReason::Version,
         RefusalReason::Other,
     ];
 
@@ -165,6 +176,7 @@
             RefusalReason::Down => "down",
             RefusalReason::Shed => "shed",
             RefusalReason::Quarantined => "quarantined",
+            RefusalReason::Version => "version",
             RefusalReason::Other => "other",
         }
     }
--- a/src/call/balance.rs
+++ b/src/call/balance.rs
@@ -420,6 +420,16 @@
         }
     }
 
+    /// Creates a group of some of these upstreams, with the same limits and in the same order.
+    #[must_use]
+    pub fn subset(&self, kept: impl Fn(&UpstreamInfo) -> bool) -> Self {
+        let upstreams = self
+            .upstreams
+            .iter()
+            .filter(|upstream| kept(&upstream.info));
+        Group::new(upstreams.cloned().collect(), self.limits)
+    }
+
     /// Returns the upstreams, in the order of their indices.
     #[must_use]
     pub fn upstreams(&self) -> &[Upstream] {
--- a/src/call/view.rs
+++ b/src/call/view.rs
@@ -2,11 +2,13 @@
 
 use super::balance::{BalancingLimits, Group, Health, Index, Upstream, UpstreamInfo};
 use super::budget::Budget;
+use super::split::Split;
 use super::upstream::Link;
 use crate::daemon::RuntimeLimits;
 use crate::generated::mesh as wire;
 use crate::generated::mesh::MemberState;
 use crate::member::Fleet;
+use crate::rollout::registry::Rollout;
 use crate::sync::lock;
 use crate::table::{ServiceEntry, ServiceId, Table};
 use arc_swap::ArcSwapOption;
@@ -44,6 +46,8 @@
     pub changed: Instant,
     /// The links, in the order of the group; `None` for this daemon's own upstream.
     links: Vec<Option<Arc<Link>>>,
+    /// The division by the step of a rollout that was used last.
+    split: ArcSwapOption<Split>,
 }
 
 impl ServiceView {
@@ -52,6 +56,35 @@
         self.links.iter().flatten()
     }
 
+    /// Returns the division of the upstreams by the newest step of the service's rollout.
+    #[must_use]
+    pub fn split(&self, rollout: &Rollout) -> Arc<Split> {
+        let known = self.split.load();
+        if let Some(split) = known.as_ref().filter(|split| split.is_by(rollout)) {
+            return Arc::clone(split);
+        }
+        let split = Arc::new(Split::new(self, rollout));
+        self.split.store(Some(Arc::clone(&split)));
+        split
+    }
+
+    /// Returns a view of some of the upstreams, which shares their state.
+    #[must_use]
+    pub fn subset(&self, kept: impl Fn(&UpstreamInfo) -> bool) -> ServiceView {
+        let upstreams = self.group.upstreams().iter().zip(&self.links);
+        let links = upstreams.filter(|(upstream, _)| kept(&upstream.info));
+        let links = links.map(|(_, link)| link.clone()).collect();
+        ServiceView {
+            name: self.name.clone(),
+            group: self.group.subset(kept),
+            budget: Arc::clone(&self.budget),
+            stats: Arc::clone(&self.stats),
+            changed: Instant::now(),
+            links,
+            split: ArcSwapOption::empty(),
+        }
+    }
+
     /// Returns the link to an upstream; `None` if it is this daemon's own.
     #[must_use]
     pub fn link(&self, index: Index) -> Option<&Arc<Link>> {
@@ -286,6 +319,7 @@
                 stats,
                 changed,
                 links,
+                split: ArcSwapOption::empty(),
             };
             services.insert(id, Arc::new(view));
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -17,8 +17,9 @@
 use crate::header_names::HeaderNames;
 use crate::member::Fleet;
 use crate::platform::{Client, ClientSettings, JsonDialect, RateLimitedPlatform};
+use crate::rollout::RolloutCell;
 use crate::settings::{Addresses, Settings};
-use crate::site::{Readiness, Reload, Reports, Site, Source};
+use crate::site::{Readiness, Reload, Reports, Rollouts, Site, Source};
 use crate::store::Store;
 use crate::sync::lock;
 use arc_swap::ArcSwap;
@@ -113,6 +114,10 @@
     pub limits: ArcSwap<RuntimeLimits>,
     /// Reads the reloadable settings, if they can change.
     pub reload: Option<Reload>,
+    /// How rollouts are ordered, if they are.
+    pub ordered_rollouts: Option<Rollouts>,
+    /// The known rollouts.
+    pub rollouts: RolloutCell,
     /// The accepted versions, as stored in the platform.
     pub store: Store,
     /// The configuration in force.
@@ -186,6 +191,8 @@
             readiness: site.readiness,
             limits: ArcSwap::from_pointee(RuntimeLimits::new(&settings)),
             reload: site.reload,
+            ordered_rollouts: site.rollouts,
+            rollouts: RolloutCell::default(),
             backend,
             cutoff: OnceLock::new(),
             announced: Mutex::default(),
--- a/src/event.rs
+++ b/src/event.rs
@@ -117,6 +117,16 @@
 
     UpstreamReplaced = 518, Info, "Another incarnation of a daemon answered; its record replaces the one known before.";
 
+    RolloutChanged = 530, Info, "An order or a step of a rollout became known here.";
+    RolloutOrderIgnored = 531, Warn, "An order of a rollout cannot be read, or names an unknown service; it has no effect.";
+    RolloutDecided = 532, Info, "This daemon has written the next step of a rollout.";
+    RolloutDecider = 533, Info, "This daemon began or ceased to decide on a rollout.";
+    RolloutRecordFailed = 534, Warn, "The step record or the state of a rollout could not be read from the platform or written to it.";
+    RolloutStatus = 535, Info, "The state of a rollout was written to the platform.";
+    RolloutStopped = 536, Warn, "This daemon's backend server fails so many calls during a rollout that it takes no more of them.";
+    RolloutReportFailed = 537, Debug, "A message about rollouts could not be exchanged with another daemon.";
+    RolloutOrdersRead = 538, Info, "The orders of rollouts were read at start.";
+
     OperatorRefused = 600, Warn, "An operator's request was refused.";
 }
 
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -186,6 +186,7 @@
         let other = Stamp::from_wire(request.stamp.as_ref());
         let buckets = std::mem::take(&mut request.buckets);
         let has_members = !request.members.is_empty();
+        let (rollout_digest, has_rollouts) = (request.rollout_digest, !request.rollouts.is_empty());
         self.merge(daemon, request);
         let mut response = self.summary(daemon);
         let differs = response.buckets != buckets;
@@ -194,9 +195,15 @@
         }
         let own = daemon.config.stamp();
         response.newer = self.changes_after(daemon, other, whole);
+        let differs_in_rollouts = response.rollout_digest != rollout_digest;
+        if differs_in_rollouts {
+            response.rollouts = daemon.rollouts.messages();
+        }
         // Asks for a second message: with the sender's records, unless this one had them, or with
         // its newer configuration.
-        response.wants = differs && !has_members || other.version > own.version;
+        response.wants = differs && !has_members
+            || other.version > own.version
+            || differs_in_rollouts && !has_rollouts;
         response
     }
 
@@ -215,6 +222,7 @@
             }
             changed
         });
+        daemon.rollouts.merge_messages(message.rollouts);
         let Some(newer) = message.newer else {
             return;
         };
@@ -310,6 +318,7 @@
             stamp: Some(daemon.config.stamp().to_wire()),
             buckets: lock(&self.registry).buckets(),
             whole: self.mismatched.load(Ordering::Relaxed),
+            rollout_digest: daemon.rollouts.digest(),
             ..wire::Exchange::default()
         }
     }
--- a/src/exchange/peer.rs
+++ b/src/exchange/peer.rs
@@ -55,6 +55,7 @@
     let other = Stamp::from_wire(response.stamp.as_ref());
     let (wants, whole) = (response.wants, response.whole);
     let buckets = response.buckets.clone();
+    let rollout_digest = response.rollout_digest;
     state.merge(daemon, response);
     if wants || state.mismatched.load(Ordering::Relaxed) {
         let mut more = state.summary(daemon);
@@ -62,6 +63,9 @@
             more.members = lock(&state.registry).records_for(&buckets);
         }
         more.newer = state.changes_after(daemon, other, whole);
+        if wants && more.rollout_digest != rollout_digest {
+            more.rollouts = daemon.rollouts.messages();
+        }
         let response = send(peer, more, limit).await?;
         state.merge(daemon, response);
     }
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -8,6 +8,7 @@
 mod keyed;
 mod reachability;
 mod running;
+mod version;
 
 use crate::backend::Stage;
 use crate::call::admission::{AdmissionRequest, Limits, Reason};
@@ -21,12 +22,13 @@
 use crate::call::metrics::InboundMetrics;
 use crate::call::read_ahead::{Receiver, Transfers};
 use crate::call::upstream::{BackendPool, Reuse, UpstreamError, hello};
-use crate::call::{self, Refusal, RefusalReason};
+use crate::call::{self, Outcome, Refusal, RefusalReason};
 use crate::daemon::{Daemon, InFlightGuard, Phase};
 use crate::event;
 use crate::exchange::{self, ExchangeState};
 use crate::kernel::{Plugin, RoleFuture};
 use crate::quarantine::{self, Quarantine};
+use crate::rollout;
 use crate::serve::{Body, BodyError, full_body, serve_calls};
 use crate::sync::lock;
 use backend::{check_response, max_body_len, note_leaving, stated_rate, to_backend};
@@ -224,6 +226,9 @@
         if request.headers().contains_key(call::QUARANTINE) {
             return quarantine::serve(daemon, request).await;
         }
+        if request.headers().contains_key(call::ROLLOUT) {
+            return rollout::serve(daemon, request).await;
+        }
         ExchangeState::of(daemon).note_version(daemon, request.headers(), None);
         let call_guard = daemon.drain.begin_call();
         let id = request.headers().get(&daemon.names.request).cloned();
@@ -267,6 +272,10 @@
             headers.insert(call::LOAD, load);
         }
         headers.insert(call::VERSION, daemon.config.stamp().version.into());
+        let service = self.service.as_deref();
+        if let Some(mark) = service.and_then(|service| daemon.rollouts.mark(service)) {
+            headers.insert(call::STEP, mark);
+        }
         response
     }
 
@@ -324,6 +333,11 @@
         }
         check_accepting(daemon)?;
         self.check_synced()?;
+        version::check(
+            daemon,
+            self.service.as_deref().unwrap_or_default(),
+            request.headers(),
+        )?;
         self.reachability.check()?;
         self.update_limits(daemon)?;
         let receiver = receiver(&request);
@@ -426,6 +440,12 @@
         // A drain or a crash may have been reported while the connection was opened.
         check_accepting(daemon)?;
         monitored.check(daemon)?;
+        // The step may have been replaced while the call waited.
+        version::check(
+            daemon,
+            self.service.as_deref().unwrap_or_default(),
+            request.headers(),
+        )?;
         if !run.recorded.dispatch() {
             let reason = "attempt was cancelled by its sender";
             return Err(unavailable(reason, RefusalReason::Other));
@@ -433,16 +453,31 @@
         run.permit.mark_used();
         let instance = backend.instance.as_deref();
         let (request, id) = to_backend(request, deadline, names, instance)?;
+        let counters = daemon.rollouts.counters();
+        let mut counted = counters.begin(
+            instance.unwrap_or_default(),
+            &backend.version,
+            attempt.time_class,
+            deadline,
+        );
         let response = match lease.send(request).await {
             Ok(response) => response,
             Err(err) => {
                 run.permit.exclude_sample();
+                match (counted, &err) {
+                    (Some(counted), UpstreamError::NotSent(..)) => counted.cancel(),
+                    (Some(counted), _) => counted.fail(),
+                    (None, _) => {}
+                }
                 return Err(self.no_response(err, monitored).await);
             }
         };
         self.mark_reachable();
         monitored.set_status(response.status());
         let failed = response.status().is_server_error();
+        if let Some(counted) = &mut counted {
+            counted.set_response(failed);
+        }
         self.metrics
             .note_run(run.waited, run.permit.service_time(), failed);
         event!(
@@ -467,6 +502,11 @@
         }
         if let Err(refusal) = check_response(daemon, &backend, &response, id) {
             run.permit.exclude_sample();
+            match counted {
+                Some(counted) if refusal.outcome == Outcome::NotRun => counted.cancel(),
+                Some(counted) => counted.fail(),
+                None => {}
+            }
             return Err(refusal);
         }
         if let Some(len) = response.body().size_hint().exact() {
@@ -474,7 +514,8 @@
         }
         let limit = max_body_len(names, response.headers());
         let reachability = Arc::clone(&self.reachability);
-        let response = response.map(|body| Bounded::new(body, limit, reachability, monitored));
+        let response =
+            response.map(|body| Bounded::new(body, limit, reachability, monitored, counted));
         Ok(to_outbound(response, run, deadline, &self.transfers))
     }
 
--- a/src/role/inbound/bounded.rs
+++ b/src/role/inbound/bounded.rs
@@ -4,6 +4,7 @@
 use super::reachability::Reachability;
 use crate::call::body::CutOffError;
 use crate::call::upstream::PooledBody;
+use crate::rollout::counters::CountedRun;
 use crate::serve::BodyError;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::Bytes;
@@ -22,6 +23,8 @@
     reachability: Arc<Reachability>,
     /// The run, until the body has ended.
     run: Option<MonitoredRun>,
+    /// The count of the run for a rollout, until the body has ended.
+    counted: Option<CountedRun>,
 }
 
 impl Bounded {
@@ -30,6 +33,7 @@
         limit: u64,
         reachability: Arc<Reachability>,
         run: MonitoredRun,
+        counted: Option<CountedRun>,
     ) -> Self {
         let mut bounded = Bounded {
             body,
@@ -37,17 +41,25 @@
             left: limit,
             reachability,
             run: Some(run),
+            counted,
         };
         bounded.end_if_complete();
         bounded
     }
 
     fn end_if_complete(&mut self) {
-        if self.body.is_end_stream()
-            && let Some(run) = self.run.take()
-        {
+        if self.body.is_end_stream() {
+            self.complete();
+        }
+    }
+
+    fn complete(&mut self) {
+        if let Some(run) = self.run.take() {
             run.complete();
         }
+        if let Some(counted) = self.counted.take() {
+            counted.complete();
+        }
     }
 }
 
@@ -64,6 +76,9 @@
             Some(Ok(frame)) => {
                 let len = frame.data_ref().map_or(0, Bytes::len) as u64;
                 let Some(left) = self.left.checked_sub(len) else {
+                    if let Some(counted) = self.counted.take() {
+                        counted.fail();
+                    }
                     let err = CutOffError::TooLong(self.limit);
                     self.reachability.mark_down(err);
                     return Poll::Ready(Some(Err(err.into())));
@@ -75,12 +90,11 @@
                 if let Some(run) = self.run.take() {
                     run.lose_body();
                 }
-            }
-            None => {
-                if let Some(run) = self.run.take() {
-                    run.complete();
+                if let Some(counted) = self.counted.take() {
+                    counted.fail();
                 }
             }
+            None => self.complete(),
         }
         Poll::Ready(frame)
     }
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -106,6 +106,7 @@
         tree.wait_caught_up(daemon).await?;
         daemon.caught_up.store(true, Ordering::Relaxed);
         Quarantine::of(daemon).wait_synced().await;
+        daemon.rollouts.wait_synced().await;
         actors.mark_unchanged();
         phases.mark_unchanged();
         backend.mark_unchanged();
@@ -132,6 +133,7 @@
     }
     // Others send calls as soon as this daemon is announced.
     Quarantine::of(daemon).wait_synced().await;
+    daemon.rollouts.wait_synced().await;
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
     let mut failing_since = None;
     loop {
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod newer;
+mod version;
 
 use crate::call::attempt::{Attempt, AttemptIds};
 use crate::call::balance::{BalancePolicy, Health, Index, Upstream, UpstreamInfo};
@@ -211,7 +212,9 @@
         let entry = request::find_route(&view.table, &request);
         let entry = entry.map_err(|err| newer::refusal(daemon, err))?;
         let service = entry.service(self.split_point());
-        Call::new(daemon, &view, entry, service, request, id)
+        let mut call = Call::new(daemon, &view, entry, service, request, id)?;
+        call.choose_version();
+        Ok(call)
     }
 
     /// Returns the next number of a sequence that covers 0 to 1 evenly at any length.
@@ -239,6 +242,10 @@
                 None => self.choose(&call, &tried, attempts),
             };
             let Some(index) = index else {
+                if call.fall_back() {
+                    tried.clear();
+                    continue;
+                }
                 return failed_before
                     .map(|failed| *failed.response)
                     .ok_or_else(no_upstream);
@@ -258,6 +265,10 @@
             }
             self.metrics.note_failure(failed.failure);
             match failed.failure {
+                // Depends on what the two daemons know of a rollout, and costs the call nothing.
+                Failure::Refused if failed.reason_code == RefusalReason::Version => {
+                    tried.push(index);
+                }
                 // A busy upstream may be chosen again, to wait in its queue.
                 Failure::Refused if failed.reason_code == RefusalReason::Busy => busy_refusals += 1,
                 // Offers are limited in number; an attempt that might wait is made elsewhere next.
@@ -295,6 +306,9 @@
                 return Ok(*failed.response);
             }
             failed_before = Some(failed);
+            if call.leaves_version(reason) && call.fall_back() {
+                tried.clear();
+            }
             let delay = backoff(attempts, failure, rand::random());
             if !delay.is_zero() {
                 tokio::time::sleep(delay).await;
@@ -346,6 +360,7 @@
         let Some(service) = view.service_named(&call.service.name) else {
             return false;
         };
+        let service = &call.same_side(service);
         let is_same = |new: &Upstream, known: &UpstreamInfo| {
             new.info.name == known.name && new.info.incarnation == known.incarnation
         };
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -6,6 +6,7 @@
 use crate::call::budget::{Failure, RetryLimits};
 use crate::call::fence::ExecutionStatus;
 use crate::call::idempotency::{KEY, KeyId};
+use crate::call::split::Side;
 use crate::call::upstream::{Link, UpstreamError};
 use crate::call::view::{ServiceView, View};
 use crate::call::{self, Outcome, Refusal, RefusalReason, request};
@@ -52,7 +53,14 @@
 /// A call in progress, shared by all its attempts.
 pub(super) struct Call<'a> {
     pub(super) daemon: &'a Arc<Daemon>,
+    /// The upstreams that the call may be sent to.
     pub(super) service: Arc<ServiceView>,
+    /// Which upstreams of the service these are, during a rollout.
+    pub(super) side: Side,
+    /// The upstreams of other versions, where those of the ordered one are tried first.
+    pub(super) fallback: Option<Arc<ServiceView>>,
+    /// The mark of attempts at the ordered version.
+    pub(super) mark: Option<HeaderValue>,
     pub(super) head: http::request::Parts,
     pub(super) body: Replay,
     /// The request id.
@@ -133,6 +141,9 @@
         Ok(Call {
             daemon,
             service: Arc::clone(service),
+            side: Side::All,
+            fallback: None,
+            mark: None,
             head: request::shared_head(head, id, names, caller)?,
             body: Replay::new(streaming_body(body), policy.body_bytes),
             id,
@@ -256,6 +267,9 @@
             let record = HeaderValue::from_static("1");
             head.headers.insert(call::KEY_RECORD, record);
         }
+        if let Some(mark) = &self.mark {
+            head.headers.insert(call::STEP, mark.clone());
+        }
         let left = request::remaining_ms(self.retry_limits.deadline);
         head.headers.insert(call::DEADLINE_MS, left);
         let version = self.daemon.config.stamp().version;
@@ -425,6 +439,10 @@
     let headers = response.headers();
     let state = ExchangeState::of(call.daemon);
     state.note_version(call.daemon, headers, Some(upstream.info.address));
+    if let Some(mark) = call::text(headers, &call::STEP) {
+        let rollouts = &call.daemon.rollouts;
+        rollouts.note_mark(&call.service.name, mark, upstream.info.address);
+    }
     let load = call::text(headers, &call::LOAD);
     if let Some(load) = load.and_then(|load| load.parse::<Load>().ok()) {
         health.report(now, load);
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -4,9 +4,15 @@
 //! after another: how large a share of the calls goes to which backend servers of that version. It decides
 //! by the [`Evidence`] that the daemons beside all backend servers of the service count; see [`plan`].
 
+mod cell;
+pub mod counters;
 pub mod evidence;
 pub mod plan;
+pub mod registry;
+pub mod tenure;
+pub mod wire;
 
+pub use cell::{RolloutCell, phase_name, send, serve};
 pub use evidence::{Counts, Evidence, ServerCounts, ServerKey};
 pub use plan::{Decision, Plan, Server};
 
--- a/src/site.rs
+++ b/src/site.rs
@@ -7,8 +7,10 @@
 use crate::backend::Report;
 use crate::error::Result;
 use crate::header_names::HeaderNames;
-use crate::platform::Platform;
+use crate::platform::{Entry, Platform};
+use crate::rollout::{ExposureLimits, Order, Phase};
 use crate::snapshot::Snapshot;
+use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -74,6 +76,21 @@
     pub path: String,
 }
 
+/// Rollouts that operators order by writing platform keys.
+#[derive(Clone, Copy, Debug)]
+pub struct Rollouts {
+    /// The prefix of the orders' keys, which the service follows.
+    pub orders: &'static str,
+    /// Decodes an order.
+    pub decode: fn(&Entry) -> Result<Order>,
+    /// Returns the key of the state of a service's rollout.
+    pub status_key: fn(&str) -> String,
+    /// Encodes that state: the phase and the version ordered.
+    pub encode_status: fn(Phase, &str) -> Bytes,
+    /// The permitted exposure of callers to a bad version.
+    pub limits: ExposureLimits,
+}
+
 /// The environment in which a daemon runs.
 pub struct Site {
     /// The key-value service.
@@ -88,6 +105,8 @@
     pub readiness: Option<Readiness>,
     /// Reads the settings again, if they can change while the daemon runs.
     pub reload: Option<Reload>,
+    /// How rollouts are ordered, if they are.
+    pub rollouts: Option<Rollouts>,
 }
 
 impl Site {
@@ -101,6 +120,7 @@
             reports: None,
             readiness: None,
             reload: None,
+            rollouts: None,
         }
     }
 }
