--- a/src/call/split.rs
+++ b/src/call/split.rs
@@ -67,19 +67,19 @@
     #[must_use]
     pub fn side(&self, rollout: &Rollout, now: Instant) -> Side {
         let has_version = !self.version.group.upstreams().is_empty();
-        let has_others = !self.others.group.upstreams().is_empty();
-        match rollout.phase() {
-            Phase::RolledBack => Side::Others,
-            Phase::Completed if has_version => Side::Version,
-            Phase::Completed => Side::Others,
-            Phase::Trial | Phase::Shift => {
-                let share = rollout.current(now).map_or(0, |step| step.share);
-                if has_version && share > 0 && (!has_others || self.is_next_in(share)) {
-                    Side::Version
-                } else {
-                    Side::Others
-                }
-            }
+        let has_others = self.has_others();
+        let share = match rollout.phase() {
+            Phase::RolledBack => return Side::Others,
+            Phase::Completed => WHOLE,
+            Phase::Trial | Phase::Shift => rollout.current(now).map_or(0, |step| step.share),
+        };
+        if has_version && share > 0 && (!has_others || self.is_next_in(share)) {
+            Side::Version
+        } else if has_others {
+            Side::Others
+        } else {
+            // The rollout may have ended long ago, which this daemon has not learnt yet. The inbound sides decide.
+            Side::All
         }
     }
 
@@ -95,6 +95,12 @@
         multiple.fract() * f64::from(WHOLE) < f64::from(share)
     }
 
+    /// Tests whether there are upstreams of other versions.
+    #[must_use]
+    pub fn has_others(&self) -> bool {
+        !self.others.group.upstreams().is_empty()
+    }
+
     /// Returns the upstreams of a side; `None` for [`Side::All`].
     #[must_use]
     pub fn view(&self, side: Side) -> Option<&Arc<ServiceView>> {
--- a/src/role.rs
+++ b/src/role.rs
@@ -9,3 +9,4 @@
 pub mod outbound;
 pub mod quarantine;
 pub mod reports;
+pub mod rollout;
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -266,7 +266,9 @@
             self.metrics.note_failure(failed.failure);
             match failed.failure {
                 // Depends on what the two daemons know of a rollout, and costs the call nothing.
-                Failure::Refused if failed.reason_code == RefusalReason::Version => {
+                Failure::Refused
+                    if failed.reason_code == RefusalReason::Version && !tried.contains(&index) =>
+                {
                     tried.push(index);
                 }
                 // A busy upstream may be chosen again, to wait in its queue.
--- a/src/role/outbound/version.rs
+++ b/src/role/outbound/version.rs
@@ -21,7 +21,7 @@
         let split = self.service.split(rollout);
         let is_running = !rollout.phase().is_final();
         self.side = match split.side(rollout, Instant::now()) {
-            Side::Version if self.key.is_some() && is_running => Side::Others,
+            Side::Version if self.key.is_some() && is_running && split.has_others() => Side::Others,
             side => side,
         };
         self.mark = split.mark(self.side).cloned();
