Decide on rollouts by likelihood ratios of failures and service times

Plan held every step. It now starts a trial on three backend servers, weighs each route's failures and service times against the old version, and rolls back, shifts and completes.

--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -4,8 +4,11 @@
 //! after another: how large a share of the calls goes to which backend servers of that version. It decides
 //! by the [`Evidence`] that the daemons beside all backend servers of the service count; see [`plan`].
 
+mod compare;
 pub mod evidence;
+mod history;
 pub mod plan;
+mod trial;
 
 pub use evidence::{Counts, Evidence, ServerCounts, ServerKey};
 pub use plan::{Decision, Plan, Server};
--- /dev/null
+++ b/src/rollout/history.rs
@@ -0,0 +1,130 @@
+//! Recent counts of each backend server, from which the counts of a time window are derived.
+
+use super::{Counts, Evidence, ServerKey};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Samples older than this, relative to the newest of the same server, are dropped.
+const KEPT: Duration = Duration::from_secs(3);
+
+/// Counts by time class, which stands for a route.
+pub(super) type Routes = BTreeMap<u32, Counts>;
+
+/// The recent counts of one backend server.
+#[derive(Debug)]
+pub(super) struct Track {
+    /// Whether the backend server has the version of the order.
+    pub(super) new: bool,
+    /// Cumulative counts with the time at which they arrived. Never empty.
+    samples: VecDeque<(Instant, Routes)>,
+}
+
+impl Track {
+    /// The time at which the newest counts arrived.
+    pub(super) fn newest(&self) -> Instant {
+        self.samples.back().expect("a track has a sample").0
+    }
+
+    /// The counts of the last `length` before the newest sample. Where no sample is that old, these are all
+    /// counts since counting began.
+    pub(super) fn window(&self, length: Duration) -> Routes {
+        let (newest, routes) = self.samples.back().expect("a track has a sample");
+        let base = self.before(*newest - length);
+        difference(routes, base)
+    }
+
+    /// Calls that arrived in counts since `since`.
+    fn grown_since(&self, since: Instant) -> u64 {
+        let (first, newest) = (&self.samples[0].1, &self.samples[self.samples.len() - 1].1);
+        total(newest).saturating_sub(total(self.before(since).unwrap_or(first)))
+    }
+
+    /// All calls since counting began.
+    pub(super) fn calls(&self) -> u64 {
+        total(&self.samples.back().expect("a track has a sample").1)
+    }
+
+    fn before(&self, time: Instant) -> Option<&Routes> {
+        let mut older = self.samples.iter().rev();
+        older.find(|(at, _)| *at <= time).map(|(_, routes)| routes)
+    }
+
+    fn push(&mut self, now: Instant, routes: &Routes) {
+        if self
+            .samples
+            .back()
+            .is_some_and(|(_, known)| known == routes)
+        {
+            return;
+        }
+        self.samples.push_back((now, routes.clone()));
+        while self.samples.len() > 2 && self.samples[1].0 + KEPT <= now {
+            self.samples.pop_front();
+        }
+    }
+}
+
+/// The recent counts of all backend servers of a service.
+#[derive(Debug, Default)]
+pub(super) struct History {
+    tracks: BTreeMap<ServerKey, Track>,
+}
+
+impl History {
+    /// Records the counts that have changed since the last call.
+    pub(super) fn record(&mut self, now: Instant, evidence: &Evidence, version: &str) {
+        for (key, counts) in evidence.servers() {
+            if let Some(track) = self.tracks.get_mut(key) {
+                track.push(now, &counts.routes);
+                continue;
+            }
+            let track = Track {
+                new: counts.version == version,
+                samples: VecDeque::from([(now, counts.routes.clone())]),
+            };
+            self.tracks.insert(key.clone(), track);
+        }
+    }
+
+    /// Iterates over the backend servers.
+    pub(super) fn tracks(&self) -> impl Iterator<Item = (&ServerKey, &Track)> {
+        self.tracks.iter()
+    }
+
+    /// Iterates over the backend servers of the version of the order, or over the others.
+    pub(super) fn of(&self, new: bool) -> impl Iterator<Item = (&ServerKey, &Track)> {
+        self.tracks().filter(move |(_, track)| track.new == new)
+    }
+
+    /// Calls to the version of the order since counting began.
+    pub(super) fn exposure(&self) -> u64 {
+        self.of(true).map(|(_, track)| track.calls()).sum()
+    }
+
+    /// Calls a second to the service over the last `length`.
+    #[allow(clippy::cast_precision_loss)]
+    pub(super) fn rate(&self, now: Instant, length: Duration) -> f64 {
+        let grown = |(_, track): (_, &Track)| track.grown_since(now - length);
+        let calls: u64 = self.tracks().map(grown).sum();
+        calls as f64 / length.as_secs_f64()
+    }
+}
+
+fn total(routes: &Routes) -> u64 {
+    routes.values().map(|counts| counts.calls).sum()
+}
+
+fn difference(newest: &Routes, base: Option<&Routes>) -> Routes {
+    let since = |(class, counts): (&u32, &Counts)| {
+        let base = base.and_then(|base| base.get(class)).copied();
+        let base = base.unwrap_or_default();
+        let counts = Counts {
+            calls: counts.calls.saturating_sub(base.calls),
+            failures: counts.failures.saturating_sub(base.failures),
+            time_us: counts.time_us.saturating_sub(base.time_us),
+        };
+        (*class, counts)
+    };
+    newest.iter().map(since).collect()
+}
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -1,8 +1,57 @@
 //! The decision on the next step of a rollout.
+//!
+//! A trial on few backend servers lasts until the version is proven good or bad; see [`super::compare`]. Then
+//! all new backend servers get a share that keeps the exposure within its limit if the version is bad after
+//! all, and then all calls. `docs/design/rollouts.md` gives the reasons.
 
-use super::{Evidence, ExposureLimits, Order, Step};
+use super::compare::{self, Defect, Verdict};
+use super::history::History;
+use super::trial;
+use super::{Evidence, ExposureLimits, Order, Phase, Step, WHOLE};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 use tokio::time::Instant;
 
+/// Time until a step has reached all daemons.
+const SPREAD: Duration = Duration::from_secs(1);
+/// Age of the evidence on arrival.
+const REPORT_DELAY: Duration = Duration::from_millis(500);
+/// Time from a defect until the calls have stopped: evidence, decision and step.
+const REACTION: Duration = Duration::from_secs(2);
+/// Time from the first new backend server until the trial starts with fewer than three.
+const GATHER: Duration = Duration::from_millis(500);
+/// Time from the order until the targets are assumed to have started, at a decider that takes over.
+const START: Duration = Duration::from_millis(1_500);
+/// The longest time that a call runs.
+const LONGEST_CALL: Duration = Duration::from_secs(3);
+/// Time before the deadline by which the rollout ends, so that the result can be written.
+const END_MARGIN: Duration = Duration::from_secs(1);
+/// The shortest time between the last daemon's last call to an old backend server and the end.
+const SHORTEST_DRAIN: Duration = Duration::from_millis(500);
+/// Time for which a target may report nothing before another one takes its place.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Latency ratio of the calls of a bad version.
+const SLOW_CALL: u32 = 8;
+
+/// Logarithm of the likelihood ratio from which a version is rolled back.
+const BAD_LLR: f64 = 5.0;
+/// The same for each backend server, where the version has fewer than three.
+const BAD_LLR_EACH: f64 = 1.7;
+/// Logarithm of the likelihood ratio below which a version is proven good.
+const GOOD_LLR: f64 = -3.0;
+/// The same for each backend server, where the version has fewer than three.
+const GOOD_LLR_EACH: f64 = -1.5;
+/// The same in the short window.
+const RECENT_GOOD_LLR: f64 = -1.0;
+/// Contribution from which a target is replaced as faulty while the others are good.
+const FAULTY_LLR: f64 = 1.2;
+/// The greatest share between trial and whole, in thousandths.
+const GREATEST_PARTIAL_SHARE: f64 = 500.0;
+/// The part of the remaining exposure that a step may use.
+const EXPOSURE_USE: f64 = 0.9;
+/// Calls without which a version is not completed.
+const LEAST_CALLS: u64 = 20;
+
 /// A daemon of the service with its backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Server {
@@ -36,6 +85,23 @@
     order: Order,
     limits: ExposureLimits,
     ordered: Instant,
+    history: History,
+    /// When each backend server of the new version started, by daemon.
+    started: BTreeMap<String, Instant>,
+    /// The number of the last step with the time at which it was first given.
+    stepped: Option<(u64, Instant)>,
+    /// When the share became the whole.
+    whole_since: Option<Instant>,
+    /// When each target of the trial became one.
+    targeted: BTreeMap<String, Instant>,
+}
+
+/// The input of one decision.
+struct View<'a> {
+    now: Instant,
+    new: Vec<&'a Server>,
+    old: Vec<&'a Server>,
+    verdict: Verdict,
 }
 
 impl Plan {
@@ -46,6 +112,11 @@
             order,
             limits,
             ordered,
+            history: History::default(),
+            started: BTreeMap::new(),
+            stepped: None,
+            whole_since: None,
+            targeted: BTreeMap::new(),
         }
     }
 
@@ -58,8 +129,265 @@
         servers: &[Server],
         evidence: &Evidence,
     ) -> Decision {
-        let _ = (now, step, servers, evidence);
-        let _ = (&self.order, self.limits, self.ordered);
-        Decision::Hold
+        let step = step.filter(|step| step.order == self.order.revision);
+        if step.is_some_and(|step| step.phase.is_final()) {
+            return Decision::Hold;
+        }
+        let (new, old): (Vec<&Server>, Vec<&Server>) = servers
+            .iter()
+            .filter(|server| server.ready)
+            .partition(|server| server.version == self.order.version);
+        self.observe(now, step, &new, evidence);
+        let verdict = compare::compare(now, &self.history, &self.started);
+        let view = View {
+            now,
+            new,
+            old,
+            verdict,
+        };
+        if let Some(reason) = self.defect(&view) {
+            return Decision::RollBack(reason);
+        }
+        match step {
+            None => self.begin(&view),
+            Some(step) if step.phase == Phase::Trial => self.try_out(step, &view),
+            Some(step) if step.share < WHOLE => self.raise(step, &view),
+            Some(step) => self.finish(step, &view),
+        }
+    }
+
+    /// Records starts, steps and counts.
+    fn observe(&mut self, now: Instant, step: Option<&Step>, new: &[&Server], evidence: &Evidence) {
+        let taken_over = self.stepped.is_none() && step.is_some_and(|step| step.number > 0);
+        if let Some(step) = step {
+            if taken_over {
+                let start = now.min(self.ordered + START);
+                let targets = step.targets.iter();
+                self.started
+                    .extend(targets.map(|name| (name.clone(), start)));
+            }
+            if self.stepped.is_none_or(|(number, _)| number != step.number) {
+                self.stepped = Some((step.number, now));
+            }
+            if step.share >= WHOLE {
+                self.whole_since.get_or_insert(now);
+            }
+            self.targeted.retain(|name, _| step.targets.contains(name));
+            for name in &step.targets {
+                self.targeted.entry(name.clone()).or_insert(now);
+            }
+        }
+        for server in new {
+            if !self.started.contains_key(&server.daemon) {
+                self.started.insert(server.daemon.clone(), now);
+            }
+        }
+        self.history.record(now, evidence, &self.order.version);
+    }
+
+    /// The reason for which the version is bad, if it is.
+    fn defect(&self, view: &View) -> Option<String> {
+        let ((route, defect), llr) = view.verdict.worst?;
+        let threshold = BAD_LLR.min(BAD_LLR_EACH * small(self.started.len()));
+        if llr < threshold {
+            return None;
+        }
+        let what = match defect {
+            Defect::Failures => "error rate",
+            Defect::Latency => "service time",
+        };
+        let place = route.map_or("all routes".to_owned(), |route| {
+            format!("time class {route}")
+        });
+        Some(format!(
+            "{what} above that of the old version on {place} (log likelihood ratio {llr:.1})"
+        ))
+    }
+
+    /// Starts the trial once there are new backend servers.
+    fn begin(&self, view: &View) -> Decision {
+        if view.now >= self.end() {
+            return Decision::RollBack("no backend server of the version is ready".to_owned());
+        }
+        let Some(first) = self.started.values().min() else {
+            return Decision::Hold;
+        };
+        let enough = view.new.len() >= trial::TARGETS || view.now >= *first + GATHER;
+        if !enough || view.new.is_empty() {
+            return Decision::Hold;
+        }
+        let targets = trial::targets(&view.new, &BTreeSet::new(), &BTreeSet::new());
+        let share = trial::share(&view.new, &view.old, &targets);
+        self.next(0, Phase::Trial, share, targets)
+    }
+
+    /// Continues the trial, or ends it.
+    fn try_out(&self, step: &Step, view: &View) -> Decision {
+        if self.is_proven(view) || self.is_thin_but_good(view) {
+            let targets = names(&view.new);
+            let share = self.partial_share(step, view);
+            return self.next(step.number, Phase::Shift, share, targets);
+        }
+        if view.now >= self.end() {
+            return Decision::RollBack("not enough evidence before the deadline".to_owned());
+        }
+        let targets = self.trial_targets(step, view);
+        if targets.is_empty() || targets == step.targets {
+            return Decision::Hold;
+        }
+        let share = trial::share(&view.new, &view.old, &targets);
+        self.next(step.number, Phase::Trial, share, targets)
+    }
+
+    /// Raises the share to the whole, unless the partial share shows that the version is bad.
+    fn raise(&self, step: &Step, view: &View) -> Decision {
+        if self.may_be_whole(view) || self.is_thin_but_good(view) {
+            return self.next(step.number, Phase::Shift, WHOLE, names(&view.new));
+        }
+        if view.now >= self.end() {
+            return Decision::RollBack("not enough evidence before the deadline".to_owned());
+        }
+        if view.verdict.worst_llr() > 0.0 && self.remaining(step, view.now) <= 0.0 {
+            return Decision::RollBack("exposure used up without proof".to_owned());
+        }
+        self.follow_servers(step, view)
+    }
+
+    /// Completes the rollout once the calls at the old backend servers have ended.
+    fn finish(&self, step: &Step, view: &View) -> Decision {
+        let whole = self.whole_since.unwrap_or(view.now);
+        if view.now >= self.end().min(whole + SPREAD + LONGEST_CALL) {
+            return Decision::Complete;
+        }
+        self.follow_servers(step, view)
     }
+
+    /// Makes all ready backend servers of the version targets.
+    fn follow_servers(&self, step: &Step, view: &View) -> Decision {
+        let targets = names(&view.new);
+        if targets.is_empty() || targets == step.targets {
+            return Decision::Hold;
+        }
+        self.next(step.number, Phase::Shift, step.share, targets)
+    }
+
+    /// The targets without those that have gone, are silent or are faulty, as far as there are others.
+    fn trial_targets(&self, step: &Step, view: &View) -> Vec<String> {
+        let is_unfit = |name: &&str| self.is_silent(name, view.now) || is_faulty(name, view);
+        let targets: Vec<&str> = step.targets.iter().map(String::as_str).collect();
+        let tried: BTreeSet<&str> = self
+            .history
+            .of(true)
+            .filter(|(_, track)| track.calls() > 0)
+            .map(|(key, _)| key.daemon.as_str())
+            .chain(targets.iter().copied())
+            .collect();
+        let fit = targets.iter().filter(|name| !is_unfit(name)).copied();
+        let fit: BTreeSet<&str> = fit.collect();
+        let chosen = trial::targets(&view.new, &fit, &tried);
+        if chosen.len() >= trial::TARGETS.min(view.new.len()) {
+            return chosen;
+        }
+        // There are no untried ones left: the unfit targets stay.
+        let all: BTreeSet<&str> = targets.into_iter().collect();
+        trial::targets(&view.new, &all, &tried)
+    }
+
+    /// Tests whether a target has had calls for a while and reports nothing.
+    fn is_silent(&self, name: &str, now: Instant) -> bool {
+        let Some(since) = self.targeted.get(name) else {
+            return false;
+        };
+        let reports = self.history.of(true);
+        let newest = reports
+            .filter(|(key, _)| key.daemon == name)
+            .map(|(_, track)| track.newest())
+            .max();
+        let last = newest.map_or(*since + SPREAD, |newest| newest.max(*since + SPREAD));
+        now >= last + SILENCE
+    }
+
+    fn is_proven(&self, view: &View) -> bool {
+        let threshold = GOOD_LLR.max(GOOD_LLR_EACH * small(self.started.len()));
+        view.verdict.proof <= threshold && view.verdict.recent_proof <= RECENT_GOOD_LLR
+    }
+
+    /// Tests whether the time is nearly over and the little evidence there is speaks for the version.
+    fn is_thin_but_good(&self, view: &View) -> bool {
+        view.now >= self.latest_whole()
+            && view.now < self.end()
+            && view.verdict.worst_llr() < 0.0
+            && self.history.exposure() >= LEAST_CALLS
+    }
+
+    /// Tests whether the partial share has lasted long enough to show slow calls as well.
+    fn may_be_whole(&self, view: &View) -> bool {
+        let Some((_, stepped)) = self.stepped else {
+            return false;
+        };
+        let shown = stepped + SPREAD + REPORT_DELAY;
+        let slow = stepped + SLOW_CALL * view.verdict.slowest + REPORT_DELAY;
+        view.now >= shown.max(slow).min(self.latest_whole()) && self.is_proven(view)
+    }
+
+    /// The share at which the exposure stays within its limit if the version is bad after all.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn partial_share(&self, step: &Step, view: &View) -> u32 {
+        if view.now >= self.latest_whole() {
+            return WHOLE;
+        }
+        let rate = self.history.rate(view.now, compare::LONG).max(1.0);
+        let calls = EXPOSURE_USE * self.remaining(step, view.now);
+        let share = f64::from(WHOLE) * calls / (rate * REACTION.as_secs_f64());
+        let share = share.clamp(f64::from(step.share), GREATEST_PARTIAL_SHARE);
+        share as u32
+    }
+
+    /// Calls to the version that the limit still permits, without those that are not reported yet.
+    #[allow(clippy::cast_precision_loss)]
+    fn remaining(&self, step: &Step, now: Instant) -> f64 {
+        let rate = self.history.rate(now, compare::LONG);
+        let calls = rate * self.order.duration.as_secs_f64();
+        let unreported = rate * f64::from(step.share) / f64::from(WHOLE);
+        let used = self.history.exposure() as f64 + unreported * REPORT_DELAY.as_secs_f64();
+        self.limits.share * calls + f64::from(self.limits.slack) - used
+    }
+
+    /// The latest time at which the rollout ends.
+    fn end(&self) -> Instant {
+        self.ordered + self.order.duration.saturating_sub(END_MARGIN)
+    }
+
+    /// The latest time at which the share becomes the whole.
+    fn latest_whole(&self) -> Instant {
+        let tail = END_MARGIN + SPREAD + SHORTEST_DRAIN;
+        self.ordered + self.order.duration.saturating_sub(tail)
+    }
+
+    fn next(&self, last: u64, phase: Phase, share: u32, targets: Vec<String>) -> Decision {
+        Decision::Next(Step {
+            order: self.order.revision,
+            number: last + 1,
+            phase,
+            share,
+            targets,
+        })
+    }
+}
+
+/// Tests whether a target is bad while the version is more likely good, or undecided.
+fn is_faulty(name: &str, view: &View) -> bool {
+    let mut votes = view.verdict.votes.iter();
+    votes.any(|(key, llr)| key.daemon == name && *llr >= FAULTY_LLR)
+}
+
+/// The names of the daemons, in order.
+fn names(servers: &[&Server]) -> Vec<String> {
+    let names: BTreeSet<&String> = servers.iter().map(|server| &server.daemon).collect();
+    names.into_iter().cloned().collect()
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn small(count: usize) -> f64 {
+    count as f64
 }
