--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -5,11 +5,14 @@
 //! by the [`Evidence`] that the daemons beside all backend servers of the service count; see [`plan`].
 
 mod cell;
+mod compare;
 pub mod counters;
 pub mod evidence;
+mod history;
 pub mod plan;
 pub mod registry;
 pub mod tenure;
+mod trial;
 pub mod wire;
 
 pub use cell::{RolloutCell, phase_name, send, serve};
