--- a/src/call.rs
+++ b/src/call.rs
@@ -84,7 +84,7 @@
 pub const ROLLOUT: HeaderName = HeaderName::from_static("x-baobab-rollout");
 
 /// On a call that is sent to the ordered version: the order and the number of the step. On a response: the same of
-/// the newest step known to the inbound side, and `1` if it is in force.
+/// the newest step known to the inbound side, and the milliseconds since its last renewal, if known.
 pub const STEP: HeaderName = HeaderName::from_static("x-baobab-step");
 
 /// Marks a request as an [`exchange`](crate::exchange) between daemons.
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -117,6 +117,7 @@
             check::name("change", "id", change)?;
             format!("/v1/changes/{change}")
         }
+        Command::Rollout => "/v1/rollouts".into(),
         _ => "/v1/version".into(),
     })
 }
--- a/src/ctl/flags.rs
+++ b/src/ctl/flags.rs
@@ -89,6 +89,8 @@
                 /// Time limit, in milliseconds; 10000 by default.
                 optional --wait-ms ms: u64
             }
+            /// Shows the rollouts that the first daemon that responds knows.
+            cmd rollout {}
             /// Shows the state dump of a daemon.
             cmd state {
                 /// The admin address of the daemon, as IP:PORT.
@@ -172,6 +174,8 @@
         /// The admin address of the daemon, as IP:PORT.
         address: String,
     },
+    /// Shows the rollouts.
+    Rollout,
     /// Shows the version in force.
     Version,
 }
@@ -325,6 +329,7 @@
         Parsed::State(state) => Command::State {
             address: state.address,
         },
+        Parsed::Rollout(_) => Command::Rollout,
         Parsed::Version(_) => Command::Version,
     }
 }
--- a/src/ctl/table.rs
+++ b/src/ctl/table.rs
@@ -55,6 +55,18 @@
 fn columns_of(list: &str) -> Option<&'static [&'static str]> {
     match list {
         "resources" | "upserts" => Some(&["kind", "name", "revision", "spec"]),
+        "rollouts" => Some(&[
+            "service", "version", "phase", "step", "share", "current", "decider", "reason",
+        ]),
+        "evidence" => Some(&[
+            "service",
+            "version",
+            "route_class",
+            "servers",
+            "calls",
+            "failures",
+            "mean_us",
+        ]),
         "removals" => Some(&["kind", "name"]),
         "effects" => Some(&["action", "kind", "name", "before", "after"]),
         "changes" => Some(&["version", "change", "title", "touched", "accepted_ms"]),
--- a/src/role/operator.rs
+++ b/src/role/operator.rs
@@ -112,6 +112,7 @@
         Endpoint::Revert(id) => changes::revert(daemon, id, &query).await,
         Endpoint::Quarantine => Ok(reply::json(&Quarantine::of(daemon).state())),
         Endpoint::Quarantined(content) => release(daemon, content),
+        Endpoint::Rollouts => Ok(reply::json(&daemon.rollouts.state())),
     }
 }
 
--- a/src/role/operator/request.rs
+++ b/src/role/operator/request.rs
@@ -32,6 +32,8 @@
     Quarantine,
     /// One of them, by its content hash.
     Quarantined(u128),
+    /// The rollouts.
+    Rollouts,
 }
 
 impl Endpoint {
@@ -58,6 +60,7 @@
             ["v1", "changes"] => Ok(Endpoint::Changes),
             ["v1", "changes", id] => Ok(Endpoint::Change(change_id(id)?)),
             ["v1", "changes", id, "revert"] => Ok(Endpoint::Revert(change_id(id)?)),
+            ["v1", "rollouts"] => Ok(Endpoint::Rollouts),
             ["v1", "quarantine"] => Ok(Endpoint::Quarantine),
             ["v1", "quarantine", hash] => Ok(Endpoint::Quarantined(content_hash(hash)?)),
             _ => {
@@ -74,7 +77,8 @@
             | Endpoint::Resources(_)
             | Endpoint::Watch
             | Endpoint::Change(_)
-            | Endpoint::Quarantine => "GET",
+            | Endpoint::Quarantine
+            | Endpoint::Rollouts => "GET",
             Endpoint::Quarantined(_) => "DELETE",
             Endpoint::Resource(_) => "GET, PUT, DELETE",
             Endpoint::Changes => "GET, POST",
@@ -89,7 +93,10 @@
 
     /// Tests whether the endpoint concerns the configuration.
     pub fn is_configuration(&self) -> bool {
-        !matches!(self, Endpoint::Quarantine | Endpoint::Quarantined(_))
+        !matches!(
+            self,
+            Endpoint::Quarantine | Endpoint::Quarantined(_) | Endpoint::Rollouts
+        )
     }
 
     /// Returns the names of the supported query parameters.
@@ -98,7 +105,8 @@
             Endpoint::Version
             | Endpoint::Resources(_)
             | Endpoint::Quarantine
-            | Endpoint::Quarantined(_) => &[],
+            | Endpoint::Quarantined(_)
+            | Endpoint::Rollouts => &[],
             Endpoint::Resource(_) => &["change"],
             Endpoint::Watch => &["kind", "name"],
             Endpoint::Changes => &["check", "limit"],
--- a/src/rollout/cell.rs
+++ b/src/rollout/cell.rs
@@ -28,7 +28,8 @@
 /// Time without a byte after which a message is given up.
 const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Age of a renewal from which the mark on a response renews a step, so that most responses change nothing.
+/// Least time by which the renewal that a response states is newer than the known one, for it to be merged. So most
+/// responses change nothing.
 const CONFIRM_AGE: Duration = Duration::from_millis(500);
 
 /// The rollouts that a daemon knows.
@@ -196,16 +197,23 @@
         }
     }
 
-    /// Returns the mark of a service's responses: the order, the number of the newest step, and whether it is
-    /// in force; `None` without an order.
+    /// Returns the mark of a service's responses: the order, the number of the newest step, and the milliseconds
+    /// since its last renewal; `None` without an order.
+    ///
+    /// The age is passed on, since daemons that only confirmed to each other that a step is in force would keep
+    /// it so after its decider is gone.
     #[must_use]
     pub fn mark(&self, service: &str) -> Option<HeaderValue> {
         let registry = self.registry.load();
         let rollout = registry.get(service)?;
         let number = rollout.step().map_or(0, |step| step.number);
-        let current = u8::from(rollout.current(Instant::now()).is_some());
-        let order = rollout.order.revision;
-        HeaderValue::try_from(format!("{order}.{number}.{current}")).ok()
+        let renewed = rollout
+            .published
+            .as_ref()
+            .and_then(|published| published.renewed);
+        let age = renewed.map(|at| at.elapsed().as_millis().to_string());
+        let (order, age) = (rollout.order.revision, age.as_deref().unwrap_or("-"));
+        HeaderValue::try_from(format!("{order}.{number}.{age}")).ok()
     }
 
     /// Reads the mark of a response: it renews the step known here, or shows that another daemon has a newer one.
@@ -214,8 +222,8 @@
         let (Some(Some(order)), Some(Some(number))) = (fields.next(), fields.next()) else {
             return;
         };
-        let current = fields.next() == Some(Some(1));
-        let now = Instant::now();
+        let age = fields.next().flatten().map(Duration::from_millis);
+        let renewed = age.and_then(|age| Instant::now().checked_sub(age));
         let known = self.get(service);
         let step = |rollout: &Rollout| rollout.step().map_or(0, |step| step.number);
         let known_step = known
@@ -225,10 +233,12 @@
             self.holder.send_replace(Some(holder));
             return;
         }
-        let renewed = known.and_then(|known| known.published.as_ref()?.renewed);
-        let is_old = |at: Instant| now.saturating_duration_since(at) >= CONFIRM_AGE;
-        if current && known_step == Some((order, number)) && renewed.is_none_or(is_old) {
-            self.update(|registry| registry.confirm(service, order, number, now));
+        let Some(renewed) = renewed.filter(|_| known_step == Some((order, number))) else {
+            return;
+        };
+        let known = known.and_then(|known| known.published.as_ref()?.renewed);
+        if known.is_none_or(|known| renewed.saturating_duration_since(known) >= CONFIRM_AGE) {
+            self.update(|registry| registry.confirm(service, order, number, renewed));
         }
     }
 
@@ -256,10 +266,18 @@
     pub fn state(&self) -> Value {
         let now = Instant::now();
         let registry = self.registry.load();
-        let rollouts = registry
-            .iter()
-            .map(|rollout| self.rollout_state(rollout, now));
-        json!({ "synced": self.is_synced(), "rollouts": rollouts.collect::<Vec<_>>() })
+        let rollouts = registry.iter();
+        let rollouts = rollouts.map(|rollout| self.rollout_state(rollout, now));
+        let evidence = registry.iter().flat_map(|rollout| {
+            let service = &rollout.order.service;
+            let order = rollout.order.revision;
+            self.with_evidence(order, |evidence| evidence_state(service, evidence))
+        });
+        json!({
+            "synced": self.is_synced(),
+            "rollouts": rollouts.collect::<Vec<_>>(),
+            "evidence": evidence.collect::<Vec<_>>(),
+        })
     }
 
     fn rollout_state(&self, rollout: &Rollout, now: Instant) -> Value {
@@ -283,7 +301,6 @@
             "renewed_s": published.and_then(|published| published.renewed).map(age),
             "reason": published.map_or("", |published| &published.reason),
             "stopped": self.counters.is_stopped(order),
-            "evidence": self.with_evidence(order, evidence_state),
         })
     }
 }
@@ -299,8 +316,8 @@
     }
 }
 
-/// Sums the evidence by version and route.
-fn evidence_state(evidence: &Evidence) -> Value {
+/// Sums the evidence about a service by version and route.
+fn evidence_state(service: &str, evidence: &Evidence) -> Vec<Value> {
     let mut sums: BTreeMap<(String, u32), (u64, u64, u64, u64)> = BTreeMap::new();
     for (_, server) in evidence.servers() {
         for (class, counts) in &server.routes {
@@ -314,6 +331,7 @@
     let rows = sums.into_iter().map(|((version, class), sum)| {
         let (servers, calls, failures, time_us) = sum;
         json!({
+            "service": service,
             "version": version,
             "route_class": class,
             "servers": servers,
--- a/src/rollout/registry.rs
+++ b/src/rollout/registry.rs
@@ -163,8 +163,8 @@
         is_new
     }
 
-    /// Records that another daemon holds this step to be in force.
-    pub fn confirm(&mut self, service: &str, order: u64, number: u64, now: Instant) {
+    /// Records that this step was renewed at `at`, as another daemon states.
+    pub fn confirm(&mut self, service: &str, order: u64, number: u64, at: Instant) {
         let Some(known) = self.rollouts.get_mut(service) else {
             return;
         };
@@ -172,7 +172,7 @@
         if let Some(published) = &mut known.published
             && (known.order.revision, published.step.number) == (order, number)
         {
-            published.renewed = published.renewed.max(Some(now));
+            published.renewed = published.renewed.max(Some(at));
         }
     }
 
--- a/tests/rollout_registry.rs
+++ b/tests/rollout_registry.rs
@@ -2,7 +2,7 @@
 
 use baobabstage::rollout::registry::{Merged, PublishedStep, Registry, Rollout, STEP_TTL};
 use baobabstage::rollout::wire::{decode, encode};
-use baobabstage::rollout::{Order, Phase, Step, WHOLE};
+use baobabstage::rollout::{Order, Phase, RolloutCell, Step, WHOLE};
 use std::time::Duration;
 use test_case::test_case;
 use tokio::time::{Instant, advance};
@@ -142,3 +142,38 @@
     registry.confirm(SERVICE, 7, 2, Instant::now());
     assert!(is_current(&registry));
 }
+
+/// Two daemons that read each other's responses must not keep a step in force after its decider is gone.
+#[tokio::test(start_paused = true)]
+async fn note_mark_without_decider() {
+    let peer = ([127, 0, 0, 1], 7_000).into();
+    advance(Duration::from_mins(1)).await;
+    let cells = [RolloutCell::default(), RolloutCell::default()];
+    for cell in &cells {
+        cell.merge(rollout(7, 2, Phase::Trial, 5));
+    }
+    for turn in 0..40 {
+        advance(Duration::from_millis(100)).await;
+        let mark = cells[turn % 2].mark(SERVICE).unwrap();
+        cells[(turn + 1) % 2].note_mark(SERVICE, mark.to_str().unwrap(), peer);
+    }
+    for cell in &cells {
+        let known = cell.get(SERVICE).unwrap();
+        assert!(known.current(Instant::now()).is_none());
+    }
+}
+
+/// A daemon that the decider's message has not reached learns of the renewal from a response.
+#[tokio::test(start_paused = true)]
+async fn note_mark_renewed() {
+    let peer = ([127, 0, 0, 1], 7_000).into();
+    advance(Duration::from_mins(1)).await;
+    let (near, far) = (RolloutCell::default(), RolloutCell::default());
+    far.merge(rollout(7, 2, Phase::Trial, 5));
+    advance(STEP_TTL).await;
+    near.merge(rollout(7, 2, Phase::Trial, 8));
+    let mark = near.mark(SERVICE).unwrap();
+    far.note_mark(SERVICE, mark.to_str().unwrap(), peer);
+    let known = far.get(SERVICE).unwrap();
+    assert!(known.current(Instant::now()).is_some());
+}
