Send no calls to a version whose order was replaced before it was completed

Cause: an order that replaces one in its trial made the version under trial one of the others, which get all calls until the first step. Change: the decider takes the versions of uncompleted orders from the step record that it replaces, and publishes them with each step; before the first step a daemon goes by the order that it knew. Where no daemon beside a backend server of another version is known, the rollout is completed. A starting daemon waits for its configuration before it follows the orders, so that it need not list them twice.

--- a/src/call/split.rs
+++ b/src/call/split.rs
@@ -26,7 +26,8 @@
 /// The upstreams of a service, divided by one step of a rollout.
 pub struct Split {
     order: u64,
-    number: u64,
+    /// The number of the step; `None` before the first one.
+    number: Option<u64>,
     /// Those that the step names, or all of the version once it is completed.
     version: Arc<ServiceView>,
     others: Arc<ServiceView>,
@@ -51,9 +52,9 @@
             order,
             number,
             version: Arc::new(targets),
-            others: Arc::new(service.subset(|info| info.version != version)),
+            others: Arc::new(service.subset(|info| rollout.is_established(&info.version))),
             count: AtomicU64::new(rand::random::<u32>().into()),
-            mark: HeaderValue::try_from(format!("{order}.{number}")).ok(),
+            mark: HeaderValue::try_from(format!("{order}.{}", number.unwrap_or(0))).ok(),
         }
     }
 
@@ -118,7 +119,7 @@
     }
 }
 
-fn key(rollout: &Rollout) -> (u64, u64) {
-    let number = rollout.step().map_or(0, |step| step.number);
+fn key(rollout: &Rollout) -> (u64, Option<u64>) {
+    let number = rollout.step().map(|step| step.number);
     (rollout.order.revision, number)
 }
--- a/src/role/inbound/version.rs
+++ b/src/role/inbound/version.rs
@@ -12,7 +12,7 @@
 ///
 /// One of the ordered version takes only calls that are marked with the order, while a current step names it,
 /// and all calls once they have all moved to its version. One of another version takes all calls: their senders
-/// choose by the steps that they know.
+/// choose by the steps that they know; unless it was ordered earlier and not completed.
 pub(super) fn check(daemon: &Daemon, service: &str, headers: &HeaderMap) -> Result<(), Refusal> {
     let rollouts = &daemon.rollouts;
     if !rollouts.is_synced() && daemon.ordered_rollouts.is_some() {
@@ -24,7 +24,11 @@
     let Some(rollout) = known.get(service) else {
         return Ok(());
     };
-    if daemon.backend.load().version != rollout.order.version {
+    let own = &daemon.backend.load().version;
+    if rollout.is_unproven(own) {
+        return Err(refusal("version was ordered earlier and not completed"));
+    }
+    if *own != rollout.order.version {
         return Ok(());
     }
     let order = rollout.order.revision;
--- a/src/role/rollout/decider.rs
+++ b/src/role/rollout/decider.rs
@@ -29,6 +29,10 @@
 /// Time after which a candidate checks whether the decider has written the final state, times its place.
 const FINAL_CHECK: Duration = Duration::from_secs(2);
 
+/// Time without any daemon beside a backend server of an established version after which the ordered version counts
+/// as established.
+const ALONE_TIME: Duration = Duration::from_secs(4);
+
 /// Candidates that may decide; the others need not read the step record when it is not renewed.
 const MAX_CANDIDATES: u32 = 4;
 
@@ -43,6 +47,10 @@
     tenure: Tenure,
     plan: Option<Plan>,
     status: Status,
+    /// The versions of earlier orders that were not completed, by the record that this order's replaces.
+    unproven: Vec<String>,
+    /// Since when no daemon beside a backend server of an established version has been known.
+    alone_since: Option<Instant>,
     /// The value of a write without a response, and when it began.
     tried: Option<(Bytes, Instant)>,
 }
@@ -68,6 +76,8 @@
             tenure: Tenure::new(Instant::now()),
             plan: None,
             status: Status::default(),
+            unproven: Vec::new(),
+            alone_since: None,
             tried: None,
         };
         decider.run().await;
@@ -135,6 +145,11 @@
             Err(_) => return self.log_failed(&"not read in time"),
         };
         let renewed = self.tenure.note_read(began, stored.revision);
+        if let Some(earlier) = &stored.rollout
+            && earlier.order.revision < self.order
+        {
+            self.unproven = earlier.unproven_after();
+        }
         if let Some((_, wrote)) = self.tried.take_if(|(value, _)| *value == stored.value) {
             self.tenure.note_written(wrote, stored.revision);
             return;
@@ -162,6 +177,8 @@
         }
         let decision = if rollout.removed {
             Decision::RollBack("order was deleted".into())
+        } else if self.has_nothing_to_move(now, rollout) && step.number == 0 {
+            Decision::Complete
         } else {
             self.decision(now, rollout, step)
         };
@@ -180,6 +197,22 @@
         }
     }
 
+    /// Tests whether all backend servers are of the ordered version already, or of one that gets no calls. Daemons
+    /// whose backend servers are down count as well, and a daemon that has just started may not know all others.
+    fn has_nothing_to_move(&mut self, now: Instant, rollout: &Rollout) -> bool {
+        let fleet = self.daemon.fleet.load();
+        let service = own_service(self.daemon);
+        let mut members = fleet.members().values();
+        let is_established = members
+            .any(|member| member.service == service && rollout.is_established(&member.version));
+        if is_established {
+            self.alone_since = None;
+            return false;
+        }
+        let since = *self.alone_since.get_or_insert(now);
+        now.saturating_duration_since(since) >= ALONE_TIME
+    }
+
     fn decision(&mut self, now: Instant, rollout: &Rollout, step: &Step) -> Decision {
         if self.plan.is_none() {
             self.log_tenure(true);
@@ -230,6 +263,7 @@
                 renewal: before.map_or(0, |published| published.renewal) + 1,
                 renewed: Some(began),
                 reason,
+                unproven: before.map_or(&self.unproven, |step| &step.unproven).clone(),
             }),
             ..rollout.clone()
         };
--- a/src/role/rollout/orders.rs
+++ b/src/role/rollout/orders.rs
@@ -16,6 +16,9 @@
 /// Time after which a watch on the orders returns without a change.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest wait at start for the configuration.
+const START_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Bounds of the delay before a failed read is retried.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_millis(500);
@@ -90,6 +93,9 @@
 pub(super) async fn follow(daemon: &Daemon, source: &Rollouts) {
     let mut watcher = PrefixWatcher::new(source.orders);
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
+    // Until the configuration is in force, each daemon counts as a reader.
+    let mut applied = daemon.config.subscribe();
+    let _ = timeout(START_TIMEOUT, applied.wait_for(|stamp| stamp.version > 0)).await;
     loop {
         if config::is_served_by_peers(daemon) {
             sleep(config::READER_CHECK_INTERVAL).await;
--- a/src/rollout/registry.rs
+++ b/src/rollout/registry.rs
@@ -26,6 +26,8 @@
     pub renewed: Option<Instant>,
     /// Why the rollout was rolled back; empty otherwise.
     pub reason: String,
+    /// The versions of earlier orders that were not completed; their backend servers get no calls.
+    pub unproven: Vec<String>,
 }
 
 /// An order with its newest step.
@@ -39,6 +41,9 @@
     pub removed: bool,
     /// The newest step; `None` before the first one.
     pub published: Option<PublishedStep>,
+    /// The version of an order that this one has replaced here before it was completed. It stands for
+    /// [`PublishedStep::unproven`] before the first step, and may be outdated.
+    pub replaced: Option<String>,
 }
 
 impl Rollout {
@@ -50,6 +55,7 @@
             ordered,
             removed: false,
             published: None,
+            replaced: None,
         }
     }
 
@@ -82,6 +88,33 @@
         (stays || is_recent).then_some(&published.step)
     }
 
+    /// Tests whether a version was ordered before and not completed.
+    #[must_use]
+    pub fn is_unproven(&self, version: &str) -> bool {
+        let is_listed = match &self.published {
+            Some(published) => published.unproven.iter().any(|other| other == version),
+            None => self.replaced.as_deref() == Some(version),
+        };
+        is_listed && version != self.order.version
+    }
+
+    /// Tests whether a version is neither the ordered one nor unproven: its backend servers take the calls that
+    /// the ordered one does not get.
+    #[must_use]
+    pub fn is_established(&self, version: &str) -> bool {
+        version != self.order.version && !self.is_unproven(version)
+    }
+
+    /// Returns the versions that are unproven for an order that replaces this one.
+    #[must_use]
+    pub fn unproven_after(&self) -> Vec<String> {
+        if self.phase() == Phase::Completed {
+            return Vec::new();
+        }
+        let earlier = self.published.iter().flat_map(|step| &step.unproven);
+        earlier.chain([&self.order.version]).cloned().collect()
+    }
+
     /// Merges a step of this order. Returns what it changed.
     fn merge_step(&mut self, other: PublishedStep) -> Merged {
         let Some(known) = &mut self.published else {
@@ -136,7 +169,8 @@
             return Merged::Changed;
         };
         if other.order.revision > known.order.revision {
-            *known = Arc::new(other);
+            let replaced = (known.phase() != Phase::Completed).then(|| known.order.version.clone());
+            *known = Arc::new(Rollout { replaced, ..other });
             return Merged::Changed;
         }
         if other.order.revision < known.order.revision {
--- a/src/rollout/wire.rs
+++ b/src/rollout/wire.rs
@@ -38,6 +38,7 @@
                 renewal: published.renewal,
                 renewed_age_ms: published.renewed.map(age),
                 reason: published.reason.clone(),
+                unproven: published.unproven.clone(),
             }
         }),
         ..wire::Rollout::default()
@@ -60,6 +61,7 @@
         renewal: step.renewal,
         renewed: step.renewed_age_ms.map(|age| before(now, age)),
         reason: step.reason,
+        unproven: step.unproven,
     });
     Rollout {
         order: Order {
@@ -71,6 +73,7 @@
         ordered: before(now, rollout.age_ms),
         removed: rollout.removed,
         published,
+        replaced: None,
     }
 }
 
--- a/tests/rollout_faults.rs
+++ b/tests/rollout_faults.rs
@@ -150,3 +150,50 @@
         assert_eq!(refused.headers()["x-baobab-outcome"], "not-run");
     }
 }
+
+/// An operator stops a rollout by deleting its order.
+#[tokio::test(flavor = "multi_thread")]
+async fn delete_order() {
+    let fleet = Fleet::start(88, Behaviour::default()).await;
+    fleet.call_until_trial().await;
+    fleet.delete_order();
+    let limit = Duration::from_secs(3);
+    fleet.call_until(&state(Phase::RolledBack), limit).await;
+    assert_eq!(fleet.record().step.unwrap().reason, "order was deleted");
+}
+
+/// An order to stay at the old version replaces one in its trial: the version under trial must not count as established
+/// and get all calls until then.
+#[tokio::test(flavor = "multi_thread")]
+async fn replace_order_by_old_version() {
+    let fleet = Fleet::start(89, Behaviour::default()).await;
+    fleet.call_until_trial().await;
+    fleet.order(support::OLD, 14);
+    sleep(Duration::from_secs(1)).await;
+    let replaced = Instant::now();
+    let completed = format!("{:?} {}", Phase::Completed, support::OLD);
+    fleet.call_until(&completed, LIMIT).await;
+    let (count, served) = fleet.call_for(Duration::from_secs(1)).await;
+    assert_eq!((served, fleet.new_runs(replaced)), (count, 0));
+}
+
+/// On a day without orders the platform sees one listing of them for each start, one more for each reader, and one long
+/// watch for each reader.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_without_order() {
+    const READERS: u64 = baobabstage::member::READERS as u64;
+    let mut fleet = Fleet::without_order(90, Behaviour::default()).await;
+    fleet.wait_ready().await;
+    sleep(Duration::from_secs(4)).await;
+    let all = fleet.vms.len() as u64;
+    let started = fleet.platform.calls();
+    // Each daemon also lists the members and the records of crashes, and may list the configuration.
+    assert!(started.lists <= 4 * all + 2 * READERS, "{started:?}");
+    let (count, served) = fleet.call_for(Duration::from_secs(6)).await;
+    assert_eq!(served, count);
+    let after = fleet.platform.calls();
+    assert_eq!(after.gets, started.gets);
+    assert!(after.lists - started.lists <= 1, "{started:?} {after:?}");
+    let watches = after.watches - started.watches;
+    assert!(watches <= 3 * READERS, "{started:?} {after:?}");
+}
--- a/tests/rollout_registry.rs
+++ b/tests/rollout_registry.rs
@@ -33,6 +33,7 @@
             renewal,
             renewed: Some(now),
             reason: String::new(),
+            unproven: Vec::new(),
         }),
         ..Rollout::new(order(order_revision), now)
     }
@@ -177,3 +178,23 @@
     let known = far.get(SERVICE).unwrap();
     assert!(known.current(Instant::now()).is_some());
 }
+
+/// An order that replaces one in its trial must not make the backend servers under trial the established ones.
+#[test_case(Phase::Trial, true)]
+#[test_case(Phase::RolledBack, true)]
+#[test_case(Phase::Completed, false)]
+#[tokio::test(start_paused = true)]
+async fn merge_replacing_order(phase: Phase, is_unproven: bool) {
+    let earlier = rollout(7, 2, phase, 5);
+    let mut registry = Registry::default();
+    registry.merge(earlier.clone());
+    registry.merge(Rollout::new(order(8), Instant::now()));
+    let known = registry.get(SERVICE).unwrap();
+    assert_eq!(known.is_unproven("v7"), is_unproven);
+    assert!(known.is_established("v6") && !known.is_established("v8"));
+    let mut first = rollout(8, 0, Phase::Trial, 1);
+    first.published.as_mut().unwrap().unproven = earlier.unproven_after();
+    registry.merge(first);
+    let known = registry.get(SERVICE).unwrap();
+    assert_eq!(known.is_established("v7"), !is_unproven);
+}
--- a/tests/support/rollout.rs
+++ b/tests/support/rollout.rs
@@ -239,6 +239,14 @@
     /// Starts the daemons of the old version and those of the new one, on addresses `127.NETWORK.0.N`. The latter
     /// behave as given.
     pub async fn start(network: u8, new: Behaviour) -> Fleet {
+        let mut fleet = Fleet::without_order(network, new).await;
+        fleet.order(NEW, 14);
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Starts the daemons without an order.
+    pub async fn without_order(network: u8, new: Behaviour) -> Fleet {
         let platform = Platform::start(LOOPBACK, Limits::default()).await.unwrap();
         platform.write_uncounted(KEY, "3");
         let run_log = RunLog::default();
@@ -265,15 +273,12 @@
                 inbound,
             ));
         }
-        let mut fleet = Fleet {
+        Fleet {
             platform,
             vms,
             run_log,
             sequence: 0,
-        };
-        fleet.order(NEW, 14);
-        fleet.wait_ready().await;
-        fleet
+        }
     }
 
     /// Writes an order.
@@ -283,6 +288,11 @@
             .write_uncounted(&key, &format!("{version} {seconds}"));
     }
 
+    /// Deletes the order.
+    pub fn delete_order(&self) {
+        self.platform.delete_key(&format!("{ORDERS}{SERVICE}"));
+    }
+
     /// Reports all backend servers as ready until every daemon knows them.
     pub async fn wait_ready(&mut self) {
         let deadline = Instant::now() + Duration::from_secs(20);
