--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -65,7 +65,8 @@
     pub phase: Phase,
     /// The share of the service's calls that go to the new version, in thousandths.
     pub share: u32,
-    /// The names of the daemons whose backend servers receive them; in [`Phase::Shift`] all of the version.
+    /// The names of the daemons whose backend servers receive them; all of the version once the share is the
+    /// whole.
     pub targets: Vec<String>,
 }
 
--- a/src/rollout/compare.rs
+++ b/src/rollout/compare.rs
@@ -15,22 +15,28 @@
 /// The window that contains enough calls of a route with little traffic.
 pub(super) const LONG: Duration = Duration::from_millis(2_500);
 /// Time from its start in which a backend server is slow.
-const COLD: Duration = Duration::from_secs(3);
-/// Natural logarithm of the factor by which a backend server is slow in that time.
-const COLD_LOG: f64 = std::f64::consts::LN_2;
+pub(super) const COLD: Duration = Duration::from_secs(3);
+/// Factor by which a backend server is slow in that time.
+pub(super) const COLD_FACTOR: f64 = 2.0;
+/// Duration of the last slow call of that time, at a slow backend server, relative to the usual one.
+const LAST_COLD_CALL: u32 = 3;
+/// Time until a start is noticed, or until counts arrive.
+const NOTICED: Duration = Duration::from_millis(400);
 /// Time from its start until a backend server of a bad version has turned bad.
-const MATURE: Duration = Duration::from_millis(3_400);
+pub(super) const MATURE: Duration = Duration::from_millis(3_400);
 
 /// Probability that a backend server of a good version is faulty by itself.
 const FAULTY: f64 = 0.15;
 /// Share of the responses that a bad version fails beyond those that the old one fails.
-const BAD_FAILURES: f64 = 0.35;
+///
+/// Less than the 0.3 of bad versions, since one that is bad under load is not bad all the time.
+const BAD_FAILURES: f64 = 0.2;
 /// The least error rate that is assumed of a good version, so that a single failure proves little.
-const LEAST_FAILURES: f64 = 0.05;
+const LEAST_FAILURES: f64 = 0.04;
 /// Share of the old backend servers with the highest error rates that are left out of the comparison.
 const TRIMMED: f64 = 0.2;
-/// Latency ratio of a bad version: a third of its calls takes about eight times as long.
-const BAD_LATENCY: f64 = 3.5;
+/// Latency ratio of a bad version: two fifths of its calls take about eight times as long.
+const BAD_LATENCY: f64 = 4.0;
 /// Standard deviation of the logarithm of the latency ratio among good backend servers, which run at
 /// 0.5 to 1.7 times the usual speed.
 const LATENCY_SPREAD: f64 = 0.4;
@@ -40,6 +46,8 @@
 const LEAST_LLR: f64 = -2.5;
 /// The age of the newest calls of the old version from which service times are not comparable any more.
 const STALE: Duration = Duration::from_secs(3);
+/// The age of the newest counts of a backend server up to which its short window is recent.
+const REPORTING: Duration = Duration::from_millis(1_500);
 /// A route with less than this share of the calls need not be proven good.
 const MINOR_ROUTE: f64 = 0.05;
 
@@ -60,17 +68,28 @@
 pub(super) struct Verdict {
     /// The most likely defect with its sum. Positive: more likely bad than good.
     pub(super) worst: Option<(Hypothesis, f64)>,
-    /// The greatest sum in the long window, counting evidence against a defect only from backend servers that
-    /// have run long enough to have turned bad.
-    pub(super) proof: f64,
-    /// The same in the short window.
-    pub(super) recent_proof: f64,
+    /// The proof that there is no defect, by the long window.
+    pub(super) proof: Proof,
+    /// The same by the short window, all routes together.
+    pub(super) recent: Proof,
+    /// The same by the short window, the routes each by itself.
+    pub(super) recent_routes: Proof,
     /// Contribution of each backend server to the most likely defect.
     pub(super) votes: BTreeMap<ServerKey, f64>,
     /// Service time of the slowest route at the old version.
     pub(super) slowest: Duration,
 }
 
+/// The evidence for the least refuted defect. Evidence against a defect counts only where the backend server
+/// has run long enough to have turned bad.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Proof {
+    /// The sum.
+    pub(super) llr: f64,
+    /// The sum divided by the number of backend servers with calls.
+    pub(super) each: f64,
+}
+
 impl Verdict {
     /// The sum of the most likely defect, or 0.
     pub(super) fn worst_llr(&self) -> f64 {
@@ -86,16 +105,23 @@
     /// Error rate of all routes together.
     failures: f64,
     /// Routes that have to be proven good.
-    major: Vec<u32>,
+    major: Vec<Option<u32>>,
 }
 
-/// Sums of one window.
-struct Sums {
-    all: BTreeMap<Hypothesis, f64>,
-    mature: BTreeMap<Hypothesis, f64>,
-    votes: BTreeMap<Hypothesis, BTreeMap<ServerKey, f64>>,
+/// The contributions of the backend servers to a hypothesis.
+#[derive(Debug, Default)]
+struct Sum {
+    /// The sum of all contributions.
+    all: f64,
+    /// The sum without evidence against the defect from those that may still turn bad.
+    mature: f64,
+    /// The number of those in `mature`.
+    counted: u32,
+    votes: BTreeMap<ServerKey, f64>,
 }
 
+type Sums = BTreeMap<Hypothesis, Sum>;
+
 /// Compares the versions. `started` has the start of each backend server of the new version, by daemon.
 pub(super) fn compare(
     now: Instant,
@@ -104,68 +130,89 @@
 ) -> Verdict {
     let long_base = Baseline::new(now, history, LONG);
     let short_base = Baseline::new(now, history, SHORT);
-    let long = sums(history, started, &long_base, LONG);
-    let short = sums(history, started, &short_base, SHORT);
+    let long = sums(history.of(true), started, &long_base, LONG);
+    let reporting = history.of(true);
+    let reporting = reporting.filter(|(_, track)| track.newest() + REPORTING >= now);
+    let short = sums(reporting, started, &short_base, SHORT);
     let mut worst: Option<(Hypothesis, f64)> = None;
     let mut votes = BTreeMap::new();
-    for window in [&long, &short] {
-        for (hypothesis, llr) in &window.all {
-            if worst.is_none_or(|(_, known)| *llr > known) {
-                worst = Some((*hypothesis, *llr));
-                votes.clone_from(&window.votes[hypothesis]);
-            }
+    for (hypothesis, sum) in long.iter().chain(&short) {
+        if worst.is_none_or(|(_, known)| sum.all > known) {
+            worst = Some((*hypothesis, sum.all));
+            votes.clone_from(&sum.votes);
         }
     }
     Verdict {
         worst,
-        proof: proof(&long, &long_base),
-        recent_proof: proof(&short, &long_base),
+        proof: proof(&long, &[&[None], &long_base.major[..]].concat()),
+        recent: proof(&short, &[None]),
+        recent_routes: proof(&short, &long_base.major),
         votes,
         slowest: long_base.slowest(),
     }
 }
 
-/// The greatest sum over the defects of the routes that have to be proven good.
-fn proof(sums: &Sums, baseline: &Baseline) -> f64 {
-    let routes = baseline.major.iter().map(|route| Some(*route));
-    let all = routes.chain([None]).flat_map(|route| {
-        let failures = sums.mature.get(&(route, Defect::Failures));
-        // Without a contemporary old version there is no statement on latency.
-        let latency = sums.mature.get(&(route, Defect::Latency));
-        [Some(failures.copied().unwrap_or(0.0)), latency.copied()]
-    });
-    all.flatten().fold(f64::NEG_INFINITY, f64::max)
+/// The greatest sum over the defects of `routes`.
+fn proof(sums: &Sums, routes: &[Option<u32>]) -> Proof {
+    let mut worst = Proof {
+        llr: f64::NEG_INFINITY,
+        each: f64::NEG_INFINITY,
+    };
+    for route in routes {
+        for defect in [Defect::Failures, Defect::Latency] {
+            let sum = sums.get(&(*route, defect));
+            // Without a contemporary old version there is no statement on latency.
+            if sum.is_none() && defect == Defect::Latency {
+                continue;
+            }
+            let (llr, counted) = sum.map_or((0.0, 0), |sum| (sum.mature, sum.counted));
+            worst.llr = worst.llr.max(llr);
+            worst.each = worst.each.max(llr / f64::from(counted.max(1)));
+        }
+    }
+    worst
 }
 
-fn sums(
-    history: &History,
+fn sums<'a>(
+    tracks: impl Iterator<Item = (&'a ServerKey, &'a Track)>,
     started: &BTreeMap<String, Instant>,
     baseline: &Baseline,
     window: Duration,
 ) -> Sums {
-    let mut sums = Sums {
-        all: BTreeMap::new(),
-        mature: BTreeMap::new(),
-        votes: BTreeMap::new(),
-    };
-    for (key, track) in history.of(true) {
+    let mut sums = Sums::new();
+    for (key, track) in tracks {
         let start = started.get(&key.daemon).copied();
-        let cold = start.is_some_and(|start| track.newest() < start + COLD + window);
+        let usual = start.map_or(COLD_FACTOR, |start| {
+            usual_latency(start, track, baseline, window)
+        });
         let mature = start.is_some_and(|start| track.newest() >= start + MATURE + SHORT);
-        for (hypothesis, llr) in contributions(&track.window(window), baseline, cold) {
-            *sums.all.entry(hypothesis).or_default() += llr;
-            let counted = if mature || llr > 0.0 { llr } else { 0.0 };
-            *sums.mature.entry(hypothesis).or_default() += counted;
-            let votes = sums.votes.entry(hypothesis).or_default();
-            votes.insert(key.clone(), llr);
+        let mature = mature && track.covers(SHORT);
+        for (hypothesis, llr) in contributions(&track.window(window), baseline, usual) {
+            let sum = sums.entry(hypothesis).or_default();
+            sum.all += llr;
+            if mature || llr > 0.0 {
+                sum.mature += llr;
+                sum.counted += 1;
+            }
+            sum.votes.insert(key.clone(), llr);
         }
     }
     sums
 }
 
+/// The latency ratio of a good backend server, parts of whose window are of the time after its start.
+fn usual_latency(start: Instant, track: &Track, baseline: &Baseline, window: Duration) -> f64 {
+    if !track.covers(window) {
+        return COLD_FACTOR;
+    }
+    let last_cold = start + COLD + NOTICED + LAST_COLD_CALL * baseline.slowest();
+    let cold = (last_cold + window).saturating_duration_since(track.newest());
+    1.0 + (COLD_FACTOR - 1.0) * cold.div_duration_f64(window).min(1.0)
+}
+
 /// The contributions of one backend server.
 #[allow(clippy::cast_precision_loss)]
-fn contributions(routes: &Routes, baseline: &Baseline, cold: bool) -> Vec<(Hypothesis, f64)> {
+fn contributions(routes: &Routes, baseline: &Baseline, cold: f64) -> Vec<(Hypothesis, f64)> {
     let mut all = Vec::new();
     let mut total = Counts::default();
     let mut expected = 0.0;
@@ -176,8 +223,8 @@
         all.push(((Some(*route), Defect::Failures), llr));
         add(&mut total, counts);
         if let Some(mean) = mean {
-            let usual = mean * (counts.calls - counts.failures) as f64;
-            let llr = latency_llr(counts, usual, cold);
+            let usual = cold * mean * (counts.calls - counts.failures) as f64;
+            let llr = latency_llr(counts, usual);
             all.push(((Some(*route), Defect::Latency), llr));
             add(&mut timed, counts);
             expected += usual;
@@ -188,7 +235,7 @@
         all.push(((None, Defect::Failures), llr));
     }
     if expected > 0.0 {
-        let llr = latency_llr(&timed, expected, cold);
+        let llr = latency_llr(&timed, expected);
         all.push(((None, Defect::Latency), llr));
     }
     all
@@ -213,13 +260,12 @@
 /// Weighs that a backend server is as slow as a bad version against the service time of the old version,
 /// `usual` for the same calls.
 #[allow(clippy::cast_precision_loss)]
-fn latency_llr(counts: &Counts, usual: f64, cold: bool) -> f64 {
+fn latency_llr(counts: &Counts, usual: f64) -> f64 {
     let timed = counts.calls.saturating_sub(counts.failures) as f64;
     if timed < 1.0 || usual <= 0.0 {
         return 0.0;
     }
-    let cold = if cold { COLD_LOG } else { 0.0 };
-    let ratio = (counts.time_us.max(1) as f64 / usual).ln() - cold;
+    let ratio = (counts.time_us.max(1) as f64 / usual).ln();
     let variance = LATENCY_SPREAD.powi(2) + LATENCY_NOISE / timed;
     let good = ratio.max(0.0);
     let bad = (ratio - BAD_LATENCY.ln()).min(0.0);
@@ -256,7 +302,7 @@
         for (route, mut counts) in routes {
             let calls = counts.iter().map(|counts| counts.calls).sum::<u64>() as f64;
             if calls >= MINOR_ROUTE * all {
-                baseline.major.push(route);
+                baseline.major.push(Some(route));
             }
             let time = median_time(&counts).filter(|_| fresh);
             let values = (failure_rate(&mut counts), time);
--- a/src/rollout/history.rs
+++ b/src/rollout/history.rs
@@ -8,6 +8,9 @@
 /// Samples older than this, relative to the newest of the same server, are dropped.
 const KEPT: Duration = Duration::from_secs(3);
 
+/// Time within which the reports of all daemons reach a decider that takes over.
+const FIRST_REPORTS: Duration = Duration::from_millis(1_250);
+
 /// Counts by time class, which stands for a route.
 pub(super) type Routes = BTreeMap<u32, Counts>;
 
@@ -16,6 +19,8 @@
 pub(super) struct Track {
     /// Whether the backend server has the version of the order.
     pub(super) new: bool,
+    /// Whether the first sample has all calls since counting began.
+    from_zero: bool,
     /// Cumulative counts with the time at which they arrived. Never empty.
     samples: VecDeque<(Instant, Routes)>,
 }
@@ -34,10 +39,15 @@
         difference(routes, base)
     }
 
-    /// Calls that arrived in counts since `since`.
-    fn grown_since(&self, since: Instant) -> u64 {
+    /// Tests whether the calls of a window of this length are known.
+    pub(super) fn covers(&self, length: Duration) -> bool {
+        self.from_zero || self.before(self.newest() - length).is_some()
+    }
+
+    /// The counts that have arrived since `since`. What was counted before the first sample is left out.
+    fn grown_since(&self, since: Instant) -> Routes {
         let (first, newest) = (&self.samples[0].1, &self.samples[self.samples.len() - 1].1);
-        total(newest).saturating_sub(total(self.before(since).unwrap_or(first)))
+        difference(newest, Some(self.before(since).unwrap_or(first)))
     }
 
     /// All calls since counting began.
@@ -68,12 +78,15 @@
 /// The recent counts of all backend servers of a service.
 #[derive(Debug, Default)]
 pub(super) struct History {
+    /// When counts were first recorded.
+    begun: Option<Instant>,
     tracks: BTreeMap<ServerKey, Track>,
 }
 
 impl History {
     /// Records the counts that have changed since the last call.
     pub(super) fn record(&mut self, now: Instant, evidence: &Evidence, version: &str) {
+        let begun = *self.begun.get_or_insert(now);
         for (key, counts) in evidence.servers() {
             if let Some(track) = self.tracks.get_mut(key) {
                 track.push(now, &counts.routes);
@@ -81,20 +94,18 @@
             }
             let track = Track {
                 new: counts.version == version,
+                from_zero: now > begun + FIRST_REPORTS,
                 samples: VecDeque::from([(now, counts.routes.clone())]),
             };
             self.tracks.insert(key.clone(), track);
         }
     }
 
-    /// Iterates over the backend servers.
-    pub(super) fn tracks(&self) -> impl Iterator<Item = (&ServerKey, &Track)> {
-        self.tracks.iter()
-    }
-
     /// Iterates over the backend servers of the version of the order, or over the others.
     pub(super) fn of(&self, new: bool) -> impl Iterator<Item = (&ServerKey, &Track)> {
-        self.tracks().filter(move |(_, track)| track.new == new)
+        self.tracks
+            .iter()
+            .filter(move |(_, track)| track.new == new)
     }
 
     /// Calls to the version of the order since counting began.
@@ -105,10 +116,21 @@
     /// Calls a second to the service over the last `length`.
     #[allow(clippy::cast_precision_loss)]
     pub(super) fn rate(&self, now: Instant, length: Duration) -> f64 {
-        let grown = |(_, track): (_, &Track)| track.grown_since(now - length);
-        let calls: u64 = self.tracks().map(grown).sum();
+        let grown = |(_, track): (_, &Track)| total(&track.grown_since(now - length));
+        let calls: u64 = self.tracks.iter().map(grown).sum();
         calls as f64 / length.as_secs_f64()
     }
+
+    /// Slots of the old version that were in use on average over the last `length`.
+    #[allow(clippy::cast_precision_loss)]
+    pub(super) fn busy(&self, now: Instant, length: Duration) -> f64 {
+        let grown = |(_, track): (_, &Track)| track.grown_since(now - length);
+        let routes = self.of(false).map(grown);
+        let time: u64 = routes
+            .flat_map(|routes| routes.into_values().map(|counts| counts.time_us))
+            .sum();
+        time as f64 / 1e6 / length.as_secs_f64()
+    }
 }
 
 fn total(routes: &Routes) -> u64 {
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -6,7 +6,7 @@
 
 use super::compare::{self, Defect, Verdict};
 use super::history::History;
-use super::trial;
+use super::trial::{self, Servers};
 use super::{Evidence, ExposureLimits, Order, Phase, Step, WHOLE};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -20,12 +20,16 @@
 const REACTION: Duration = Duration::from_secs(2);
 /// Time from the first new backend server until the trial starts with fewer than three.
 const GATHER: Duration = Duration::from_millis(500);
+/// Time for which a step has been in force when another decider takes it over.
+const TAKE_OVER: Duration = Duration::from_secs(2);
 /// Time from the order until the targets are assumed to have started, at a decider that takes over.
 const START: Duration = Duration::from_millis(1_500);
 /// The longest time that a call runs.
 const LONGEST_CALL: Duration = Duration::from_secs(3);
 /// Time before the deadline by which the rollout ends, so that the result can be written.
 const END_MARGIN: Duration = Duration::from_secs(1);
+/// The same where the share became the whole late.
+const LEAST_MARGIN: Duration = Duration::from_millis(500);
 /// The shortest time between the last daemon's last call to an old backend server and the end.
 const SHORTEST_DRAIN: Duration = Duration::from_millis(500);
 /// Time for which a target may report nothing before another one takes its place.
@@ -41,12 +45,27 @@
 const GOOD_LLR: f64 = -3.0;
 /// The same for each backend server, where the version has fewer than three.
 const GOOD_LLR_EACH: f64 = -1.5;
-/// The same in the short window.
-const RECENT_GOOD_LLR: f64 = -1.0;
+/// Mean contribution of a backend server below which a version is proven good. A good version with many
+/// backend servers has a sum far below the threshold for the sum.
+const GOOD_EACH: f64 = -0.5;
+/// The same in the short window, for all routes together.
+const RECENT_GOOD_EACH: f64 = -0.8;
 /// Contribution from which a target is replaced as faulty while the others are good.
 const FAULTY_LLR: f64 = 1.2;
-/// The greatest share between trial and whole, in thousandths.
-const GREATEST_PARTIAL_SHARE: f64 = 500.0;
+/// Part of the threshold below which thin evidence speaks for the version.
+const THIN_LLR: f64 = 0.4;
+/// The greatest share between trial and whole.
+const GREATEST_PARTIAL_SHARE: f64 = 0.5;
+/// The longest time for which that share waits for slow calls.
+const LONGEST_PARTIAL: Duration = Duration::from_millis(2_500);
+/// The greatest number of targets of a trial.
+const MOST_TARGETS: usize = 6;
+/// Time from the maturity of the first backend server after which an undecided trial gets more targets.
+const UNDECIDED: Duration = Duration::from_millis(1_800);
+/// Factor by which a partial share has to exceed that of a trial in order to be lowered to it.
+const RETREAT: f64 = 1.5;
+/// Factor by which the share of a trial has to grow for a new step.
+const RAISE: f64 = 1.2;
 /// The part of the remaining exposure that a step may use.
 const EXPOSURE_USE: f64 = 0.9;
 /// Calls without which a version is not completed.
@@ -90,6 +109,8 @@
     started: BTreeMap<String, Instant>,
     /// The number of the last step with the time at which it was first given.
     stepped: Option<(u64, Instant)>,
+    /// When the share of the trial was last raised on the same targets.
+    raised: Option<Instant>,
     /// When the share became the whole.
     whole_since: Option<Instant>,
     /// When each target of the trial became one.
@@ -99,8 +120,7 @@
 /// The input of one decision.
 struct View<'a> {
     now: Instant,
-    new: Vec<&'a Server>,
-    old: Vec<&'a Server>,
+    servers: Servers<'a>,
     verdict: Verdict,
 }
 
@@ -115,6 +135,7 @@
             history: History::default(),
             started: BTreeMap::new(),
             stepped: None,
+            raised: None,
             whole_since: None,
             targeted: BTreeMap::new(),
         }
@@ -138,12 +159,10 @@
             .filter(|server| server.ready)
             .partition(|server| server.version == self.order.version);
         self.observe(now, step, &new, evidence);
-        let verdict = compare::compare(now, &self.history, &self.started);
         let view = View {
             now,
-            new,
-            old,
-            verdict,
+            servers: Servers { new, old },
+            verdict: compare::compare(now, &self.history, &self.started),
         };
         if let Some(reason) = self.defect(&view) {
             return Decision::RollBack(reason);
@@ -167,10 +186,11 @@
                     .extend(targets.map(|name| (name.clone(), start)));
             }
             if self.stepped.is_none_or(|(number, _)| number != step.number) {
-                self.stepped = Some((step.number, now));
-            }
-            if step.share >= WHOLE {
-                self.whole_since.get_or_insert(now);
+                let since = if taken_over { now - TAKE_OVER } else { now };
+                self.stepped = Some((step.number, since));
+                if step.share >= WHOLE {
+                    self.whole_since.get_or_insert(since);
+                }
             }
             self.targeted.retain(|name, _| step.targets.contains(name));
             for name in &step.targets {
@@ -188,8 +208,7 @@
     /// The reason for which the version is bad, if it is.
     fn defect(&self, view: &View) -> Option<String> {
         let ((route, defect), llr) = view.verdict.worst?;
-        let threshold = BAD_LLR.min(BAD_LLR_EACH * small(self.started.len()));
-        if llr < threshold {
+        if llr < self.bad_threshold() {
             return None;
         }
         let what = match defect {
@@ -204,6 +223,11 @@
         ))
     }
 
+    /// Logarithm of the likelihood ratio from which the version is rolled back.
+    fn bad_threshold(&self) -> f64 {
+        BAD_LLR.min(BAD_LLR_EACH * small(self.started.len()))
+    }
+
     /// Starts the trial once there are new backend servers.
     fn begin(&self, view: &View) -> Decision {
         if view.now >= self.end() {
@@ -212,37 +236,44 @@
         let Some(first) = self.started.values().min() else {
             return Decision::Hold;
         };
-        let enough = view.new.len() >= trial::TARGETS || view.now >= *first + GATHER;
-        if !enough || view.new.is_empty() {
+        let ready = view.servers.new.len();
+        let enough = ready >= trial::TARGETS || view.now >= *first + GATHER;
+        if !enough || ready == 0 {
             return Decision::Hold;
         }
-        let targets = trial::targets(&view.new, &BTreeSet::new(), &BTreeSet::new());
-        let share = trial::share(&view.new, &view.old, &targets);
+        let none = BTreeSet::new();
+        let targets = view.servers.targets(trial::TARGETS, &none, &none);
+        let share = self.trial_share(&targets, view);
         self.next(0, Phase::Trial, share, targets)
     }
 
     /// Continues the trial, or ends it.
-    fn try_out(&self, step: &Step, view: &View) -> Decision {
-        if self.is_proven(view) || self.is_thin_but_good(view) {
-            let targets = names(&view.new);
-            let share = self.partial_share(step, view);
-            return self.next(step.number, Phase::Shift, share, targets);
+    fn try_out(&mut self, step: &Step, view: &View) -> Decision {
+        if self.is_shown(step, view) || self.is_thin_but_good(view) {
+            return self.shift(step, view);
         }
         if view.now >= self.end() {
             return Decision::RollBack("not enough evidence before the deadline".to_owned());
         }
         let targets = self.trial_targets(step, view);
-        if targets.is_empty() || targets == step.targets {
+        if targets.is_empty() {
             return Decision::Hold;
         }
-        let share = trial::share(&view.new, &view.old, &targets);
+        let share = self.trial_share(&targets, view);
+        let raised = f64::from(share) >= RAISE * f64::from(step.share);
+        if targets == step.targets {
+            if !raised {
+                return Decision::Hold;
+            }
+            self.raised = Some(view.now);
+        }
         self.next(step.number, Phase::Trial, share, targets)
     }
 
     /// Raises the share to the whole, unless the partial share shows that the version is bad.
     fn raise(&self, step: &Step, view: &View) -> Decision {
         if self.may_be_whole(view) || self.is_thin_but_good(view) {
-            return self.next(step.number, Phase::Shift, WHOLE, names(&view.new));
+            return self.next(step.number, Phase::Shift, WHOLE, view.servers.names());
         }
         if view.now >= self.end() {
             return Decision::RollBack("not enough evidence before the deadline".to_owned());
@@ -250,21 +281,42 @@
         if view.verdict.worst_llr() > 0.0 && self.remaining(step, view.now) <= 0.0 {
             return Decision::RollBack("exposure used up without proof".to_owned());
         }
-        self.follow_servers(step, view)
+        self.retreat(step, view)
+            .unwrap_or_else(|| self.follow_servers(step, view))
+    }
+
+    /// Lowers the share to that of a trial where the version is more likely bad than good.
+    fn retreat(&self, step: &Step, view: &View) -> Option<Decision> {
+        let none = BTreeSet::new();
+        let targets = view.servers.targets(trial::TARGETS, &none, &none);
+        let share = self.trial_share(&targets, view);
+        let lower = f64::from(share) * RETREAT < f64::from(step.share);
+        let doubtful = view.verdict.worst_llr() >= THIN_LLR * self.bad_threshold();
+        let next = || self.next(step.number, Phase::Shift, share, targets);
+        (doubtful && lower && !step.targets.is_empty()).then(next)
     }
 
     /// Completes the rollout once the calls at the old backend servers have ended.
     fn finish(&self, step: &Step, view: &View) -> Decision {
         let whole = self.whole_since.unwrap_or(view.now);
-        if view.now >= self.end().min(whole + SPREAD + LONGEST_CALL) {
+        let drained = whole + SPREAD + LONGEST_CALL;
+        let shortest = whole + SPREAD + SHORTEST_DRAIN;
+        let latest = self.end().max(shortest.min(self.deadline() - LEAST_MARGIN));
+        if view.now >= drained.min(latest) {
             return Decision::Complete;
         }
         self.follow_servers(step, view)
     }
 
-    /// Makes all ready backend servers of the version targets.
+    /// Adapts the targets to the backend servers that are there.
     fn follow_servers(&self, step: &Step, view: &View) -> Decision {
-        let targets = names(&view.new);
+        let targets = if step.share >= WHOLE {
+            view.servers.names()
+        } else {
+            let kept = step.targets.iter().map(String::as_str).collect();
+            view.servers
+                .targets(step.targets.len(), &kept, &BTreeSet::new())
+        };
         if targets.is_empty() || targets == step.targets {
             return Decision::Hold;
         }
@@ -284,13 +336,32 @@
             .collect();
         let fit = targets.iter().filter(|name| !is_unfit(name)).copied();
         let fit: BTreeSet<&str> = fit.collect();
-        let chosen = trial::targets(&view.new, &fit, &tried);
-        if chosen.len() >= trial::TARGETS.min(view.new.len()) {
+        let count = self.trial_count(&fit, &tried, view);
+        let chosen = view.servers.targets(count, &fit, &tried);
+        if chosen.len() >= trial::TARGETS.min(view.servers.new.len()) {
             return chosen;
         }
         // There are no untried ones left: the unfit targets stay.
         let all: BTreeSet<&str> = targets.into_iter().collect();
-        trial::targets(&view.new, &all, &tried)
+        view.servers.targets(trial::TARGETS, &all, &tried)
+    }
+
+    /// The number of targets: one more for each that was tried in vain, and more where the trial remains
+    /// undecided, as far as the greatest share permits.
+    fn trial_count(&self, fit: &BTreeSet<&str>, tried: &BTreeSet<&str>, view: &View) -> usize {
+        let load = view.servers.load(self.busy(view.now), false);
+        let most = view
+            .servers
+            .count(self.greatest_trial_share(view.now), load);
+        let in_vain = tried.difference(fit).count();
+        let first = self.started.values().min().copied().unwrap_or(view.now);
+        let undecided = view.now >= first + compare::MATURE + UNDECIDED;
+        let wanted = if undecided {
+            MOST_TARGETS
+        } else {
+            trial::TARGETS + in_vain
+        };
+        wanted.min(most).min(MOST_TARGETS).max(fit.len())
     }
 
     /// Tests whether a target has had calls for a while and reports nothing.
@@ -309,14 +380,26 @@
 
     fn is_proven(&self, view: &View) -> bool {
         let threshold = GOOD_LLR.max(GOOD_LLR_EACH * small(self.started.len()));
-        view.verdict.proof <= threshold && view.verdict.recent_proof <= RECENT_GOOD_LLR
+        let verdict = &view.verdict;
+        verdict.proof.llr <= threshold
+            && verdict.proof.each <= GOOD_EACH
+            && verdict.recent.each <= RECENT_GOOD_EACH
+            && verdict.recent_routes.each <= 0.0
+    }
+
+    /// Tests whether the trial has shown that the version is good under the load of the step.
+    fn is_shown(&self, step: &Step, view: &View) -> bool {
+        let raised = self
+            .raised
+            .is_none_or(|raised| view.now >= raised + SPREAD + REPORT_DELAY);
+        raised && step.share > 0 && self.is_proven(view)
     }
 
     /// Tests whether the time is nearly over and the little evidence there is speaks for the version.
     fn is_thin_but_good(&self, view: &View) -> bool {
         view.now >= self.latest_whole()
             && view.now < self.end()
-            && view.verdict.worst_llr() < 0.0
+            && view.verdict.worst_llr() < THIN_LLR * self.bad_threshold()
             && self.history.exposure() >= LEAST_CALLS
     }
 
@@ -326,34 +409,78 @@
             return false;
         };
         let shown = stepped + SPREAD + REPORT_DELAY;
-        let slow = stepped + SLOW_CALL * view.verdict.slowest + REPORT_DELAY;
+        let slow_calls = SLOW_CALL * view.verdict.slowest;
+        let first = self.started.values().min().copied().unwrap_or(view.now);
+        let slow = first + compare::MATURE + slow_calls + REPORT_DELAY;
+        let slow = slow.min(stepped + LONGEST_PARTIAL);
         view.now >= shown.max(slow).min(self.latest_whole()) && self.is_proven(view)
     }
 
-    /// The share at which the exposure stays within its limit if the version is bad after all.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn partial_share(&self, step: &Step, view: &View) -> u32 {
+    /// The step from the trial to a share at which the exposure stays within its limit if the version is bad
+    /// after all. It is concentrated on so many backend servers that they are loaded as in the trial.
+    fn shift(&self, step: &Step, view: &View) -> Decision {
+        let servers = &view.servers;
         if view.now >= self.latest_whole() {
-            return WHOLE;
+            return self.next(step.number, Phase::Shift, WHOLE, servers.names());
         }
-        let rate = self.history.rate(view.now, compare::LONG).max(1.0);
+        let rate = self.rate(view.now).max(1.0);
         let calls = EXPOSURE_USE * self.remaining(step, view.now);
-        let share = f64::from(WHOLE) * calls / (rate * REACTION.as_secs_f64());
-        let share = share.clamp(f64::from(step.share), GREATEST_PARTIAL_SHARE);
-        share as u32
+        let share = calls / (rate * REACTION.as_secs_f64());
+        let share = share.clamp(
+            f64::from(step.share) / f64::from(WHOLE),
+            GREATEST_PARTIAL_SHARE,
+        );
+        let load = servers.load(self.busy(view.now), false);
+        let none = BTreeSet::new();
+        let targets = servers.targets(servers.count(share, load), &none, &none);
+        let share = servers.share(&targets, load, share).max(step.share);
+        self.next(step.number, Phase::Shift, share, targets)
+    }
+
+    /// The share of a trial with these targets.
+    fn trial_share(&self, targets: &[String], view: &View) -> u32 {
+        let is_cold = |name: &String| {
+            let started = self.started.get(name);
+            started.is_some_and(|started| view.now < *started + compare::COLD)
+        };
+        let cold = targets.iter().any(is_cold);
+        let load = view.servers.load(self.busy(view.now), cold);
+        let greatest = self.greatest_trial_share(view.now);
+        view.servers.share(targets, load, greatest)
+    }
+
+    /// The greatest share that stays within the limits for the whole duration.
+    fn greatest_trial_share(&self, now: Instant) -> f64 {
+        let calls = (self.rate(now) * self.order.duration.as_secs_f64()).max(1.0);
+        let slack = (f64::from(self.limits.slack) / calls).min(self.limits.share);
+        EXPOSURE_USE * (self.limits.share + slack)
+    }
+
+    /// Calls to the service in a second.
+    fn rate(&self, now: Instant) -> f64 {
+        self.history.rate(now, compare::LONG)
+    }
+
+    /// Slots of the old version in use.
+    fn busy(&self, now: Instant) -> f64 {
+        self.history.busy(now, compare::SHORT)
     }
 
     /// Calls to the version that the limit still permits, without those that are not reported yet.
     #[allow(clippy::cast_precision_loss)]
     fn remaining(&self, step: &Step, now: Instant) -> f64 {
-        let rate = self.history.rate(now, compare::LONG);
+        let rate = self.rate(now);
         let calls = rate * self.order.duration.as_secs_f64();
         let unreported = rate * f64::from(step.share) / f64::from(WHOLE);
         let used = self.history.exposure() as f64 + unreported * REPORT_DELAY.as_secs_f64();
         self.limits.share * calls + f64::from(self.limits.slack) - used
     }
 
-    /// The latest time at which the rollout ends.
+    fn deadline(&self) -> Instant {
+        self.ordered + self.order.duration
+    }
+
+    /// The time at which the rollout ends.
     fn end(&self) -> Instant {
         self.ordered + self.order.duration.saturating_sub(END_MARGIN)
     }
@@ -381,12 +508,6 @@
     votes.any(|(key, llr)| key.daemon == name && *llr >= FAULTY_LLR)
 }
 
-/// The names of the daemons, in order.
-fn names(servers: &[&Server]) -> Vec<String> {
-    let names: BTreeSet<&String> = servers.iter().map(|server| &server.daemon).collect();
-    names.into_iter().cloned().collect()
-}
-
 #[allow(clippy::cast_precision_loss)]
 fn small(count: usize) -> f64 {
     count as f64
