Hold up starting daemons and new orders for less time

Change: an answer states whether its sender knows the orders, a new order ends the work on the old one, and reads that fail are tried twice a second at most.

--- a/src/role/rollout.rs
+++ b/src/role/rollout.rs
@@ -134,7 +134,7 @@
     }
 }
 
-/// Requests the orders and steps of another daemon.
+/// Requests the orders and steps of another daemon; returns whether it knows all of them.
 async fn fetch(daemon: &Daemon, peer: SocketAddr, limit: Duration) -> bool {
     let request = wire::RolloutReport {
         wants: true,
@@ -143,7 +143,7 @@
     match rollout::send(peer, &request, limit).await {
         Ok(response) => {
             daemon.rollouts.merge_messages(response.rollouts);
-            true
+            response.synced
         }
         Err(err) => {
             event!(RolloutReportFailed, peer = peer, error = err);
--- a/src/role/rollout/decider.rs
+++ b/src/role/rollout/decider.rs
@@ -80,11 +80,21 @@
             alone_since: None,
             tried: None,
         };
-        decider.run().await;
+        tokio::select! {
+            () = decider.run() => {}
+            () = replaced(daemon, order) => {}
+        }
         ended = order;
     }
 }
 
+/// Waits until another order has replaced this one.
+async fn replaced(daemon: &Daemon, order: u64) {
+    let mut changes = daemon.rollouts.changes();
+    let is_newest = || own_rollout(daemon).is_some_and(|known| known.order.revision == order);
+    while is_newest() && changes.changed().await.is_ok() {}
+}
+
 impl Decider<'_> {
     /// Takes part until the order has ended or is replaced.
     async fn run(&mut self) {
@@ -141,8 +151,8 @@
         let stored = timeout(RECORD_TIMEOUT, record::read(self.daemon, service)).await;
         let stored = match stored {
             Ok(Ok(stored)) => stored,
-            Ok(Err(err)) => return self.log_failed(&err),
-            Err(_) => return self.log_failed(&"not read in time"),
+            Ok(Err(err)) => return self.note_unread(began, &err),
+            Err(_) => return self.note_unread(began, &"not read in time"),
         };
         let renewed = self.tenure.note_read(began, stored.revision);
         if let Some(earlier) = &stored.rollout
@@ -314,6 +324,11 @@
         }
     }
 
+    fn note_unread(&mut self, began: Instant, err: &dyn std::fmt::Display) {
+        self.log_failed(err);
+        self.tenure.note_unread(began);
+    }
+
     /// Handles a write whose effect is not known: the record is read next.
     fn note_unknown(&mut self, value: Bytes, began: Instant, err: &dyn std::fmt::Display) {
         self.log_failed(err);
@@ -337,7 +352,11 @@
             };
             sleep(FINAL_CHECK * (rank + 1)).await;
         }
-        let mut repeats = 0;
+        let mut repeats = if self.tenure.decides() {
+            0
+        } else {
+            FINAL_REPEATS
+        };
         loop {
             let written = self.status.write_final(self.daemon, self.source, rollout);
             let is_written = match timeout(RECORD_TIMEOUT, written).await {
--- a/src/role/rollout/orders.rs
+++ b/src/role/rollout/orders.rs
@@ -68,23 +68,17 @@
     }
 }
 
-/// Receives the orders of another daemon of the service that has them. One that has just started may not, and
-/// its response is not told from that of a daemon without orders, so that an answer without any counts only if
-/// it comes from a daemon that is ready.
+/// Receives the orders of another daemon of the service that knows them.
 async fn sync_with_peer(daemon: &Daemon) {
     loop {
         sleep(jitter_around(SYNC_PAUSE)).await;
-        if !knows_members(daemon) {
-            continue;
-        }
-        let peer = peers(daemon, own_service(daemon))
-            .into_iter()
-            .choose(&mut rand::rng());
-        if let Some(peer) = peer {
-            fetch(daemon, peer, SYNC_ATTEMPT).await;
-            if daemon.rollouts.load().get(own_service(daemon)).is_some() {
-                return;
-            }
+        let peers = peers(daemon, own_service(daemon)).into_iter();
+        let peer = peers.choose(&mut rand::rng());
+        if knows_members(daemon)
+            && let Some(peer) = peer
+            && fetch(daemon, peer, SYNC_ATTEMPT).await
+        {
+            return;
         }
     }
 }
--- a/src/rollout/cell.rs
+++ b/src/rollout/cell.rs
@@ -257,6 +257,7 @@
             } else {
                 Vec::new()
             },
+            synced: self.is_synced(),
             ..wire::RolloutReport::default()
         }
     }
--- a/src/rollout/tenure.rs
+++ b/src/rollout/tenure.rs
@@ -40,8 +40,9 @@
     revision: Option<u64>,
     /// When it was last seen to change.
     changed: Instant,
-    /// When it was last read.
+    /// When it was last read, and when that was last tried.
     read: Option<Instant>,
+    tried: Option<Instant>,
     /// When the last successful write of this daemon began, while it is the decider.
     wrote: Option<Instant>,
 }
@@ -55,6 +56,7 @@
             revision: None,
             changed: now,
             read: None,
+            tried: None,
             wrote: None,
         }
     }
@@ -71,8 +73,8 @@
         }
         let age = |at: Instant| now.saturating_duration_since(at);
         let changed = renewed.map_or(self.changed, |at| at.max(self.changed));
-        let read_due = self.read.is_none_or(|at| age(at) >= READ_INTERVAL);
-        let is_first = rank == 0 && self.read.is_none();
+        let read_due = self.tried.is_none_or(|at| age(at) >= READ_INTERVAL);
+        let is_first = rank == 0 && self.tried.is_none();
         if read_due && (is_first || age(changed) >= READ_AFTER) {
             return Action::Read;
         }
@@ -106,9 +108,15 @@
             .is_some_and(|at| now.saturating_duration_since(at) >= RENEW_INTERVAL)
     }
 
+    /// Records that the record could not be read.
+    pub fn note_unread(&mut self, began: Instant) {
+        self.tried = Some(began);
+    }
+
     /// Records the revision that a read has found. Returns a time at which the record was surely older than it is
     /// now, if another daemon has written it between two reads.
     pub fn note_read(&mut self, began: Instant, revision: u64) -> Option<Instant> {
+        self.tried = Some(began);
         let before = self.read.replace(began);
         if self.revision == Some(revision) {
             return None;
@@ -131,5 +139,6 @@
     pub fn note_lost(&mut self) {
         self.wrote = None;
         self.read = None;
+        self.tried = None;
     }
 }
--- a/tests/rollout_tenure.rs
+++ b/tests/rollout_tenure.rs
@@ -90,3 +90,22 @@
     tenure.note_written(Instant::now(), 13);
     assert_eq!(tenure.next(Instant::now(), None, None), Action::Wait);
 }
+
+/// While the platform is away, a candidate tries to read the record now and then, not all the time.
+#[tokio::test(start_paused = true)]
+async fn next_unread() {
+    let start = Instant::now();
+    let mut tenure = Tenure::new(start);
+    let mut reads = 0;
+    while start.elapsed() < Duration::from_secs(10) {
+        match tenure.next(Instant::now(), Some(0), None) {
+            Action::Read => {
+                reads += 1;
+                tenure.note_unread(Instant::now());
+            }
+            action => assert_eq!(action, Action::Wait),
+        }
+        advance(Duration::from_millis(20)).await;
+    }
+    assert!((10..=20).contains(&reads), "{reads}");
+}
