--- a/src/call.rs
+++ b/src/call.rs
@@ -14,6 +14,7 @@
 pub mod metrics;
 pub mod read_ahead;
 pub mod request;
+pub mod split;
 pub mod suspects;
 pub mod upstream;
 pub mod view;
@@ -83,6 +84,13 @@
 /// The name of the organisation whose API key a call presented; sent between daemons only.
 pub const ORGANISATION: HeaderName = HeaderName::from_static("x-baobab-organisation");
 
+/// Marks a request as a message about rollouts between daemons; see [`rollout`](crate::rollout).
+pub const ROLLOUT: HeaderName = HeaderName::from_static("x-baobab-rollout");
+
+/// On a call that is sent to the ordered version: the order and the number of the step. On a response: the same of
+/// the newest step known to the inbound side, and the milliseconds since its last renewal, if known.
+pub const STEP: HeaderName = HeaderName::from_static("x-baobab-step");
+
 /// Marks a request as an [`exchange`](crate::exchange) between daemons.
 pub const EXCHANGE: HeaderName = HeaderName::from_static("x-baobab-exchange");
 
@@ -141,13 +149,15 @@
     Shed,
     /// Backend servers have ended under this request; it is refused everywhere for some time.
     Quarantined,
+    /// The backend server is of a version that takes no such calls now, by a rollout.
+    Version,
     /// A reason that concerns this attempt only, such as a wrong incarnation or a cancellation.
     #[default]
     Other,
 }
 
 impl RefusalReason {
-    const ALL: [RefusalReason; 8] = [
+    const ALL: [RefusalReason; 9] = [
         RefusalReason::Busy,
         RefusalReason::RateLimited,
         RefusalReason::Full,
@@ -155,6 +165,7 @@
         RefusalReason::Down,
         RefusalReason::Shed,
         RefusalReason::Quarantined,
+        RefusalReason::Version,
         RefusalReason::Other,
     ];
 
@@ -169,6 +180,7 @@
             RefusalReason::Down => "down",
             RefusalReason::Shed => "shed",
             RefusalReason::Quarantined => "quarantined",
+            RefusalReason::Version => "version",
             RefusalReason::Other => "other",
         }
     }
--- a/src/call/balance.rs
+++ b/src/call/balance.rs
@@ -126,6 +126,8 @@
     pub joined: Option<Instant>,
     /// Concurrent calls that it allows, if it reports a limit of its own.
     pub slots: Option<u32>,
+    /// The version of the backend server; empty if it has not reported one.
+    pub version: String,
 }
 
 /// The load, latency and failures observed at an upstream. Survives rebuilds of a [`Group`].
@@ -418,6 +420,16 @@
         }
     }
 
+    /// Creates a group of some of these upstreams, with the same limits and in the same order.
+    #[must_use]
+    pub fn subset(&self, kept: impl Fn(&UpstreamInfo) -> bool) -> Self {
+        let upstreams = self
+            .upstreams
+            .iter()
+            .filter(|upstream| kept(&upstream.info));
+        Group::new(upstreams.cloned().collect(), self.limits)
+    }
+
     /// Returns the upstreams, in the order of their indices.
     #[must_use]
     pub fn upstreams(&self) -> &[Upstream] {
--- a/src/member.rs
+++ b/src/member.rs
@@ -206,5 +206,6 @@
         "link_mbps": member.link_mbps,
         "platform_lost": member.platform_lost,
         "platform_answers": member.platform_answers,
+        "version": member.version,
     })
 }
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod keys;
 mod newer;
+mod version;
 
 use crate::call::access::{AccessMetrics, PresentedKey};
 use crate::call::attempt::{Attempt, AttemptIds};
@@ -221,7 +222,9 @@
         let headers = request.headers_mut();
         let organisation = keys::check(daemon, &self.access, &view.table, entry, key, id, headers)?;
         let service = entry.service(self.split_point());
-        Call::new(daemon, &view, entry, service, organisation, request, id)
+        let mut call = Call::new(daemon, &view, entry, service, organisation, request, id)?;
+        call.choose_version();
+        Ok(call)
     }
 
     /// Returns the next number of a sequence that covers 0 to 1 evenly at any length.
@@ -249,6 +252,10 @@
                 None => self.choose(&call, &tried, attempts),
             };
             let Some(index) = index else {
+                if call.fall_back() {
+                    tried.clear();
+                    continue;
+                }
                 return failed_before
                     .map(|failed| *failed.response)
                     .ok_or_else(no_upstream);
@@ -268,6 +275,12 @@
             }
             self.metrics.note_failure(failed.failure);
             match failed.failure {
+                // Depends on what the two daemons know of a rollout, and costs the call nothing.
+                Failure::Refused
+                    if failed.reason_code == RefusalReason::Version && !tried.contains(&index) =>
+                {
+                    tried.push(index);
+                }
                 // A busy upstream may be chosen again, to wait in its queue.
                 Failure::Refused if failed.reason_code == RefusalReason::Busy => busy_refusals += 1,
                 // Offers are limited in number; an attempt that might wait is made elsewhere next.
@@ -305,6 +318,9 @@
                 return Ok(*failed.response);
             }
             failed_before = Some(failed);
+            if call.leaves_version(reason) && call.fall_back() {
+                tried.clear();
+            }
             let delay = backoff(attempts, failure, rand::random());
             if !delay.is_zero() {
                 tokio::time::sleep(delay).await;
@@ -356,6 +372,7 @@
         let Some(service) = view.service_named(&call.service.name) else {
             return false;
         };
+        let service = &call.same_side(service);
         let is_same = |new: &Upstream, known: &UpstreamInfo| {
             new.info.name == known.name && new.info.incarnation == known.incarnation
         };
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -4,9 +4,18 @@
 //! after another: how large a share of the calls goes to which backend servers of that version. It decides
 //! by the [`Evidence`] that the daemons beside all backend servers of the service count; see [`plan`].
 
+mod cell;
+mod compare;
+pub mod counters;
 pub mod evidence;
+mod history;
 pub mod plan;
+pub mod registry;
+pub mod tenure;
+mod trial;
+pub mod wire;
 
+pub use cell::{RolloutCell, phase_name, send, serve};
 pub use evidence::{Counts, Evidence, ServerCounts, ServerKey};
 pub use plan::{Decision, Plan, Server};
 
@@ -62,7 +71,8 @@
     pub phase: Phase,
     /// The share of the service's calls that go to the new version, in thousandths.
     pub share: u32,
-    /// The names of the daemons whose backend servers receive them; in [`Phase::Shift`] all of the version.
+    /// The names of the daemons whose backend servers receive them; all of the version once the share is the
+    /// whole.
     pub targets: Vec<String>,
 }
 
