--- a/tests/rollout_faults.rs
+++ b/tests/rollout_faults.rs
@@ -192,6 +192,7 @@
     let (count, served) = fleet.call_for(Duration::from_secs(6)).await;
     assert_eq!(served, count);
     let after = fleet.platform.calls();
+    println!("{all} daemons, started: {started:?}, 6 s later: {after:?}");
     assert_eq!(after.gets, started.gets);
     assert!(after.lists - started.lists <= 1, "{started:?} {after:?}");
     let watches = after.watches - started.watches;
