Ask for more proof of latency before all calls go to a new version

Cause: a backend server with a few calls, none of them slow, counted as strong evidence against a slow version, and the share became the whole before slow calls had ended.

Change: evidence against slowness is bounded by the number of calls, the partial share waits for slow calls, and its size assumes 2.5 s instead of 2 s until the calls of a bad version have stopped. docs/design/rollouts.md has what was weighed.

--- a/src/rollout/compare.rs
+++ b/src/rollout/compare.rs
@@ -37,6 +37,8 @@
 const TRIMMED: f64 = 0.2;
 /// Latency ratio of a bad version: two fifths of its calls take about eight times as long.
 const BAD_LATENCY: f64 = 4.0;
+/// The least share of the calls of a bad version that are slow.
+const SLOW_SHARE: f64 = 0.3;
 /// Standard deviation of the logarithm of the latency ratio among good backend servers, which run at
 /// 0.5 to 1.7 times the usual speed.
 const LATENCY_SPREAD: f64 = 0.4;
@@ -269,7 +271,9 @@
     let variance = LATENCY_SPREAD.powi(2) + LATENCY_NOISE / timed;
     let good = ratio.max(0.0);
     let bad = (ratio - BAD_LATENCY.ln()).min(0.0);
-    bounded((good.powi(2) - bad.powi(2)) / (2.0 * variance))
+    let llr = (good.powi(2) - bad.powi(2)) / (2.0 * variance);
+    // A few calls of a bad version may all be among those that are not slow.
+    bounded(llr.max(timed * (1.0 - SLOW_SHARE).ln()))
 }
 
 /// Bounds the logarithm of a likelihood ratio by the probability that the backend server itself is faulty.
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -17,7 +17,7 @@
 /// Age of the evidence on arrival.
 const REPORT_DELAY: Duration = Duration::from_millis(500);
 /// Time from a defect until the calls have stopped: evidence, decision and step.
-const REACTION: Duration = Duration::from_secs(2);
+const REACTION: Duration = Duration::from_millis(2_500);
 /// Time from the first new backend server until the trial starts with fewer than three.
 const GATHER: Duration = Duration::from_millis(500);
 /// Time for which a step has been in force when another decider takes it over.
@@ -57,7 +57,7 @@
 /// The greatest share between trial and whole.
 const GREATEST_PARTIAL_SHARE: f64 = 0.5;
 /// The longest time for which that share waits for slow calls.
-const LONGEST_PARTIAL: Duration = Duration::from_millis(2_500);
+const LONGEST_PARTIAL: Duration = Duration::from_millis(2_750);
 /// The greatest number of targets of a trial.
 const MOST_TARGETS: usize = 6;
 /// Time from the maturity of the first backend server after which an undecided trial gets more targets.
@@ -410,8 +410,7 @@
         };
         let shown = stepped + SPREAD + REPORT_DELAY;
         let slow_calls = SLOW_CALL * view.verdict.slowest;
-        let first = self.started.values().min().copied().unwrap_or(view.now);
-        let slow = first + compare::MATURE + slow_calls + REPORT_DELAY;
+        let slow = stepped + SPREAD / 2 + slow_calls + REPORT_DELAY;
         let slow = slow.min(stepped + LONGEST_PARTIAL);
         view.now >= shown.max(slow).min(self.latest_whole()) && self.is_proven(view)
     }
