--- a/src/check.rs
+++ b/src/check.rs
@@ -64,7 +64,7 @@
             Spec::Route(route) => check_route(&mut problems, key, route, &policies),
             Spec::Service(Service { .. }) => {}
             Spec::Organisation(organisation) => {
-                check_organisation(&mut problems, key, organisation, &policies);
+                check_organisation(&mut problems, key, organisation, snapshot);
             }
         }
         // Avoids building the list of references: a service with a policy is known to exist, and
@@ -229,16 +229,19 @@
     problems: &mut Problems,
     key: &ResourceKey,
     organisation: &Organisation,
-    policies: &BTreeMap<&str, &Policy>,
+    snapshot: &Snapshot,
 ) {
     problems.check_range(key, "rate_per_ks", organisation.rate_per_ks, &RATE);
     problems.check_range(key, "burst", organisation.burst, &RATE);
+    let resources = snapshot.resources().values();
+    let mut policies = resources.filter_map(|res| match res.spec.as_ref() {
+        Spec::Policy(policy) => Some(policy),
+        _ => None,
+    });
     if let Some(kind) = &organisation.request_kind
-        && !policies
-            .values()
-            .any(|policy| policy.kinds.contains_key(kind))
+        && !policies.any(|policy| policy.kinds.contains_key(kind))
     {
-        let problem = format!("{kind:?} is not a request kind of the policy of any service");
+        let problem = format!("{kind:?} is not a request kind of any policy");
         problems.add(key, "request_kind", &problem);
     }
 }
--- a/tests/access.rs
+++ b/tests/access.rs
@@ -258,3 +258,14 @@
     let err = Snapshot::default().apply_changes(changes).unwrap_err();
     assert_eq!(err.category(), Category::Input);
 }
+
+/// What earlier builds do with organisations, and this one with kinds to come: the changes are refused as a
+/// whole, and the version in force remains.
+#[test]
+fn changes_of_unknown_kind() {
+    let snapshot = Snapshot::external(2, "r2", specs(false, &[("kasi", "{}".into())]));
+    let mut changes = snapshot.changes_after(0, Vec::new());
+    changes.upserts.last_mut().unwrap().kind = "unheard".into();
+    let err = Snapshot::default().apply_changes(changes).unwrap_err();
+    assert_eq!(err.category(), Category::Input);
+}
