Detect the end of a backend server whose listener closes last

After a lost run, the daemon beside the backend server connects to it, and any result but a refused connection counted as a backend server that still listens. A process that ends closes its connections and its listener one after another: in between, a connection is accepted and reset. The crash was then not recorded, and the next attempt of the call ran without being suspected, so that one call ran three times (crash_single_call).

Connect again while connections are accepted and closed; one that stays open for 20 ms shows that the backend server listens. A lost run of a backend server that still listens is answered 20 ms later for this.

--- a/src/role/inbound/crash.rs
+++ b/src/role/inbound/crash.rs
@@ -18,13 +18,21 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// Time limit for the connection that tells whether the backend server still listens.
+/// Time limit for the connections that tell whether the backend server still listens.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for which such a connection must stay open to show that it does. A backend server that ends closes its
+/// connections and its listener one after another, and the kernel accepts connections until the latter.
+const PROBE_OPEN_TIME: Duration = Duration::from_millis(20);
+
+/// Pause before another connection after one that was closed.
+const PROBE_PAUSE: Duration = Duration::from_millis(5);
+
 /// Longest wait of a suspect for another one to end.
 const SUSPECT_WAIT: Duration = Duration::from_secs(1);
 
@@ -131,9 +139,8 @@
         if backend.stage == Stage::Leaving {
             return None;
         }
-        let probe = timeout(PROBE_TIMEOUT, TcpStream::connect(self.address)).await;
-        let refused = |err: &std::io::Error| err.kind() == ErrorKind::ConnectionRefused;
-        if !matches!(&probe, Ok(Err(err)) if refused(err)) {
+        let refuses = timeout(PROBE_TIMEOUT, refuses_connections(self.address)).await;
+        if refuses != Ok(true) {
             self.remember_lost(run, &backend);
             return None;
         }
@@ -255,6 +262,24 @@
     }
 }
 
+/// Tests whether connections to an address are refused. Connects again while they are accepted and closed; one
+/// that is closed early enough fails as reset.
+async fn refuses_connections(address: SocketAddr) -> bool {
+    loop {
+        match TcpStream::connect(address).await {
+            Ok(mut stream) => {
+                let closed = timeout(PROBE_OPEN_TIME, stream.read_u8()).await;
+                if closed.is_err() {
+                    return false;
+                }
+            }
+            Err(err) if err.kind() == ErrorKind::ConnectionRefused => return true,
+            Err(_) => {}
+        }
+        sleep(PROBE_PAUSE).await;
+    }
+}
+
 /// Returns a name of an instance that no other start has; `None` if the backend server does not report.
 fn instance_name(backend: &Backend) -> Option<String> {
     let instance = backend.instance.as_ref()?;
