Hold requests by the tries that have failed, not by the number of crashes

A request was held for a time that grew with the number of backend servers that had ended under it. Backend servers that end together for another reason leave as many crashes for a harmless request whose first runs they had in progress, which was then refused for 2 to 10 minutes (crash_first_runs_of_popular_request, crash_repeated_request). In a traced run an end also counted once for each caller: 6 crashes of 4 instances.

The hold time grows with the number of failed tries: runs that began while the request was held by what their daemon knew. Each crash has the number of its try, so that it survives restarts and merges in any order. Instances count once. After the hold time the daemons have exclusive turns, chosen by rendezvous hashing for each turn; before, each one could try from its time on, so that several could try at once. A daemon whose turn it isn't names the one whose turn it is, and the sender's next attempt goes there, so that a rare request is tried as well. Times are 1 s, 30 s, 5 min and 25 min: three tries fit into the 30 minutes for which crashes are remembered. The lease of records in the platform is as long. Copies of a caller under which nothing ended run freely on instances on which one has completed.

When a request has more crashes than are kept, those of late tries are kept; before, a further crash was dropped, and the hold time did not start again.

--- a/src/call.rs
+++ b/src/call.rs
@@ -76,6 +76,10 @@
 /// further attempts of the call.
 pub const CRASHED: HeaderName = HeaderName::from_static("x-baobab-crashed");
 
+/// Sent with the refusal of a request that is suspected of crashing backend servers: the name of the daemon that
+/// may try it now.
+pub const TURN_OWNER: HeaderName = HeaderName::from_static("x-baobab-turn-owner");
+
 /// The service on the VM where a call began; sent between daemons only.
 pub const CALLER: HeaderName = HeaderName::from_static("x-baobab-caller");
 
@@ -194,6 +198,8 @@
     pub reason_code: RefusalReason,
     /// The instance of the backend server that ended while it ran the call, as reported to other daemons.
     pub crashed: Option<String>,
+    /// The name of the daemon that may run the call now, as reported to other daemons.
+    pub turn_owner: Option<String>,
 }
 
 impl Refusal {
@@ -206,6 +212,7 @@
             retry_after: None,
             reason_code: RefusalReason::Other,
             crashed: None,
+            turn_owner: None,
         }
     }
 
@@ -218,6 +225,7 @@
             retry_after: None,
             reason_code: RefusalReason::Other,
             crashed: None,
+            turn_owner: None,
         }
     }
 
@@ -242,6 +250,13 @@
         self
     }
 
+    /// Sets the name of the daemon that may run the call now.
+    #[must_use]
+    pub fn with_turn_owner(mut self, name: Option<String>) -> Self {
+        self.turn_owner = name;
+        self
+    }
+
     /// Builds the response to the caller; its JSON body has the message, outcome and request id.
     #[must_use]
     pub fn into_response(self, request_id: &str, names: &HeaderNames) -> Response<Body> {
--- a/src/call/suspects.rs
+++ b/src/call/suspects.rs
@@ -3,9 +3,14 @@
 //! When a backend server crashes, each request that it ran is suspected. A suspect runs alone: a backend
 //! server never runs two of them at once, so the next crash tells which one is to blame. A request under which
 //! [`HELD_FROM`] backend servers or more have ended is held: it is refused until a hold time has passed since
-//! the last crash, which grows with their number, and then one run is tried. A completed run clears a
+//! the last crash, and then it is tried by one daemon of the service at a time. A completed run clears a
 //! request at once.
 //!
+//! The hold time grows with the number of tries that have failed, not with the number of crashes: any number of
+//! backend servers may end at the same moment for another reason, while they all run a popular request. A run
+//! is a try if the request was held by what its daemon knew when the run began. Each crash has the number of
+//! its try, so daemons that restart learn it with the records.
+//!
 //! The records are a set of (request, instance that ended), so they can be merged in any order and more than
 //! once.
 
@@ -13,7 +18,7 @@
 use super::idempotency::rendezvous_weight;
 use crate::generated::mesh as wire;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -22,18 +27,25 @@
 /// Number of crashes from which on a request is held.
 pub const HELD_FROM: usize = 2;
 
-/// Time for which a request is held after its last crash, by the number of crashes from [`HELD_FROM`] on;
-/// the last one holds for all further ones.
+/// Time in which a crash is detected and reported to the other daemons, a report that is sent again included.
+pub const REPORT_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which a daemon may begin a try in its turn. The next turn begins once a try at the end of this time
+/// has run and was reported.
+pub const TURN_TIME: Duration = Duration::from_millis(500);
+
+/// Time for which a request is held after its last crash, by the number of tries that have failed; the last
+/// one holds for all further tries. By the end of the first, all runs that were in progress are reported. The
+/// others add up to more than [`RETENTION`], so at most three tries fall within it.
 const HOLD_TIMES: [Duration; 4] = [
-    Duration::from_secs(2),
-    Duration::from_secs(20),
-    Duration::from_mins(2),
-    Duration::from_mins(10),
+    REPORT_TIME,
+    Duration::from_secs(30),
+    Duration::from_mins(5),
+    Duration::from_mins(25),
 ];
 
-/// Added to the hold time for each daemon of the service that may try the request earlier. By then the
-/// result of the earlier run is known.
-pub const TRY_INTERVAL: Duration = Duration::from_secs(3);
+/// Greatest time of a run that a turn waits for.
+const MAX_RUN_TIME: Duration = Duration::from_secs(10);
 
 /// Time for which a crash is remembered.
 const RETENTION: Duration = Duration::from_mins(30);
@@ -59,6 +71,22 @@
     Suspect,
     /// It is refused for this time.
     Held(Duration),
+    /// It is refused for this time here, and another daemon may try it now.
+    Elsewhere {
+        /// Time until the next turn.
+        left: Duration,
+        /// The number of the turn, for [`turn_owner`].
+        turn: u64,
+    },
+}
+
+/// A run of a request that a crash has ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LostRun {
+    /// What [`Suspects::next_try`] returned when the run began.
+    pub try_number: u32,
+    /// Time from its start to its loss.
+    pub time: Duration,
 }
 
 /// What operators read about a request.
@@ -74,6 +102,53 @@
 struct Crash {
     at: Instant,
     cleared: bool,
+    /// The run that it ended.
+    run: LostRun,
+}
+
+impl Crash {
+    /// The order in which crashes are kept if there are too many: those of late tries decide the hold time.
+    fn rank<'a>(&self, instance: &'a str) -> (bool, u32, &'a str) {
+        (!self.cleared, self.run.try_number, instance)
+    }
+
+    /// Merges another record of the same crash; returns whether it changes what is known.
+    fn merge(&mut self, other: &Crash) -> bool {
+        let is_later = other.run.try_number > self.run.try_number;
+        let is_longer = other.run.time > self.run.time;
+        let changed = is_later || is_longer || other.cleared && !self.cleared;
+        self.cleared |= other.cleared;
+        self.run.time = self.run.time.max(other.run.time);
+        // A backend server that does not report its instance may end again under the same name.
+        if is_later {
+            self.run.try_number = other.run.try_number;
+            self.at = other.at;
+        }
+        changed
+    }
+}
+
+/// The crashes of a request that are not cleared, those of all its callers.
+#[derive(Default)]
+struct Summary {
+    /// Number of instances that ended.
+    count: usize,
+    last: Option<Instant>,
+    /// Number of tries that have failed.
+    tries: u32,
+    /// Time of the longest run that ended so.
+    longest_run: Duration,
+}
+
+impl Summary {
+    fn is_held(&self) -> bool {
+        self.count >= HELD_FROM
+    }
+
+    /// Returns the time from the start of one daemon's turn to that of the next one.
+    fn turn_interval(&self) -> Duration {
+        TURN_TIME + self.longest_run.min(MAX_RUN_TIME) + REPORT_TIME
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -84,8 +159,22 @@
 }
 
 impl Suspect {
-    fn active(&self) -> impl Iterator<Item = &Crash> {
-        self.crashes.values().filter(|crash| !crash.cleared)
+    fn active(&self) -> impl Iterator<Item = (&str, &Crash)> {
+        let crashes = self.crashes.iter();
+        let crashes = crashes.map(|(instance, crash)| (instance.as_str(), crash));
+        crashes.filter(|(_, crash)| !crash.cleared)
+    }
+
+    /// Removes the crash of the least rank if there are too many, and returns its instance.
+    fn evict_crash(&mut self) -> Option<String> {
+        if self.crashes.len() <= MAX_CRASHES {
+            return None;
+        }
+        let crashes = self.crashes.iter();
+        let least = crashes.min_by_key(|(instance, crash)| crash.rank(instance));
+        let instance = least.map(|(instance, _)| instance.clone())?;
+        self.crashes.remove(&instance);
+        Some(instance)
     }
 
     fn newest(&self) -> Option<Instant> {
@@ -100,50 +189,68 @@
 }
 
 impl Suspects {
-    /// Decides whether a request may run now. `precedence` returns the number of daemons that may try a held
-    /// request before this one.
+    /// Decides whether a request may run now. `has_turn` tests whether this daemon has the turn with the given
+    /// number to try a held request.
     ///
     /// The crashes of all callers of a request count, but a caller under whose copies no backend server has
-    /// ended is not refused for those of others.
+    /// ended is not refused for those of others. Its copies run freely on an instance on which one has
+    /// completed (`has_completed`).
     pub fn verdict(
         &self,
         now: Instant,
         request: Fingerprint,
-        precedence: impl FnOnce() -> usize,
+        has_completed: impl FnOnce() -> bool,
+        has_turn: impl FnOnce(u64) -> bool,
     ) -> Verdict {
         if self.requests.is_empty() {
             return Verdict::Free;
         }
-        let crashes = self
-            .copies(request.content)
-            .flat_map(|(_, suspect)| suspect.active());
-        let (mut count, mut last) = (0, None);
-        for crash in crashes {
-            count += 1;
-            last = last.max(Some(crash.at));
-        }
-        let Some(last) = last else {
+        let summary = self.summary(request.content);
+        let Some(last) = summary.last else {
             return Verdict::Free;
         };
-        if count < HELD_FROM || !self.is_suspected(request) {
+        let is_suspected = self.is_suspected(request);
+        if !is_suspected && has_completed() {
+            return Verdict::Free;
+        }
+        if !summary.is_held() || !is_suspected {
             return Verdict::Suspect;
         }
-        let hold = HOLD_TIMES[(count - HELD_FROM).min(HOLD_TIMES.len() - 1)];
-        let precedence = u32::try_from(precedence()).unwrap_or(u32::MAX);
-        let until = last + hold + TRY_INTERVAL.saturating_mul(precedence.min(1_000));
-        let left = until.saturating_duration_since(now);
-        if left.is_zero() {
+        let tries = usize::try_from(summary.tries).unwrap_or(usize::MAX);
+        let tried_from = last + HOLD_TIMES[tries.min(HOLD_TIMES.len() - 1)];
+        let Some(passed) = now.checked_duration_since(tried_from) else {
+            return Verdict::Held(tried_from - now);
+        };
+        let interval = summary.turn_interval();
+        let turn = u64::try_from(passed.as_millis() / interval.as_millis());
+        let turn = turn.unwrap_or(u64::MAX);
+        let in_turn = millis_mod(passed, interval);
+        let left = interval.saturating_sub(in_turn);
+        if in_turn >= TURN_TIME {
+            Verdict::Held(left)
+        } else if has_turn(turn) {
             Verdict::Suspect
         } else {
-            Verdict::Held(left)
+            Verdict::Elsewhere { left, turn }
         }
     }
 
-    /// Returns the number of crashes of a request, those of all its callers.
+    /// Returns the number of instances that ended under a request, those of all its callers.
     #[must_use]
     pub fn crashes(&self, content: u128) -> usize {
-        let copies = self.copies(content);
-        copies.flat_map(|(_, suspect)| suspect.active()).count()
+        self.summary(content).count
+    }
+
+    /// Returns the number of the try that a run of a request is if it begins now; zero if the request is not
+    /// held.
+    #[must_use]
+    pub fn next_try(&self, content: u128) -> u32 {
+        let summary = self.summary(content);
+        if summary.is_held() {
+            summary.tries.saturating_add(1)
+        } else {
+            0
+        }
     }
 
     /// Tests whether a request has had crashes enough to be held, cleared ones included.
@@ -168,10 +275,12 @@
         request: Fingerprint,
         description: &Description,
         instance: &str,
+        run: LostRun,
     ) -> bool {
         let crash = Crash {
             at: now,
             cleared: false,
+            run,
         };
         self.insert(request, description, truncated(instance), crash)
     }
@@ -217,6 +326,10 @@
             let crash = Crash {
                 at,
                 cleared: crash.cleared,
+                run: LostRun {
+                    try_number: crash.try_number,
+                    time: Duration::from_millis(crash.run_ms),
+                },
             };
             changed |= self.insert(request, &description, instance, crash);
         }
@@ -249,6 +362,8 @@
                 hasher.update(&request.content.to_be_bytes());
                 hasher.update(&request.caller.to_be_bytes());
                 hasher.update(&[u8::from(crash.cleared)]);
+                hasher.update(&crash.run.try_number.to_be_bytes());
+                hasher.update(&millis(crash.run.time).to_be_bytes());
                 hasher.update(instance.as_bytes());
                 digest ^= hasher.digest();
             }
@@ -282,24 +397,40 @@
         let suspects = self.requests.iter();
         let suspects = suspects.filter(|(request, _)| self.is_suspected(**request));
         let suspects = suspects.map(|(request, suspect)| {
-            let ages = suspect.active().map(|crash| {
+            let ages = suspect.active().map(|(_, crash)| {
                 let age = now.saturating_duration_since(crash.at);
-                u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+                millis(age)
             });
-            let instances = suspect.crashes.iter().filter(|(_, crash)| !crash.cleared);
-            let instances = instances.map(|(instance, _)| instance.as_str());
+            let instances = suspect.active().map(|(instance, _)| instance);
+            let summary = self.summary(request.content);
             json!({
                 "request": format!("{:032x}", request.content),
                 "caller": suspect.description.caller,
                 "path": suspect.description.path,
                 "instances": instances.collect::<Vec<_>>(),
                 "ages_ms": ages.collect::<Vec<_>>(),
-                "held": self.crashes(request.content) >= HELD_FROM,
+                "held": summary.is_held(),
+                "tries": summary.tries,
             })
         });
         suspects.collect()
     }
 
+    fn summary(&self, content: u128) -> Summary {
+        let mut summary = Summary::default();
+        let mut instances = BTreeSet::new();
+        let copies = self.copies(content);
+        for (instance, crash) in copies.flat_map(|(_, suspect)| suspect.active()) {
+            // An instance may have run copies of several callers when it ended.
+            instances.insert(instance);
+            summary.last = summary.last.max(Some(crash.at));
+            summary.tries = summary.tries.max(crash.run.try_number);
+            summary.longest_run = summary.longest_run.max(crash.run.time);
+        }
+        summary.count = instances.len();
+        summary
+    }
+
     /// Returns the copies of a request that different callers sent.
     fn copies(&self, content: u128) -> impl Iterator<Item = (&Fingerprint, &Suspect)> {
         let first = Fingerprint { content, caller: 0 };
@@ -328,15 +459,10 @@
             crashes: BTreeMap::new(),
         });
         if let Some(known) = suspect.crashes.get_mut(instance) {
-            let changed = crash.cleared && !known.cleared;
-            known.cleared |= crash.cleared;
-            return changed;
-        }
-        if suspect.crashes.len() >= MAX_CRASHES {
-            return false;
+            return known.merge(&crash);
         }
         suspect.crashes.insert(instance.to_owned(), crash);
-        true
+        suspect.evict_crash().as_deref() != Some(instance)
     }
 
     /// Evicts a request for another one of `caller`: of the same caller if it has its full share.
@@ -358,14 +484,36 @@
     }
 }
 
-/// Returns the number of daemons of a service that may try a held request before the one named `own`, given
-/// its content hash.
+/// Tests whether a turn to try a held request, given its content hash, is that of the daemon named `own`.
+///
+/// Rendezvous hashing for each turn: a daemon that is missing from the list of another one changes the turns of
+/// no third one.
+#[must_use]
+pub fn has_turn(content: u128, turn: u64, own: &str, upstreams: &[Arc<wire::Member>]) -> bool {
+    let mut others = upstreams.iter().filter(|other| other.name != own);
+    let own_weight = turn_weight(content, turn, own);
+    others.all(|other| turn_weight(content, turn, &other.name) < own_weight)
+}
+
+/// Returns the name of the daemon whose turn it is to try a held request.
 #[must_use]
-pub fn precedence(content: u128, own: &str, upstreams: &[Arc<wire::Member>]) -> usize {
-    let weight = |name: &str| rendezvous_weight(content, name);
-    let own = weight(own);
-    let others = upstreams.iter();
-    others.filter(|other| weight(&other.name) > own).count()
+pub fn turn_owner(content: u128, turn: u64, upstreams: &[Arc<wire::Member>]) -> Option<&str> {
+    let names = upstreams.iter().map(|upstream| upstream.name.as_str());
+    names.max_by_key(|name| turn_weight(content, turn, name))
+}
+
+fn turn_weight(content: u128, turn: u64, name: &str) -> u128 {
+    rendezvous_weight(content ^ u128::from(turn), name)
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the remainder of a division, in whole milliseconds.
+fn millis_mod(time: Duration, interval: Duration) -> Duration {
+    let millis = time.as_millis() % interval.as_millis();
+    Duration::from_millis(u64::try_from(millis).unwrap_or_default())
 }
 
 fn to_wire(now: Instant, request: Fingerprint, suspect: &Suspect) -> wire::CrashRecord {
@@ -373,8 +521,10 @@
         let age = now.saturating_duration_since(crash.at);
         wire::Crash {
             instance: instance.clone(),
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            age_ms: millis(age),
             cleared: crash.cleared,
+            try_number: crash.run.try_number,
+            run_ms: millis(crash.run.time),
         }
     });
     wire::CrashRecord {
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -6,7 +6,7 @@
 
 use crate::call::QUARANTINE;
 use crate::call::fingerprint::Fingerprint;
-use crate::call::suspects::{Description, Suspects, Verdict, precedence};
+use crate::call::suspects::{Description, LostRun, Suspects, Verdict, has_turn, turn_owner};
 use crate::daemon::Daemon;
 use crate::event;
 use crate::exchange::{ExchangeError, post};
@@ -71,17 +71,36 @@
         let _ = self.synced.subscribe().wait_for(|synced| *synced).await;
     }
 
-    /// Decides whether a request may run now on the backend server beside this daemon.
+    /// Decides whether a request may run now on the backend server beside this daemon. `has_completed` tells
+    /// whether it has completed a run on this instance.
     #[must_use]
-    pub fn verdict(&self, daemon: &Daemon, request: Fingerprint) -> Verdict {
-        let earlier = || {
-            let service = daemon.settings.backend.as_ref();
-            let service = service.map_or("", |backend| backend.service.as_str());
+    pub fn verdict(
+        &self,
+        daemon: &Daemon,
+        request: Fingerprint,
+        has_completed: impl FnOnce() -> bool,
+    ) -> Verdict {
+        let has_turn = |turn| {
             let fleet = daemon.fleet.load();
-            let upstreams = fleet.upstreams(service);
-            precedence(request.content, &daemon.identity.name, upstreams)
+            let upstreams = fleet.upstreams(service(daemon));
+            has_turn(request.content, turn, &daemon.identity.name, upstreams)
         };
-        lock(&self.suspects).verdict(Instant::now(), request, earlier)
+        lock(&self.suspects).verdict(Instant::now(), request, has_completed, has_turn)
+    }
+
+    /// Returns the name of the daemon whose turn it is to try a held request.
+    #[must_use]
+    pub fn turn_owner(&self, daemon: &Daemon, request: Fingerprint, turn: u64) -> Option<String> {
+        let fleet = daemon.fleet.load();
+        let owner = turn_owner(request.content, turn, fleet.upstreams(service(daemon)));
+        owner.map(str::to_owned)
+    }
+
+    /// Returns the number of the try that a run of a request is if it begins now; zero if the request is not
+    /// held.
+    #[must_use]
+    pub fn next_try(&self, request: Fingerprint) -> u32 {
+        lock(&self.suspects).next_try(request.content)
     }
 
     /// Records that an instance ended while it ran a request with this id, for this daemon to report.
@@ -91,9 +110,10 @@
         id: &str,
         description: &Description,
         instance: &str,
+        run: LostRun,
     ) {
         let mut suspects = lock(&self.suspects);
-        if !suspects.record(Instant::now(), request, description, instance) {
+        if !suspects.record(Instant::now(), request, description, instance, run) {
             return;
         }
         let crashes = suspects.crashes(request.content);
@@ -106,6 +126,7 @@
             path = description.path,
             instance = instance,
             crashes = crashes,
+            tried = run.try_number,
         );
         self.report(request);
     }
@@ -281,6 +302,12 @@
     }
 }
 
+/// Returns the service of the backend server beside a daemon.
+fn service(daemon: &Daemon) -> &str {
+    let backend = daemon.settings.backend.as_ref();
+    backend.map_or("", |backend| backend.service.as_str())
+}
+
 /// Sends a message to the daemon whose inbound listener has the address `peer`.
 ///
 /// # Errors
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -250,12 +250,17 @@
                 );
             }
             let why = refusal.reason_code.as_str();
-            let crashed = refusal.crashed.take();
+            let reported = [
+                (call::CRASHED, refusal.crashed.take()),
+                (call::TURN_OWNER, refusal.turn_owner.take()),
+            ];
             let mut response = refusal.into_response(id, &daemon.names);
             let headers = response.headers_mut();
             headers.insert(call::WHY, HeaderValue::from_static(why));
-            if let Some(Ok(crashed)) = crashed.map(HeaderValue::try_from) {
-                headers.insert(call::CRASHED, crashed);
+            for (name, value) in reported {
+                if let Some(Ok(value)) = value.map(HeaderValue::try_from) {
+                    headers.insert(name, value);
+                }
             }
             response
         });
--- a/src/role/inbound/crash.rs
+++ b/src/role/inbound/crash.rs
@@ -4,7 +4,7 @@
 use super::unavailable;
 use crate::backend::{Backend, Stage};
 use crate::call::fingerprint::Fingerprint;
-use crate::call::suspects::{Description, Verdict};
+use crate::call::suspects::{Description, LostRun, Verdict};
 use crate::call::upstream::BackendPool;
 use crate::call::{self, Refusal, RefusalReason};
 use crate::daemon::Daemon;
@@ -72,15 +72,16 @@
     completed: BTreeSet<u64>,
     order: VecDeque<u64>,
     /// Runs that were lost while the backend server still listened.
-    lost: Vec<LostRun>,
+    lost: Vec<UnexplainedLoss>,
     /// The name of the last end of the backend server, until it responds again.
     last_end: Option<String>,
 }
 
-struct LostRun {
+struct UnexplainedLoss {
     request: Fingerprint,
     id: String,
     description: Description,
+    run: LostRun,
     at: Instant,
 }
 
@@ -121,12 +122,20 @@
             caller: headers.get(&self.caller_name).cloned(),
             uri: request.uri().clone(),
             permit: None,
+            try_number: 0,
+            started: None,
             clears: false,
         };
         for instance in headers.get_all(call::CRASHED) {
             if let Ok(instance) = instance.to_str() {
-                self.quarantine
-                    .record(fingerprint, run.id(), &run.description(), instance);
+                // The daemon beside that instance reports the rest.
+                self.quarantine.record(
+                    fingerprint,
+                    run.id(),
+                    &run.description(),
+                    instance,
+                    LostRun::default(),
+                );
             }
         }
         run
@@ -139,9 +148,10 @@
         if backend.stage == Stage::Leaving {
             return None;
         }
+        let lost = run.lost();
         let refuses = timeout(PROBE_TIMEOUT, refuses_connections(self.address)).await;
         if refuses != Ok(true) {
-            self.remember_lost(run, &backend);
+            self.remember_lost(run, lost, &backend);
             return None;
         }
         self.pool.clear();
@@ -151,8 +161,7 @@
         if self.has_completed(run.request, &backend) {
             return None;
         }
-        self.quarantine
-            .record(run.request, run.id(), &run.description(), &instance);
+        run.record_crash(&instance, lost);
         Some(instance)
     }
 
@@ -169,26 +178,32 @@
         name
     }
 
-    fn remember_lost(&self, run: &MonitoredRun, backend: &Backend) {
+    fn remember_lost(&self, run: &MonitoredRun, lost: LostRun, backend: &Backend) {
         let mut state = lock(&self.state);
         state.set_instance(backend);
         state
             .lost
             .retain(|lost| lost.at.elapsed() < REPLACED_WITHIN);
         if state.lost.len() < MAX_LOST {
-            state.lost.push(LostRun {
+            state.lost.push(UnexplainedLoss {
                 request: run.request,
                 id: run.id().to_owned(),
                 description: run.description(),
+                run: lost,
                 at: Instant::now(),
             });
         }
     }
 
     fn has_completed(&self, request: Fingerprint, backend: &Backend) -> bool {
-        let mut state = lock(&self.state);
-        state.set_instance(backend);
-        state.completed.contains(&request.short())
+        let state = lock(&self.state);
+        state.is_about(backend) && state.completed.contains(&request.short())
+    }
+
+    /// Tests whether a request has completed a run on the instance that runs now.
+    fn has_completed_now(&self, request: Fingerprint) -> bool {
+        let has_ended = lock(&self.state).last_end.is_some();
+        !has_ended && self.has_completed(request, &self.backend.borrow())
     }
 
     fn note_completed(&self, request: Fingerprint) {
@@ -240,7 +255,7 @@
         };
         for run in lost {
             self.quarantine
-                .record(run.request, &run.id, &run.description, &instance);
+                .record(run.request, &run.id, &run.description, &instance, run.run);
         }
     }
 }
@@ -251,9 +266,13 @@
         self.order.clear();
     }
 
+    fn is_about(&self, backend: &Backend) -> bool {
+        self.instance.0 == backend.instance && self.instance.1 == backend.born_ms
+    }
+
     /// Forgets what is known of another instance.
     fn set_instance(&mut self, backend: &Backend) {
-        if self.instance.0 != backend.instance || self.instance.1 != backend.born_ms {
+        if !self.is_about(backend) {
             *self = State {
                 instance: (backend.instance.clone(), backend.born_ms),
                 ..State::default()
@@ -297,6 +316,10 @@
     uri: Uri,
     /// Held by a suspect.
     permit: Option<OwnedSemaphorePermit>,
+    /// The number of the try that this run is; zero if the request was not held when it began.
+    try_number: u32,
+    /// When the request was sent to the backend server.
+    started: Option<Instant>,
     /// Whether a complete response proves that the request does not crash backend servers.
     clears: bool,
 }
@@ -319,7 +342,10 @@
         let permit = Arc::clone(&self.monitor.suspect).acquire_owned();
         let permit = timeout_at(until, permit).await;
         self.set_permit(permit.ok().and_then(Result::ok))?;
-        self.verdict(daemon)?;
+        if self.verdict(daemon)? == Verdict::Free {
+            // It was cleared meanwhile; others that wait need not run one at a time either.
+            self.permit = None;
+        }
         Ok(self)
     }
 
@@ -329,9 +355,11 @@
     ///
     /// Fails otherwise; the request was not run.
     pub(super) fn check(&mut self, daemon: &Daemon) -> Result<(), Refusal> {
+        self.started = Some(Instant::now());
         if self.verdict(daemon)? == Verdict::Free {
             return Ok(());
         }
+        self.try_number = self.monitor.quarantine.next_try(self.request);
         if self.permit.is_none() {
             let permit = Arc::clone(&self.monitor.suspect).try_acquire_owned();
             self.set_permit(permit.ok())?;
@@ -343,6 +371,7 @@
             content = format_args!("{:032x}", self.request.content),
             caller = description.caller,
             path = description.path,
+            tried = self.try_number,
         );
         Ok(())
     }
@@ -356,9 +385,16 @@
     }
 
     fn verdict(&self, daemon: &Daemon) -> Result<Verdict, Refusal> {
-        let verdict = self.monitor.quarantine.verdict(daemon, self.request);
-        let Verdict::Held(time) = verdict else {
-            return Ok(verdict);
+        let monitor = &self.monitor;
+        let has_completed = || monitor.has_completed_now(self.request);
+        let quarantine = &monitor.quarantine;
+        let verdict = quarantine.verdict(daemon, self.request, has_completed);
+        let (time, owner) = match verdict {
+            Verdict::Free | Verdict::Suspect => return Ok(verdict),
+            Verdict::Held(time) => (time, None),
+            Verdict::Elsewhere { left, turn } => {
+                (left, quarantine.turn_owner(daemon, self.request, turn))
+            }
         };
         let description = self.description();
         event!(
@@ -373,6 +409,7 @@
         let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
         Err(refusal
             .with_retry_after(time)
+            .with_turn_owner(owner)
             .with_reason(RefusalReason::Quarantined))
     }
 
@@ -389,6 +426,21 @@
         }
     }
 
+    /// Describes this run, which was lost now.
+    fn lost(&self) -> LostRun {
+        LostRun {
+            try_number: self.try_number,
+            time: self.started.map_or(Duration::ZERO, |at| at.elapsed()),
+        }
+    }
+
+    /// Records that an instance ended while it ran this request.
+    fn record_crash(&self, instance: &str, run: LostRun) {
+        let quarantine = &self.monitor.quarantine;
+        let description = self.description();
+        quarantine.record(self.request, self.id(), &description, instance, run);
+    }
+
     /// Records the status of the response that has begun.
     pub(super) fn set_status(&mut self, status: StatusCode) {
         self.clears = !status.is_server_error();
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -233,10 +233,12 @@
         let mut tried = Vec::new();
         let (mut attempts, mut refusals, mut busy_refusals, mut full_refusals) = (0, 0, 0, 0);
         let mut failed_before: Option<FailedAttempt> = None;
+        let mut turn_owner: Option<Index> = None;
         loop {
-            let index = match call.key {
-                Some(key) => key_holder(&call, key).await,
-                None => self.choose(&call, &tried, attempts),
+            let index = match (turn_owner.take(), call.key) {
+                (Some(owner), _) => Some(owner),
+                (None, Some(key)) => key_holder(&call, key).await,
+                (None, None) => self.choose(&call, &tried, attempts),
             };
             let Some(index) = index else {
                 return failed_before
@@ -284,8 +286,9 @@
             retry_limits.replayable = call.body.is_replayable();
             let (failure, reason) = (failed.failure, failed.reason_code);
             lock(&call.crashed).extend(failed.crashed.clone());
+            turn_owner = untried_owner(&call, &failed, &tried);
             let failed = more_uncertain(failed_before.take(), failed);
-            if reason == RefusalReason::Quarantined
+            if reason == RefusalReason::Quarantined && turn_owner.is_none()
                 || call.daemon.drain.phase() >= Phase::Ending
                 || refusals > MAX_REFUSALS
                 || full_refusals >= MAX_FULL_REFUSALS
@@ -518,6 +521,16 @@
     }
 }
 
+/// Returns the upstream that may run a call now that another one has refused as quarantined. None for a call
+/// with an idempotency key, which only the holder of the key runs.
+fn untried_owner(call: &Call<'_>, failed: &FailedAttempt, tried: &[Index]) -> Option<Index> {
+    let name = failed.turn_owner.as_ref()?;
+    let upstreams = call.service.group.upstreams();
+    let position = upstreams.iter().position(|u| *name == u.info.name);
+    let owner = position.map(Index)?;
+    (call.key.is_none() && !tried.contains(&owner)).then_some(owner)
+}
+
 /// Returns the upstream that has the record of a key; its owner if none has.
 ///
 /// For [`KEY_TTL`] after a change of the upstreams, the record may be at another upstream than
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -80,6 +80,8 @@
     pub(super) response: Box<Response<Body>>,
     /// The instance of the backend server that ended while it ran the attempt.
     pub(super) crashed: Option<HeaderValue>,
+    /// The name of the daemon that may run the call now, if it was refused as quarantined.
+    pub(super) turn_owner: Option<HeaderValue>,
     /// The record of the daemon that uses the upstream's address now, if another incarnation answered.
     pub(super) replaced_by: Option<Box<wire::Member>>,
 }
@@ -276,6 +278,7 @@
             reason_code,
             response,
             crashed: None,
+            turn_owner: None,
             replaced_by: None,
         }
     }
@@ -465,6 +468,7 @@
         return Err(call.unknown(upstream, StatusCode::BAD_GATEWAY, reason));
     }
     let crashed = response.headers_mut().remove(call::CRASHED);
+    let turn_owner = response.headers_mut().remove(call::TURN_OWNER);
     call::drop_reserved_headers(response.headers_mut(), &[call::OUTCOME]);
     let failure = match (outcome, response.status()) {
         (Some(Outcome::NotRun), _) if refusal_reason == RefusalReason::Shed => Failure::NotRun,
@@ -512,6 +516,7 @@
         reason_code: refusal_reason,
         response,
         crashed,
+        turn_owner,
         replaced_by: None,
     })
 }
--- a/src/role/quarantine/saved.rs
+++ b/src/role/quarantine/saved.rs
@@ -14,8 +14,8 @@
 /// Prefix of the platform keys that hold the records, followed by the service.
 const PREFIX: &str = "baobab/crash/";
 
-/// Time for which a record is stored after its last change.
-const LEASE_TTL: Duration = Duration::from_mins(10);
+/// Time for which a record is stored after its last change, as long as daemons remember it.
+const LEASE_TTL: Duration = Duration::from_mins(30);
 
 /// Time limit for reading the records at start.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
