Keep slow daemons from reading during a rolling restart

Cause of member_upkeep follow_external_rolling_restart, traced with a line for each list. In all failures traced a slow daemon lists, so the check is right and stays as it was: - One fast daemon drains before a slow one has heard of the return of the other. No fast daemon seems to be left, and the slow one reads at once (5 lists). - Two regular exchanges in a row are with a daemon that has stopped and whose listener is silent, 1.5 s each. After 5 s without any exchange the slow daemon reads the members and the configuration (6 lists).

Change: - A slow daemon waits for 2 s while all faster ones are shutting down; those read until they stop, 2.5 s later. A change of the reason to wait starts the time again. The test stands_in_for_interrupted passes the reason in place of a flag, and also checks this. - A regular exchange asks another peer as well after 0.5 s of silence.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -15,8 +15,8 @@
 use crate::generated::mesh as wire;
 use crate::generated::mesh::MemberState;
 use crate::generated::mesh::exchange::Newer;
-use crate::member::rank;
 use crate::member::registry::MemberRegistry;
+use crate::member::{StandIn, rank};
 use crate::site::ExternalConfig;
 use crate::snapshot::{MAX_SNAPSHOT_LEN, Snapshot, Stamp};
 use crate::sync::lock;
@@ -57,8 +57,8 @@
     behind_since: Mutex<Option<Instant>>,
     /// When a peer last sent a request or a response.
     last_exchange: Mutex<Option<Instant>>,
-    /// Since when this daemon has been needed to read in place of others.
-    needed_since: Mutex<Option<Instant>>,
+    /// Why and since when this daemon waits before it reads in place of others.
+    waiting: Mutex<Option<(StandIn, Instant)>>,
     /// Whether the platform has been queried for the members at least once.
     queried: watch::Sender<bool>,
     /// Whether this daemon read from the platform until that no longer answered it.
@@ -119,14 +119,13 @@
         lock(&self.last_exchange).is_some_and(|at| at.elapsed() <= time)
     }
 
-    /// Tests whether this daemon has been needed to read in place of others for `time`, given whether it is now.
-    pub fn stands_in_for(&self, is_needed: bool, time: Duration) -> bool {
-        let mut since = lock(&self.needed_since);
-        if !is_needed {
-            *since = None;
-            return false;
-        }
-        since.get_or_insert_with(Instant::now).elapsed() > time
+    /// Tests whether this daemon has been needed to read in place of others for `time`, given why it waits now, if
+    /// it does.
+    pub fn stands_in_for(&self, reason: Option<StandIn>, time: Duration) -> bool {
+        let mut waiting = lock(&self.waiting);
+        let same = waiting.filter(|(previous, _)| Some(*previous) == reason);
+        *waiting = same.or(reason.map(|reason| (reason, Instant::now())));
+        waiting.is_some_and(|(_, since)| since.elapsed() > time)
     }
 
     /// Updates the member registry, and replaces the daemon's fleet if `update` returns true, which
--- a/src/member.rs
+++ b/src/member.rs
@@ -6,6 +6,7 @@
 pub mod registry;
 mod set;
 
+pub use readers::StandIn;
 pub use set::{MemberSet, SetSettings};
 
 use crate::generated::mesh as wire;
@@ -152,6 +153,20 @@
             && domains.any(|other| other.has_faster(&own))
     }
 
+    /// Returns why a reader or candidate does not read at once, if it has to wait.
+    #[must_use]
+    pub fn stand_in(&self, name: &str, domain: &str) -> Option<StandIn> {
+        if self.is_stand_in(name, domain) {
+            return Some(StandIn::Away);
+        }
+        let own = self.reader_order(name);
+        let readers = self.readers.get(domain);
+        let has_lost = readers.is_some_and(|readers| readers.has_lost_faster(&own));
+        let mut domains = self.readers.values();
+        let is_leaving = !has_lost && domains.any(|other| other.has_leaving_faster(&own));
+        is_leaving.then_some(StandIn::Leaving)
+    }
+
     fn reader_order(&self, name: &str) -> ReaderOrder {
         let member = self.members.get(name);
         member.map_or_else(|| ReaderOrder::unknown(name), |m| ReaderOrder::of(m))
--- a/src/member/readers.rs
+++ b/src/member/readers.rs
@@ -12,6 +12,16 @@
 /// answers a fifth of all, one of them is answered in 93 searches of 100.
 const SEARCH_FACTOR: usize = 2;
 
+/// Why a daemon with a slow link does not read at once, although few enough daemons precede it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StandIn {
+    /// Others are away, and a daemon with a much faster link reads elsewhere.
+    Away,
+    /// All daemons with much faster links are shutting down. They read until they stop; meanwhile, news of one
+    /// that has returned may still be on its way.
+    Leaving,
+}
+
 /// Who reads from the platform for a failure domain.
 #[derive(Clone, Debug, Default)]
 pub(super) struct DomainReaders {
@@ -21,6 +31,8 @@
     lost: usize,
     /// The first of those that state that the platform answers them, at most [`READERS`].
     answered: Vec<ReaderOrder>,
+    /// The first of the daemons that are draining and that the platform answers.
+    leaving: Option<ReaderOrder>,
     /// Whether the platform answers none of the daemons that would read if it answered all.
     all_turned_away: bool,
 }
@@ -74,13 +86,8 @@
     ) -> BTreeMap<String, DomainReaders> {
         let mut domains: BTreeMap<String, DomainReaders> = BTreeMap::new();
         for member in members.values() {
-            if member.state() != MemberState::Draining {
-                let readers = domains.entry(member.domain.clone()).or_default();
-                readers.order.push(ReaderOrder::of(member));
-                if member.platform_answers && !member.platform_lost {
-                    readers.answered.push(ReaderOrder::of(member));
-                }
-            }
+            let readers = domains.entry(member.domain.clone()).or_default();
+            readers.insert(member);
         }
         for readers in domains.values_mut() {
             readers.sort();
@@ -88,6 +95,22 @@
         domains
     }
 
+    fn insert(&mut self, member: &wire::Member) {
+        let order = ReaderOrder::of(member);
+        let is_lost = member.platform_lost;
+        if member.state() == MemberState::Draining {
+            let precedes = self.leaving.as_ref().is_none_or(|first| order < *first);
+            if precedes && !is_lost {
+                self.leaving = Some(order);
+            }
+            return;
+        }
+        if member.platform_answers && !is_lost {
+            self.answered.push(order.clone());
+        }
+        self.order.push(order);
+    }
+
     fn sort(&mut self) {
         self.order
             .sort_by(|a, b| (a.link, &a.name).cmp(&(b.link, &b.name)));
@@ -150,6 +173,12 @@
         first.is_some_and(|reader| own.is_much_slower(reader))
     }
 
+    /// Tests whether a daemon whose link is more than twice as fast is draining.
+    pub(super) fn has_leaving_faster(&self, own: &ReaderOrder) -> bool {
+        let leaving = self.leaving.as_ref();
+        leaving.is_some_and(|reader| own.is_much_slower(reader))
+    }
+
     /// Returns the names of the daemons that are to learn from a reader that the platform does not answer it:
     /// those that read in its place, until one is known that the platform answers.
     pub(super) fn successors(&self) -> impl Iterator<Item = &str> {
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -6,6 +6,7 @@
 use crate::event;
 use crate::exchange::{self, ExchangeState};
 use crate::kernel::{Plugin, RoleFuture};
+use crate::member::StandIn;
 use crate::platform::{self, Entry, KeyUpdate, PlatformError, PrefixWatcher};
 use crate::role::members::reader_or_any;
 use crate::settings::Distribution;
@@ -49,6 +50,10 @@
 /// seconds from the announcement to the next start, and reading would take a good part of that.
 const STAND_IN_DELAY: Duration = Duration::from_secs(8);
 
+/// The same while all daemons with fast links are shutting down: they serve callers, and read, for 2.5 s more.
+/// News of a daemon that has returned arrives by regular exchanges, one a second.
+const LEAVING_DELAY: Duration = Duration::from_secs(2);
+
 /// Time limit at start for reading the members from the platform, and the same again for the
 /// exchange with one of them.
 const STARTUP_PEER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -261,9 +266,14 @@
     let fleet = daemon.fleet.load();
     let is_chosen =
         fleet.is_reader(&own.name, &own.domain) || fleet.is_candidate(&own.name, &own.domain);
-    let stands_in = is_chosen && fleet.is_stand_in(&own.name, &own.domain);
-    let is_due = ExchangeState::of(daemon).stands_in_for(stands_in, STAND_IN_DELAY);
-    is_chosen && (!stands_in || is_due)
+    let stand_in = fleet.stand_in(&own.name, &own.domain);
+    let stand_in = stand_in.filter(|_| is_chosen);
+    let delay = match stand_in {
+        Some(StandIn::Leaving) => LEAVING_DELAY,
+        Some(StandIn::Away) | None => STAND_IN_DELAY,
+    };
+    let is_due = ExchangeState::of(daemon).stands_in_for(stand_in, delay);
+    is_chosen && (stand_in.is_none() || is_due)
 }
 
 /// Waits for changes below the watcher's prefix.
--- a/src/role/members/peers.rs
+++ b/src/role/members/peers.rs
@@ -12,8 +12,11 @@
 use rand::seq::IteratorRandom;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
+use tokio::join;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::try_join;
 
 /// Time between exchanges with a random peer.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
@@ -21,6 +24,9 @@
 /// Time limit for the response of a regular exchange to begin. The next one is with another peer.
 pub(super) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time without a response of the peer after which a regular exchange with another one begins as well.
+const FURTHER_PEER_DELAY: Duration = Duration::from_millis(500);
+
 /// Time limit for the response with a newer version to begin. On a congested link every response is late,
 /// and other peers are asked in the meantime.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
@@ -62,7 +68,7 @@
         }
         Ok(())
     };
-    let ((), ()) = tokio::try_join!(at_start, exchange_continuously(daemon, &state))?;
+    let ((), ()) = try_join!(at_start, exchange_continuously(daemon, &state))?;
     Ok(())
 }
 
@@ -106,10 +112,21 @@
     }
 }
 
-/// Runs a regular exchange.
+/// Runs a regular exchange, and a further one while the peer is silent. Otherwise two silent peers in a row would
+/// leave this daemon without any exchange for so long that it reads the platform itself.
 async fn exchange_regularly(daemon: &Daemon) {
-    if let Some(peer) = exchange_peer(daemon) {
-        exchange_with(daemon, peer, RESPONSE_TIMEOUT).await;
+    let Some(peer) = exchange_peer(daemon) else {
+        return;
+    };
+    let mut first = pin!(exchange_with(daemon, peer, RESPONSE_TIMEOUT));
+    if timeout(FURTHER_PEER_DELAY, &mut first).await.is_ok() {
+        return;
+    }
+    match random_member(daemon, &BTreeSet::from([peer]), is_staying) {
+        Some(other) => {
+            join!(first, exchange_with(daemon, other, RESPONSE_TIMEOUT));
+        }
+        None => first.await,
     }
 }
 
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -14,6 +14,7 @@
 use baobabstage::generated::mesh as wire;
 use baobabstage::generated::mesh::MemberState;
 use baobabstage::generated::mesh::exchange::Newer;
+use baobabstage::member::StandIn;
 use baobabstage::settings::{Flags, Settings};
 use baobabstage::site::{ExternalConfig, Reports, Site, Source};
 use fake::Fake;
@@ -254,14 +255,16 @@
     let one = daemon("one");
     let state = ExchangeState::of(&one);
     let time = Duration::from_secs(8);
-    assert!(!state.stands_in_for(true, time));
+    assert!(!state.stands_in_for(Some(StandIn::Away), time));
     tokio::time::advance(time).await;
-    assert!(!state.stands_in_for(false, time));
-    assert!(!state.stands_in_for(true, time));
+    assert!(!state.stands_in_for(None, time));
+    assert!(!state.stands_in_for(Some(StandIn::Away), time));
     tokio::time::advance(time).await;
-    assert!(!state.stands_in_for(true, time));
+    assert!(!state.stands_in_for(Some(StandIn::Away), time));
     tokio::time::advance(Duration::from_millis(1)).await;
-    assert!(state.stands_in_for(true, time));
+    assert!(state.stands_in_for(Some(StandIn::Away), time));
+    // Another reason starts the time again.
+    assert!(!state.stands_in_for(Some(StandIn::Leaving), time));
 }
 
 /// A version is forwarded from daemon to daemon, though only the first has read it from the
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -2,7 +2,7 @@
 
 use baobabstage::generated::mesh as wire;
 use baobabstage::generated::mesh::MemberState::{self, Draining, Gone, Ready, Suspect};
-use baobabstage::member::{Fleet, MemberSet, SetSettings};
+use baobabstage::member::{Fleet, MemberSet, SetSettings, StandIn};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use test_case::test_case;
@@ -188,6 +188,27 @@
     assert!(fleet.successors("lahti").is_empty());
 }
 
+/// Guards against slow daemons reading at once when one fast daemon is shutting down and the return of the other is
+/// not known yet. Nobody waits for one that the platform turns away, nor for one as slow.
+#[test_case(100, Draining, false, Some(StandIn::Leaving); "draining")]
+#[test_case(100, Ready, false, Some(StandIn::Away); "not draining")]
+#[test_case(100, Draining, true, None; "draining and turned away")]
+#[test_case(5, Draining, false, None; "draining and slow")]
+fn stand_in_leaving(link: u32, state: MemberState, lost: bool, expected: Option<StandIn>) {
+    let fleet = Fleet::new((0..8).map(|index| wire::Member {
+        link_mbps: if index == 0 { link } else { 5 },
+        platform_lost: index == 0 && lost,
+        ..member(
+            &format!("vm-{index:02}"),
+            1,
+            1,
+            if index == 0 { state } else { Ready },
+        )
+    }));
+    assert!(fleet.is_reader("vm-01", "espoo"));
+    assert_eq!(fleet.stand_in("vm-01", "espoo"), expected);
+}
+
 /// Guards against slow daemons reading in place of fast ones that the platform turns away, while it is known to
 /// answer another fast daemon.
 #[test_case("vm-01", true, false, true; "in the failure domain")]
