--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -106,6 +106,17 @@
     site
 }
 
+/// Puts a version in force at one daemon only.
+fn apply(vm: &Vm, number: u64, organisations: &[Value]) {
+    let Source::External(external) = &vm.daemon.source else {
+        panic!("the configuration is not externally managed");
+    };
+    let version = version(number, &resources(organisations));
+    ExchangeState::of(&vm.daemon)
+        .apply_external(&vm.daemon, external, &version.into())
+        .unwrap();
+}
+
 /// The backend server is beside another daemon, which learns the organisation from the first one.
 #[tokio::test(flavor = "multi_thread")]
 async fn call_served_remotely() {
@@ -122,15 +133,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn call_served_before_sender_updated() {
     let site = start_remote(&[]).await;
-    let daemon = &site.vms[1].daemon;
-    let Source::External(external) = &daemon.source else {
-        panic!("the configuration is not externally managed");
-    };
-    let version = version(2, &resources(&[organisation("kasi", &[KEY])]));
-    let state = ExchangeState::of(daemon);
-    state
-        .apply_external(daemon, external, &version.into())
-        .unwrap();
+    apply(&site.vms[1], 2, &[organisation("kasi", &[KEY])]);
     let headers = [(KEY_HEADER, KEY), (ORGANISATION_HEADER, "lumo")];
     assert_eq!(status(&site.vms[0], "/certs", &headers).await, 200);
     let received = site.vms[1].backend.last();
@@ -138,6 +141,19 @@
     assert!(!values(&received, ORGANISATION_HEADER).contains(&"lumo"));
 }
 
+/// A daemon that takes a call removes the caller's headers itself, and does not leave it to the one beside
+/// the backend server, which may not have the version that requires it.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_served_before_receiver_updated() {
+    let site = start_remote(&[]).await;
+    apply(&site.vms[0], 2, &[organisation("kasi", &[KEY])]);
+    let headers = [(KEY_HEADER, "other"), (ORGANISATION_HEADER, "lumo")];
+    assert_eq!(status(&site.vms[0], "/open", &headers).await, 200);
+    let received = site.vms[1].backend.last();
+    assert_eq!(values(&received, KEY_HEADER), Vec::<&str>::new());
+    assert_eq!(values(&received, ORGANISATION_HEADER), Vec::<&str>::new());
+}
+
 #[test_case(&[(KEY_HEADER, "other")]; "unknown key")]
 #[test_case(&[(KEY_HEADER, "")]; "empty key")]
 #[test_case(&[(KEY_HEADER, KEY), (KEY_HEADER, KEY)]; "several keys")]
