--- a/tests/rollout_plan.rs
+++ b/tests/rollout_plan.rs
@@ -492,18 +492,29 @@
         ..scenario.clone()
     };
     for seed in seeds() {
-        let outcome = play(&scenario, seed);
-        let rolled_back = matches!(outcome.decision, Some(Decision::RollBack(_)));
-        assert!(rolled_back, "seed {seed}: {outcome:?}");
-        let limit = outcome.all as f64 * 0.1 + 50.0;
-        assert!(outcome.exposed as f64 <= limit, "seed {seed}: {outcome:?}");
-        assert!(
-            outcome.last_sent <= outcome.fiftieth + 5.0,
-            "seed {seed}: {outcome:?}"
-        );
+        check_bad_version(&scenario, seed);
     }
 }
 
+/// Guards against a completed version that is bad only while a quarter of the slots of a server is in use.
+#[test]
+fn plan_bad_under_load_exposed() {
+    let bad = Some((Bad::Fails(0.3), Onset::Load(0.25)));
+    check_bad_version(&Scenario { bad, ..USUAL }, 64);
+}
+
+fn check_bad_version(scenario: &Scenario, seed: u64) {
+    let outcome = play(scenario, seed);
+    let rolled_back = matches!(outcome.decision, Some(Decision::RollBack(_)));
+    assert!(rolled_back, "seed {seed}: {outcome:?}");
+    let limit = outcome.all as f64 * 0.1 + 50.0;
+    assert!(outcome.exposed as f64 <= limit, "seed {seed}: {outcome:?}");
+    assert!(
+        outcome.last_sent <= outcome.fiftieth + 5.0,
+        "seed {seed}: {outcome:?}"
+    );
+}
+
 /// Prints the time that a decision takes with as many servers as a service has, and as there are daemons.
 #[test_case(100; "service")]
 #[test_case(3_300; "all daemons")]
