List the orders of rollouts once at a start

Cause: each starting daemon listed the orders twice, and eight of eight followed them, since a daemon counts as a reader until it has exchanged with peers. Change: the watch continues after the listing at start, a second later, unless peers serve the daemon by then.

--- a/src/role/rollout.rs
+++ b/src/role/rollout.rs
@@ -11,6 +11,7 @@
 use crate::exchange::ExchangeState;
 use crate::generated::mesh as wire;
 use crate::kernel::{Plugin, RoleFuture};
+use crate::platform::PrefixWatcher;
 use crate::rollout::registry::Rollout;
 use crate::rollout::{self, ServerKey, phase_name, wire as convert};
 use prometheus_client::encoding::EncodeLabelSet;
@@ -42,12 +43,13 @@
             daemon.drain.reached(Phase::Stopped).await;
             return Ok(());
         };
+        let mut watcher = PrefixWatcher::new(source.orders);
         if !daemon.settings.first_start && !daemon.rollouts.is_synced() {
-            orders::sync(&daemon, &source).await;
+            orders::sync(&daemon, &source, &mut watcher).await;
         }
         daemon.rollouts.mark_synced();
         tokio::select! {
-            () = orders::follow(&daemon, &source) => {}
+            () = orders::follow(&daemon, &source, watcher) => {}
             () = fetch_newer(&daemon) => {}
             () = count_and_report(&daemon) => {}
             () = decider::run(&daemon, &source) => {}
--- a/src/role/rollout/orders.rs
+++ b/src/role/rollout/orders.rs
@@ -16,8 +16,10 @@
 /// Time after which a watch on the orders returns without a change.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Longest wait at start for the configuration.
-const START_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time at start after which a daemon that is not served by peers follows the orders, and the pause between checks. No
+/// change is missed meanwhile.
+const START_TIMEOUT: Duration = Duration::from_secs(1);
+const START_PAUSE: Duration = Duration::from_millis(100);
 
 /// Bounds of the delay before a failed read is retried.
 const RETRY_MIN: Duration = Duration::from_millis(100);
@@ -31,9 +33,9 @@
 const SYNC_PAUSE: Duration = Duration::from_millis(50);
 
 /// Learns of the orders at start, from the platform or from another daemon of the service.
-pub(super) async fn sync(daemon: &Daemon, source: &Rollouts) {
+pub(super) async fn sync(daemon: &Daemon, source: &Rollouts, watcher: &mut PrefixWatcher) {
     let from = tokio::select! {
-        () = sync_with_platform(daemon, source) => "platform",
+        () = sync_with_platform(daemon, source, watcher) => "platform",
         () = sync_with_peer(daemon) => "peer",
         () = sleep(SYNC_TIMEOUT) => "none",
     };
@@ -41,13 +43,13 @@
     event!(RolloutOrdersRead, from = from, orders = orders);
 }
 
-async fn sync_with_platform(daemon: &Daemon, source: &Rollouts) {
+async fn sync_with_platform(daemon: &Daemon, source: &Rollouts, watcher: &mut PrefixWatcher) {
     let platform = daemon.store.platform();
     loop {
         let read = async {
-            let listing = platform.list(source.orders, false, 0).await?;
-            for entry in listing.entries {
-                apply(daemon, source, &entry);
+            if watcher.lists_next() {
+                let update = watcher.next(platform.as_ref(), SYNC_ATTEMPT).await?;
+                apply_update(daemon, source, update, &BTreeMap::new());
             }
             let service = own_service(daemon);
             if daemon.rollouts.load().get(service).is_some() {
@@ -83,13 +85,15 @@
     }
 }
 
-/// Follows the orders in the platform, on the daemons that read from it.
-pub(super) async fn follow(daemon: &Daemon, source: &Rollouts) {
-    let mut watcher = PrefixWatcher::new(source.orders);
+/// Follows the orders in the platform, on the daemons that read from it. The watcher continues after the listing at
+/// start, if there was one.
+pub(super) async fn follow(daemon: &Daemon, source: &Rollouts, mut watcher: PrefixWatcher) {
     let mut backoff = Backoff::new(RETRY_MIN, RETRY_MAX);
-    // Until the configuration is in force, each daemon counts as a reader.
-    let mut applied = daemon.config.subscribe();
-    let _ = timeout(START_TIMEOUT, applied.wait_for(|stamp| stamp.version > 0)).await;
+    // A daemon counts as a reader until it has the configuration and exchanges with peers.
+    let started = Instant::now();
+    while started.elapsed() < START_TIMEOUT && !config::is_served_by_peers(daemon) {
+        sleep(START_PAUSE).await;
+    }
     loop {
         if config::is_served_by_peers(daemon) {
             sleep(config::READER_CHECK_INTERVAL).await;
--- a/tests/rollout_faults.rs
+++ b/tests/rollout_faults.rs
@@ -177,8 +177,7 @@
     assert_eq!((served, fleet.new_runs(replaced)), (count, 0));
 }
 
-/// On a day without orders the platform sees one listing of them for each start, one more for each reader, and one long
-/// watch for each reader.
+/// On a day without orders the platform sees one listing of them for each start, and one long watch for each reader.
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_without_order() {
     const READERS: u64 = baobabstage::member::READERS as u64;
@@ -187,8 +186,8 @@
     sleep(Duration::from_secs(4)).await;
     let all = fleet.vms.len() as u64;
     let started = fleet.platform.calls();
-    // Each daemon also lists the members and the records of crashes, and may list the configuration.
-    assert!(started.lists <= 4 * all + 2 * READERS, "{started:?}");
+    // Each daemon also lists the members, the records of crashes and the configuration.
+    assert!(started.lists <= 4 * all, "{started:?}");
     let (count, served) = fleet.call_for(Duration::from_secs(6)).await;
     assert_eq!(served, count);
     let after = fleet.platform.calls();
