Bound the share of a trial while the rate of calls is unknown, and lower it

At the first decision the rate is zero, and the slack was taken as another permitted 0.1 of the calls: with few old backend servers the first step had a share of 0.18, and it was never lowered. The same could follow a takeover.

The slack is left out until calls have been counted for 2.5 s. The rate is derived from the time that the samples span, and a first sample that has all calls counts. The permitted exposure is based on the calls counted so far and those expected until the deadline. A trial whose share exceeds what remains is lowered, to zero if nothing remains.

--- a/src/rollout/history.rs
+++ b/src/rollout/history.rs
@@ -44,6 +44,24 @@
         self.from_zero || self.before(self.newest() - length).is_some()
     }
 
+    /// The calls a second over the last `length`. Where no sample is that old, the rate is that since the first
+    /// sample, or over all of `length` if that sample has all calls.
+    #[allow(clippy::cast_precision_loss)]
+    fn rate(&self, now: Instant, length: Duration) -> f64 {
+        let since = now - length;
+        let (first_at, first) = &self.samples[0];
+        let (base, time) = match self.before(since) {
+            Some(base) => (total(base), length),
+            None if self.from_zero => (0, length),
+            None => (total(first), now - *first_at),
+        };
+        let calls = self.calls().saturating_sub(base);
+        if calls == 0 {
+            return 0.0;
+        }
+        calls as f64 / time.as_secs_f64()
+    }
+
     /// The counts that have arrived since `since`. What was counted before the first sample is left out.
     fn grown_since(&self, since: Instant) -> Routes {
         let (first, newest) = (&self.samples[0].1, &self.samples[self.samples.len() - 1].1);
@@ -113,12 +131,20 @@
         self.of(true).map(|(_, track)| track.calls()).sum()
     }
 
+    /// Calls to the service since counting began.
+    pub(super) fn calls(&self) -> u64 {
+        self.tracks.values().map(Track::calls).sum()
+    }
+
+    /// Tests whether counts have been recorded for `length`.
+    pub(super) fn spans(&self, now: Instant, length: Duration) -> bool {
+        self.begun.is_some_and(|begun| now >= begun + length)
+    }
+
     /// Calls a second to the service over the last `length`.
-    #[allow(clippy::cast_precision_loss)]
     pub(super) fn rate(&self, now: Instant, length: Duration) -> f64 {
-        let grown = |(_, track): (_, &Track)| total(&track.grown_since(now - length));
-        let calls: u64 = self.tracks.iter().map(grown).sum();
-        calls as f64 / length.as_secs_f64()
+        let tracks = self.tracks.values();
+        tracks.map(|track| track.rate(now, length)).sum()
     }
 
     /// Slots of the old version that were in use on average over the last `length`.
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -66,7 +66,8 @@
 const RETREAT: f64 = 1.5;
 /// Factor by which the share of a trial has to grow for a new step.
 const RAISE: f64 = 1.2;
-/// The part of the remaining exposure that a step may use.
+/// The part of the remaining exposure that a step may use. A trial whose share is above all of it is lowered; the
+/// difference keeps errors of the rate from changing the step each time.
 const EXPOSURE_USE: f64 = 0.9;
 /// Calls without which a version is not completed.
 const LEAST_CALLS: u64 = 20;
@@ -260,12 +261,14 @@
             return Decision::Hold;
         }
         let share = self.trial_share(&targets, view);
-        let raised = f64::from(share) >= RAISE * f64::from(step.share);
+        let raised = share > step.share && f64::from(share) >= RAISE * f64::from(step.share);
         if targets == step.targets {
-            if !raised {
+            if !raised && !self.is_excessive(step, view) {
                 return Decision::Hold;
             }
-            self.raised = Some(view.now);
+            if raised {
+                self.raised = Some(view.now);
+            }
         }
         self.next(step.number, Phase::Trial, share, targets)
     }
@@ -448,16 +451,41 @@
         view.servers.share(targets, load, greatest)
     }
 
+    /// Tests whether a trial at this share would use more than what remains of the permitted exposure.
+    fn is_excessive(&self, step: &Step, view: &View) -> bool {
+        let greatest = self.greatest_trial_share(view.now) / EXPOSURE_USE;
+        self.is_rate_known(view.now) && f64::from(step.share) > greatest * f64::from(WHOLE)
+    }
+
     /// The greatest share that stays within the limits for the whole duration.
     fn greatest_trial_share(&self, now: Instant) -> f64 {
+        if !self.is_rate_known(now) {
+            // The number of calls that the slack is a part of is not known.
+            return EXPOSURE_USE * self.limits.share;
+        }
+        let left = self.deadline().saturating_duration_since(now);
         let calls = (self.rate(now) * self.order.duration.as_secs_f64()).max(1.0);
         let slack = (f64::from(self.limits.slack) / calls).min(self.limits.share);
-        EXPOSURE_USE * (self.limits.share + slack)
+        let remaining = self.permitted(now) - self.exposure();
+        let rest = remaining / (self.rate(now) * left.as_secs_f64()).max(1.0);
+        EXPOSURE_USE * (self.limits.share + slack).min(rest).max(0.0)
     }
 
-    /// Calls to the service in a second.
+    /// Tests whether calls have been counted for long enough to know their rate. A decider that takes over begins
+    /// to count again.
+    fn is_rate_known(&self, now: Instant) -> bool {
+        self.history.spans(now, compare::LONG)
+    }
+
+    /// Calls to the service in a second. Until enough is counted, at least the average since the order.
+    #[allow(clippy::cast_precision_loss)]
     fn rate(&self, now: Instant) -> f64 {
-        self.history.rate(now, compare::LONG)
+        let rate = self.history.rate(now, compare::LONG);
+        if self.is_rate_known(now) {
+            return rate;
+        }
+        let elapsed = now.saturating_duration_since(self.ordered);
+        rate.max(self.history.calls() as f64 / elapsed.as_secs_f64().max(1.0))
     }
 
     /// Slots of the old version in use.
@@ -466,13 +494,24 @@
     }
 
     /// Calls to the version that the limit still permits, without those that are not reported yet.
-    #[allow(clippy::cast_precision_loss)]
     fn remaining(&self, step: &Step, now: Instant) -> f64 {
-        let rate = self.rate(now);
-        let calls = rate * self.order.duration.as_secs_f64();
-        let unreported = rate * f64::from(step.share) / f64::from(WHOLE);
-        let used = self.history.exposure() as f64 + unreported * REPORT_DELAY.as_secs_f64();
-        self.limits.share * calls + f64::from(self.limits.slack) - used
+        let unreported = self.rate(now) * f64::from(step.share) / f64::from(WHOLE);
+        self.permitted(now) - self.exposure() - unreported * REPORT_DELAY.as_secs_f64()
+    }
+
+    /// Calls to the version that are permitted between order and deadline: a part of those that were counted and
+    /// those that are expected, and the slack.
+    #[allow(clippy::cast_precision_loss)]
+    fn permitted(&self, now: Instant) -> f64 {
+        let left = self.deadline().saturating_duration_since(now) + REPORT_DELAY;
+        let calls = self.history.calls() as f64 + self.rate(now) * left.as_secs_f64();
+        self.limits.share * calls + f64::from(self.limits.slack)
+    }
+
+    /// Calls to the version since the order.
+    #[allow(clippy::cast_precision_loss)]
+    fn exposure(&self) -> f64 {
+        self.history.exposure() as f64
     }
 
     fn deadline(&self) -> Instant {
--- a/src/rollout/trial.rs
+++ b/src/rollout/trial.rs
@@ -79,7 +79,7 @@
         load.min(greatest.max(LEAST_COLD_LOAD))
     }
 
-    /// The share, in thousandths, that puts `load` on the targets, up to `greatest`.
+    /// The share, in thousandths, that puts `load` on the targets, up to `greatest`. It is zero only if `greatest` is.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub(super) fn share(&self, targets: &[String], load: f64, greatest: f64) -> u32 {
         let old = slots(&self.old);
@@ -92,7 +92,8 @@
         } else {
             share.min(greatest)
         };
-        (share * f64::from(WHOLE)).floor().max(1.0) as u32
+        let least = if greatest > 0.0 { 1.0 } else { 0.0 };
+        (share * f64::from(WHOLE)).floor().max(least) as u32
     }
 
     /// The number of targets on which `share` puts about `load`.
