Count only the service times of calls that did not fail

The daemon added the time of failed calls as well, so that failures at their deadline made a backend server look slow. The load estimate takes failed calls to have lasted as long as others.

--- a/src/rollout/counters.rs
+++ b/src/rollout/counters.rs
@@ -97,7 +97,9 @@
         let counts = server.routes.entry(run.time_class).or_default();
         counts.calls += 1;
         counts.failures += u64::from(failed);
-        counts.time_us += u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        if !failed {
+            counts.time_us += u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        }
         let calls: u64 = server.routes.values().map(|counts| counts.calls).sum();
         let failures: u64 = server.routes.values().map(|counts| counts.failures).sum();
         let exceeds = failures >= STOP_FAILURES && failures * 1_000 > calls * STOP_SHARE;
--- a/src/rollout/history.rs
+++ b/src/rollout/history.rs
@@ -147,15 +147,24 @@
         tracks.map(|track| track.rate(now, length)).sum()
     }
 
-    /// Slots of the old version that were in use on average over the last `length`.
+    /// Slots of the old version that were in use on average over the last `length`. Failed calls, whose times are
+    /// not counted, are taken to have lasted as long as the others of their route.
     #[allow(clippy::cast_precision_loss)]
     pub(super) fn busy(&self, now: Instant, length: Duration) -> f64 {
-        let grown = |(_, track): (_, &Track)| track.grown_since(now - length);
-        let routes = self.of(false).map(grown);
-        let time: u64 = routes
-            .flat_map(|routes| routes.into_values().map(|counts| counts.time_us))
-            .sum();
-        time as f64 / 1e6 / length.as_secs_f64()
+        let mut routes = Routes::new();
+        for (_, track) in self.of(false) {
+            for (route, counts) in track.grown_since(now - length) {
+                let sum = routes.entry(route).or_default();
+                sum.calls += counts.calls;
+                sum.failures += counts.failures;
+                sum.time_us += counts.time_us;
+            }
+        }
+        let time = |counts: &Counts| {
+            let timed = counts.calls.saturating_sub(counts.failures).max(1);
+            counts.time_us as f64 * counts.calls as f64 / timed as f64
+        };
+        routes.values().map(time).sum::<f64>() / 1e6 / length.as_secs_f64()
     }
 }
 
