Complete a rollout only with recent evidence, or good evidence at its end

Plan::finish looked at the time alone, so that a version whose backend servers had stopped reporting was completed. It now requires counts no older than a second from at least half of the new backend servers that are ready. Without them the end waits until the latest time, where the evidence so far decides; without any the version is rolled back.

--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -69,6 +69,8 @@
 /// The part of the remaining exposure that a step may use. A trial whose share is above all of it is lowered; the
 /// difference keeps errors of the rate from changing the step each time.
 const EXPOSURE_USE: f64 = 0.9;
+/// Age of the newest counts of a backend server up to which they count for the end of the rollout.
+const RECENT: Duration = Duration::from_secs(1);
 /// Calls without which a version is not completed.
 const LEAST_CALLS: u64 = 20;
 
@@ -299,16 +301,39 @@
         (doubtful && lower && !step.targets.is_empty()).then(next)
     }
 
-    /// Completes the rollout once the calls at the old backend servers have ended.
+    /// Completes the rollout once the calls at the old backend servers have ended, if recent counts show that the
+    /// version has not become bad. Near the deadline the last good counts do.
     fn finish(&self, step: &Step, view: &View) -> Decision {
         let whole = self.whole_since.unwrap_or(view.now);
         let drained = whole + SPREAD + LONGEST_CALL;
         let shortest = whole + SPREAD + SHORTEST_DRAIN;
         let latest = self.end().max(shortest.min(self.deadline() - LEAST_MARGIN));
-        if view.now >= drained.min(latest) {
+        if view.now >= drained.min(latest) && self.is_reporting(view) {
             return Decision::Complete;
         }
-        self.follow_servers(step, view)
+        if view.now < latest {
+            return self.follow_servers(step, view);
+        }
+        if self.is_good_so_far(view) {
+            return Decision::Complete;
+        }
+        Decision::RollBack("no recent evidence before the deadline".to_owned())
+    }
+
+    /// Tests whether at least half of the new backend servers that are ready have recent counts.
+    fn is_reporting(&self, view: &View) -> bool {
+        let tracks = self.history.of(true);
+        let recent = tracks.filter(|(_, track)| track.newest() + RECENT >= view.now);
+        let recent: BTreeSet<&str> = recent.map(|(key, _)| key.daemon.as_str()).collect();
+        let ready = view.servers.names();
+        let reporting = ready.iter().filter(|name| recent.contains(name.as_str()));
+        !ready.is_empty() && 2 * reporting.count() >= ready.len()
+    }
+
+    /// Tests whether there is evidence, and the version is not much more likely bad than good by it.
+    fn is_good_so_far(&self, view: &View) -> bool {
+        view.verdict.worst_llr() < THIN_LLR * self.bad_threshold()
+            && self.history.exposure() >= LEAST_CALLS
     }
 
     /// Adapts the targets to the backend servers that are there.
@@ -400,10 +425,7 @@
 
     /// Tests whether the time is nearly over and the little evidence there is speaks for the version.
     fn is_thin_but_good(&self, view: &View) -> bool {
-        view.now >= self.latest_whole()
-            && view.now < self.end()
-            && view.verdict.worst_llr() < THIN_LLR * self.bad_threshold()
-            && self.history.exposure() >= LEAST_CALLS
+        view.now >= self.latest_whole() && view.now < self.end() && self.is_good_so_far(view)
     }
 
     /// Tests whether the partial share has lasted long enough to show slow calls as well.
--- a/tests/rollout_limits.rs
+++ b/tests/rollout_limits.rs
@@ -13,6 +13,8 @@
 const NEW: usize = 3;
 /// Time between two rounds of reports.
 const ROUND: Duration = Duration::from_millis(250);
+/// Rounds after which reports stop: more than a second before the old backend servers are drained, in round 8.
+const REPORTED: u32 = 3;
 
 /// A service of six old and three new backend servers, which are ready from the order on.
 struct Service {
@@ -148,3 +150,43 @@
     let share = service.share();
     assert!((least..=most).contains(&share), "share {share}");
 }
+
+/// Guards against a rollout that is completed while the new backend servers report nothing.
+#[test_case(true, true; "recent reports")]
+#[test_case(false, false; "no recent reports")]
+fn finish_by_reports(reports: bool, completes: bool) {
+    let mut service = Service::new();
+    service.set_step(Phase::Shift, WHOLE);
+    for round in 0..40 {
+        service.report("v1", u64::from(round < REPORTED));
+        service.report("v2", if reports || round < REPORTED { 40 } else { 0 });
+        if service.decide(round) == Decision::Complete {
+            assert!(completes, "completed in round {round}");
+            return;
+        }
+    }
+    assert!(!completes);
+}
+
+/// Guards against a rollout that is not completed by the deadline though the evidence is good, and against one that
+/// is completed without any.
+#[test_case(40, true; "good")]
+#[test_case(0, false; "none")]
+fn finish_at_deadline(calls: u64, completes: bool) {
+    let mut service = Service::new();
+    service.set_step(Phase::Shift, WHOLE);
+    let ends = (0..46).find_map(|round| {
+        service.report("v1", u64::from(round < REPORTED) * 40);
+        service.report("v2", u64::from(round < REPORTED) * calls);
+        match service.decide(round) {
+            Decision::Hold | Decision::Next(_) => None,
+            end => Some((end == Decision::Complete, round)),
+        }
+    });
+    assert_eq!(
+        ends.map(|(complete, _)| complete),
+        Some(completes),
+        "{ends:?}"
+    );
+    assert!(ends.is_some_and(|(_, round)| round >= 40), "{ends:?}");
+}
