--- a/src/call.rs
+++ b/src/call.rs
@@ -55,6 +55,10 @@
 /// else `0`.
 pub const KEY_KNOWN: HeaderName = HeaderName::from_static("x-baobab-key-known");
 
+/// Requests tokens of an organisation's quota from the daemon that owns its account: the number, the name of the
+/// sender and that of the organisation, separated by spaces; the response carries the grant.
+pub const QUOTA: HeaderName = HeaderName::from_static("x-baobab-quota");
+
 /// Requests that the inbound side records the call's idempotency key.
 pub const KEY_RECORD: HeaderName = HeaderName::from_static("x-baobab-key-record");
 
--- a/src/call/access.rs
+++ b/src/call/access.rs
@@ -5,6 +5,7 @@
 
 use super::Refusal;
 use crate::header_names::HeaderNames;
+use crate::quota::Limit;
 use crate::resource::KeyDigest;
 use crate::table::{OrganisationId, Table};
 use http::{HeaderMap, StatusCode};
@@ -59,16 +60,18 @@
 }
 
 /// The organisation of a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct CallOrganisation {
     /// Its key in the table by which the call was routed; not valid in any other table.
     pub id: OrganisationId,
     /// Its name.
     pub name: Arc<str>,
+    /// The limit of its calls over all daemons, if it has one.
+    pub limit: Option<Limit>,
 }
 
 /// The decision on a call's key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Access {
     /// Keys are not checked; the headers are forwarded as they are.
     Unchecked,
@@ -162,8 +165,12 @@
         return None;
     };
     let id = table.organisation(&digest)?;
-    let name = Arc::clone(&table.organisation_entry(id).name);
-    Some(CallOrganisation { id, name })
+    let entry = table.organisation_entry(id);
+    Some(CallOrganisation {
+        id,
+        name: Arc::clone(&entry.name),
+        limit: entry.limit,
+    })
 }
 
 /// Removes the headers of a request that only this mesh may set or read: every key, and what the
--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -1,9 +1,10 @@
 //! Connections to backend servers and to other daemons.
 
 use super::{
-    FENCE, HELLO, KEY_KNOWN, attempt::Attempt, fence::ExecutionStatus, idempotency::KeyId,
+    FENCE, HELLO, KEY_KNOWN, QUOTA, attempt::Attempt, fence::ExecutionStatus, idempotency::KeyId,
 };
 use crate::generated::mesh as wire;
+use crate::quota::Grant;
 use crate::serve::{Body, BodyError, full_body};
 use crate::sync::lock;
 use crate::transfer::receive;
@@ -485,6 +486,11 @@
         Some(known == "1")
     }
 
+    /// Requests tokens of an organisation from the daemon that owns its account; `None` if the query fails.
+    pub async fn request_tokens(&self, request: &str) -> Option<Grant> {
+        Grant::read(&self.query(QUOTA, request).await?)
+    }
+
     /// Sends a query in a header and returns the same header of the response.
     ///
     /// Queries are idempotent. One that fails is sent once more on a new connection: a connection
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 //!   [`member`] holds the set of these records. [`exchange`] synchronises both between two daemons.
 //! - [`quarantine`] holds the requests under which backend servers have ended, and reports them to the
 //!   other daemons of the service.
+//! - [`quota`] keeps the accounts of organisations whose calls are limited over all daemons.
 //! - [`rollout`] decides how the traffic of a service moves to another version of its backend servers.
 //! - [`call`] makes the routing, retry and admission decisions for calls, outbound and inbound.
 //! - [`daemon`] is the state that the [roles](role) share: the long-running tasks of a daemon, one
@@ -95,6 +96,7 @@
 pub mod platform;
 pub mod prelude;
 pub mod quarantine;
+pub mod quota;
 pub mod resource;
 pub mod role;
 pub mod rollout;
--- a/src/resource/organisation.rs
+++ b/src/resource/organisation.rs
@@ -1,5 +1,6 @@
 //! Organisations and the digests of their API keys.
 
+use crate::quota::Limit;
 use serde::de::Error as _;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use sha2::{Digest, Sha256};
@@ -18,15 +19,25 @@
     /// when absent, and for services whose policy lacks this kind.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub request_kind: Option<String>,
-    /// Rate limit of its calls in calls per 1,000 seconds, over all daemons; zero for none. Not
-    /// enforced yet.
+    /// Rate limit of its calls in calls per 1,000 seconds, over all daemons; zero for none.
     #[serde(default, skip_serializing_if = "super::is_zero")]
     pub rate_per_ks: u64,
-    /// Calls that it may make in addition to the rate, at once; zero for none. Not enforced yet.
+    /// Calls that it may make in addition to the rate, at once; zero for none.
     #[serde(default, skip_serializing_if = "super::is_zero")]
     pub burst: u64,
 }
 
+impl Organisation {
+    /// Returns the limit of its calls over all daemons; `None` without a rate.
+    #[must_use]
+    pub fn limit(&self) -> Option<Limit> {
+        // Both are far below the integers that an f64 holds exactly.
+        #[allow(clippy::cast_precision_loss)]
+        let (rate, burst) = (self.rate_per_ks as f64 / 1_000.0, self.burst as f64);
+        (rate > 0.0).then_some(Limit { rate, burst })
+    }
+}
+
 /// The SHA-256 digest of an API key.
 ///
 /// Keys are compared by their digests, so that the time of a look-up does not reveal a prefix of a
--- a/src/role.rs
+++ b/src/role.rs
@@ -8,5 +8,6 @@
 pub mod operator;
 pub mod outbound;
 pub mod quarantine;
+pub mod quota;
 pub mod reports;
 pub mod rollout;
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -28,6 +28,8 @@
 use crate::exchange::{self, ExchangeState};
 use crate::kernel::{Plugin, RoleFuture};
 use crate::quarantine::{self, Quarantine};
+use crate::quota::Grant;
+use crate::role::quota::Quotas;
 use crate::rollout;
 use crate::serve::{Body, BodyError, full_body, serve_calls};
 use crate::sync::lock;
@@ -220,6 +222,11 @@
             let known = KeyId::read(key).is_some_and(|key| self.has_key(key));
             return header_response(call::KEY_KNOWN, if known { "1" } else { "0" });
         }
+        if let Some(text) = call::text(request.headers(), &call::QUOTA) {
+            let grant = Quotas::of(daemon).grant_to(daemon, text);
+            let grant = grant.map_or_else(String::new, Grant::to_text);
+            return header_response(call::QUOTA, &grant);
+        }
         if request.headers().contains_key(call::EXCHANGE) {
             return exchange::serve(daemon, request).await;
         }
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod keys;
 mod newer;
+mod quota;
 mod version;
 
 use crate::call::access::{AccessMetrics, PresentedKey};
@@ -199,9 +200,12 @@
         }
         let call = self.route(daemon, request, key, id)?;
         call.check_time_left()?;
+        let token = quota::take(daemon, &call).await?;
         // Boxed, since each idle connection would otherwise reserve memory for this large future,
         // which is needed only while a call is in flight.
-        Box::pin(self.run(call, call_guard)).await
+        let response = Box::pin(self.run(call, call_guard)).await;
+        token.settle(response.as_ref());
+        response
     }
 
     /// Routes a request and checks its key. The call keeps its service's view but not the routing table: calls may last
--- a/src/table.rs
+++ b/src/table.rs
@@ -2,6 +2,7 @@
 
 use crate::check;
 use crate::error::{Category, Error, Result};
+use crate::quota::Limit;
 use crate::resource::{
     KeyDigest, Kind, Organisation, Policy, Pool, ResourceKey, Route, Service, Spec,
 };
@@ -27,6 +28,8 @@
     pub name: Arc<str>,
     /// The request kind of its calls, if it takes precedence over the route's.
     pub request_kind: Option<String>,
+    /// The limit of its calls over all daemons, if it has one.
+    pub limit: Option<Limit>,
 }
 
 /// A service with its pool and policy resolved.
@@ -96,6 +99,7 @@
     services: SlotMap<ServiceId, ServiceEntry>,
     service_ids: BTreeMap<String, ServiceId>,
     organisations: SlotMap<OrganisationId, OrganisationEntry>,
+    organisation_ids: BTreeMap<String, OrganisationId>,
     /// The organisation that holds each API key.
     key_holders: BTreeMap<KeyDigest, OrganisationId>,
     /// Whether a policy requires that API keys are checked.
@@ -240,6 +244,20 @@
         &self.organisations[id]
     }
 
+    /// Finds an organisation by name.
+    #[must_use]
+    pub fn organisation_named(&self, name: &str) -> Option<&OrganisationEntry> {
+        let id = self.organisation_ids.get(name)?;
+        self.organisations.get(*id)
+    }
+
+    /// Returns whether some organisation has a limit.
+    #[must_use]
+    pub fn has_limits(&self) -> bool {
+        let mut organisations = self.organisations.values();
+        organisations.any(|organisation| organisation.limit.is_some())
+    }
+
     /// Returns the weight of an organisation's calls to a service; `None` if the weight of the route
     /// applies.
     ///
@@ -261,7 +279,9 @@
         let id = self.organisations.insert(OrganisationEntry {
             name: key.name.as_str().into(),
             request_kind: organisation.request_kind.clone(),
+            limit: organisation.limit(),
         });
+        self.organisation_ids.insert(key.name.clone(), id);
         let keys = organisation.keys.iter();
         self.key_holders.extend(keys.map(|digest| (*digest, id)));
     }
--- a/tests/access.rs
+++ b/tests/access.rs
@@ -69,6 +69,7 @@
 fn named(table: &Table) -> Access {
     let id = table.organisation(&digest(KEY)).unwrap();
     Access::Named(CallOrganisation {
+        limit: None,
         id,
         name: "kasi".into(),
     })
