Serve organisations by fair shares at a backend server

Cause: the queue did not tell organisations apart. One that sends many calls fills the queue, and the calls of the others are refused.

Change: within a weight and the objective rule, calls wait in the order of start-time fair queueing over organisations. A call that comes first by this order replaces the last one of a full queue. Deployments without organisations are served as before.

--- a/src/call.rs
+++ b/src/call.rs
@@ -14,6 +14,7 @@
 pub mod metrics;
 pub mod read_ahead;
 pub mod request;
+pub mod shares;
 pub mod split;
 pub mod suspects;
 pub mod upstream;
--- a/src/call/admission.rs
+++ b/src/call/admission.rs
@@ -2,10 +2,11 @@
 //!
 //! The queue orders calls by weight, the greatest first. Within a weight, calls that can still meet
 //! their latency objective go before those that will miss it anyway, so that a backlog does not
-//! make every call late. A call that would not end before its deadline is refused as soon as that
+//! make every call late; among these, organisations take turns by their fair shares. A call that would not end before its deadline is refused as soon as that
 //! is known.
 
 use super::attempt::Load;
+use super::shares::{ShareKey, Shares};
 use crate::tree::backoff::TokenBucket;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -67,6 +68,8 @@
     pub deadline: Instant,
     /// The longest wait for a slot that the outbound side accepts; unlimited if `None`.
     pub wait_limit: Option<Duration>,
+    /// The organisation whose share the call uses; `None` if the deployment has no organisations.
+    pub share: Option<ShareKey>,
 }
 
 impl AdmissionRequest {
@@ -79,6 +82,7 @@
             objective: None,
             deadline,
             wait_limit: None,
+            share: None,
         }
     }
 }
@@ -130,11 +134,14 @@
 }
 
 /// A position in the queue, which sorts by the fields in their order: greater weights first, then
-/// calls that can meet their objective, then the earliest due time.
+/// calls that can meet their objective, then the earliest virtual start time of their organisation, then
+/// the earliest due time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
     weight: Reverse<u32>,
     misses_objective: bool,
+    /// The virtual start time; zero without organisations.
+    start: Duration,
     /// The objective, or the deadline if there is none or the call was expected to miss it.
     due: Instant,
     ticket: Ticket,
@@ -149,6 +156,11 @@
     running: u32,
     queue: BTreeSet<Place>,
     entries: BTreeMap<Ticket, (Place, AdmissionRequest)>,
+    /// Virtual times by weight: the calls of one weight must not advance the times of another, whose queued
+    /// calls would go before newcomers.
+    shares: BTreeMap<u32, Shares>,
+    /// What queued calls were charged to their organisations.
+    charges: BTreeMap<Ticket, Duration>,
     last_ticket: u64,
     /// The average of all calls; `None` before the first sample.
     service_time: Option<Duration>,
@@ -241,7 +253,9 @@
     pub fn offer(&mut self, now: Instant, request: &AdmissionRequest) -> (Decision, QueueUpdate) {
         let mut update = QueueUpdate::default();
         if request.deadline > now && self.has_room(now) && self.queue.is_empty() {
-            self.start(now);
+            let start = self.virtual_start(request);
+            self.charge(request);
+            self.start(now, request.weight, start);
             return (Decision::Run, update);
         }
         if let Some(reason) = self.refusal(now, request) {
@@ -252,7 +266,7 @@
         let wait = self.wait_at(now, place);
         if self.queued() >= self.limits.queue {
             match self.queue.last().copied() {
-                Some(last) if last.weight.0 < request.weight => {
+                Some(last) if place.displaces(last, request.share.is_some()) => {
                     self.remove(last.ticket);
                     update.refuse.push((last.ticket, Reason::Full));
                 }
@@ -268,6 +282,9 @@
             ticket: Ticket(self.last_ticket),
             ..place
         };
+        if let Some(cost) = self.charge(request) {
+            self.charges.insert(place.ticket, cost);
+        }
         self.enqueue(place, *request);
         self.refuse_late(now, &mut update);
         (Decision::Wait(place.ticket), update)
@@ -290,7 +307,11 @@
                     .insert(class, average(current, service_time));
             }
         }
-        self.advance(now)
+        let update = self.advance(now);
+        if self.running == 0 && self.queue.is_empty() {
+            self.shares.clear();
+        }
+        update
     }
 
     /// Removes a call from the queue; returns false if it is no longer queued.
@@ -353,8 +374,9 @@
         {
             let service_time = self.class_time(request.time_class);
             let misses_objective = request.objective.is_some_and(|at| now + service_time > at);
-            self.remove(place.ticket);
+            self.take(place.ticket);
             if now + service_time > request.deadline {
+                self.refund(place.ticket, &request);
                 update.refuse.push((place.ticket, Reason::Late));
             } else if misses_objective && !place.misses_objective && !self.queue.is_empty() {
                 // Moves behind the calls of its weight that can still meet their objective.
@@ -369,7 +391,8 @@
                     request,
                 );
             } else {
-                self.start(now);
+                self.charges.remove(&place.ticket);
+                self.start(now, request.weight, place.start);
                 update.start.push(place.ticket);
             }
         }
@@ -426,6 +449,7 @@
         Place {
             weight: Reverse(request.weight),
             misses_objective: misses,
+            start: self.virtual_start(request),
             due,
             // Sorts after the queued calls that are otherwise equal; replaced when it is queued.
             ticket: Ticket(u64::MAX),
@@ -462,8 +486,11 @@
     }
 
     /// Takes a slot, and a token if the rate is limited.
-    fn start(&mut self, now: Instant) {
+    fn start(&mut self, now: Instant, weight: u32, start: Duration) {
         self.running += 1;
+        if let Some(shares) = self.shares.get_mut(&weight) {
+            shares.start(start);
+        }
         if let Some(rate) = &mut self.rate {
             rate.take(now);
         }
@@ -478,11 +505,57 @@
         self.entries.insert(place.ticket, (place, request));
     }
 
+    /// Removes a queued call that does not run.
     fn remove(&mut self, ticket: Ticket) -> bool {
-        let Some((place, _)) = self.entries.remove(&ticket) else {
+        let Some(request) = self.take(ticket) else {
             return false;
         };
-        self.queue.remove(&place)
+        self.refund(ticket, &request);
+        true
+    }
+
+    /// Takes a call out of the queue.
+    fn take(&mut self, ticket: Ticket) -> Option<AdmissionRequest> {
+        let (place, request) = self.entries.remove(&ticket)?;
+        self.queue.remove(&place);
+        Some(request)
+    }
+
+    fn virtual_start(&self, request: &AdmissionRequest) -> Duration {
+        let shares = self.shares.get(&request.weight);
+        let start = request.share.zip(shares);
+        start.map_or(Duration::ZERO, |(key, shares)| shares.next_start(key))
+    }
+
+    fn charge(&mut self, request: &AdmissionRequest) -> Option<Duration> {
+        let service_time = self.class_time(request.time_class);
+        let key = request.share?;
+        let shares = self.shares.entry(request.weight).or_default();
+        Some(shares.charge(key, service_time))
+    }
+
+    fn refund(&mut self, ticket: Ticket, request: &AdmissionRequest) {
+        if let (Some(key), Some(cost)) = (request.share, self.charges.remove(&ticket))
+            && let Some(shares) = self.shares.get_mut(&request.weight)
+        {
+            shares.refund(key, cost);
+        }
+    }
+
+    /// Returns the number of organisations that admission control keeps state of.
+    #[must_use]
+    pub fn organisations(&self) -> usize {
+        self.shares.values().map(Shares::len).sum()
+    }
+}
+
+impl Place {
+    /// Tests whether a new call at this position is queued in place of the last one of a full queue. The
+    /// due time does not count, so that calls of one organisation don't replace each other. Without organisations (`fair` is false), only the
+    /// weight counts.
+    fn displaces(&self, last: Place, fair: bool) -> bool {
+        let order = |place: &Place| (place.weight, place.misses_objective, place.start);
+        self.weight < last.weight || fair && order(self) < order(&last)
     }
 }
 
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -21,6 +21,7 @@
 use crate::call::idempotency::{KeyId, Keys};
 use crate::call::metrics::InboundMetrics;
 use crate::call::read_ahead::{Receiver, Transfers};
+use crate::call::shares::ShareKey;
 use crate::call::upstream::{BackendPool, Reuse, UpstreamError, hello};
 use crate::call::{self, Outcome, Refusal, RefusalReason};
 use crate::daemon::{Daemon, InFlightGuard, Phase};
@@ -344,7 +345,8 @@
         let bulk_guard = self.admit_bulk(&attempt, receiver)?;
         let recorded = self.record_attempt(&attempt)?;
         let deadline = deadline(request.headers());
-        let admission = admission_request(&attempt, deadline);
+        let mut admission = admission_request(&attempt, deadline);
+        admission.share = share(daemon, request.headers());
         let (request, fingerprint, buffer) = self.buffer_body(daemon, request, &admission).await?;
         let monitored = self.crashes.start(&request, fingerprint);
         let monitored = monitored.admit(daemon, deadline).await?;
@@ -678,9 +680,17 @@
         objective: (objective > 0).then(|| Instant::now() + millis(objective)),
         deadline,
         wait_limit: attempt.wait_limit_ms.map(millis),
+        share: None,
     }
 }
 
+/// Returns whose share a call uses; `None` if the deployment has no organisations.
+fn share(daemon: &Daemon, headers: &HeaderMap) -> Option<ShareKey> {
+    let organisation = call::text(headers, &call::ORGANISATION);
+    let has_organisations = daemon.config.table().checks_keys();
+    has_organisations.then(|| ShareKey::new(organisation))
+}
+
 /// Returns the deadline of a call, from the time left that the header states.
 fn deadline(headers: &HeaderMap) -> Instant {
     let left = call::number(headers, &call::DEADLINE_MS);
