Write the final state of a rollout after all daemons were restarted

A daemon that knew the final step at its start, before it was ready, was no candidate yet and gave up for good. It now waits up to 15 s for its rank. kill_all_before_final_state failed before.

--- a/src/role/rollout/decider.rs
+++ b/src/role/rollout/decider.rs
@@ -29,6 +29,10 @@
 /// Time after which a candidate checks whether the decider has written the final state, times its place.
 const FINAL_CHECK: Duration = Duration::from_secs(2);
 
+/// Time after the final step within which a daemon must become a candidate to check the final state. Daemons that start
+/// again after a loss of power know the step before they are ready.
+const FINAL_RANK_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Time without any daemon beside a backend server of an established version after which the ordered version counts
 /// as established.
 const ALONE_TIME: Duration = Duration::from_secs(4);
@@ -347,7 +351,7 @@
     /// one after the other whether it has done so.
     async fn end(&mut self, rollout: &Rollout) {
         if !self.tenure.decides() {
-            let Some(rank) = self.rank() else {
+            let Some(rank) = self.wait_rank().await else {
                 return;
             };
             sleep(FINAL_CHECK * (rank + 1)).await;
@@ -378,6 +382,19 @@
         }
     }
 
+    /// Waits until this daemon is a candidate; returns `None` when it drains or does not become one in time.
+    async fn wait_rank(&self) -> Option<u32> {
+        let began = Instant::now();
+        loop {
+            let rank = self.rank();
+            let drains = self.daemon.drain.phase() != DrainPhase::Running;
+            if rank.is_some() || drains || began.elapsed() >= FINAL_RANK_TIMEOUT {
+                return rank;
+            }
+            sleep(FINAL_RETRY).await;
+        }
+    }
+
     fn log_tenure(&self, decides: bool) {
         event!(
             RolloutDecider,
--- a/tests/rollout_faults.rs
+++ b/tests/rollout_faults.rs
@@ -197,3 +197,19 @@
     let watches = after.watches - started.watches;
     assert!(watches <= 3 * READERS, "{started:?} {after:?}");
 }
+
+/// All daemons lose their power between the final record and the state for operators: one of them must write the state
+/// after the restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_all_before_final_state() {
+    let mut fleet = Fleet::start(91, Behaviour::default()).await;
+    fleet.call_until(&state(Phase::Completed), LIMIT).await;
+    let killed: Vec<_> = fleet.vms.drain(..).map(support::Vm::kill).collect();
+    fleet
+        .platform
+        .write_uncounted(support::STATUS, &state(Phase::Shift));
+    let restarted = killed.into_iter().map(|restart| restart(&fleet.platform));
+    fleet.vms = restarted.collect();
+    fleet.wait_ready().await;
+    fleet.call_until(&state(Phase::Completed), LIMIT).await;
+}
