Begin at once with an order that follows another

The first candidate waited 2 s for a decider of the new order that there never was, since only a missing record was taken for an order without a decider.

--- a/src/role/rollout/decider.rs
+++ b/src/role/rollout/decider.rs
@@ -163,6 +163,7 @@
             && earlier.order.revision < self.order
         {
             self.unproven = earlier.unproven_after();
+            self.tenure.note_earlier_order();
         }
         if let Some((_, wrote)) = self.tried.take_if(|(value, _)| *value == stored.value) {
             self.tenure.note_written(wrote, stored.revision);
--- a/src/rollout/tenure.rs
+++ b/src/rollout/tenure.rs
@@ -38,6 +38,8 @@
     started: Instant,
     /// The revision of the record when it was last read or written here; zero if there was none.
     revision: Option<u64>,
+    /// Whether the record that was read is of an earlier order, so that nobody has decided on this one yet.
+    is_earlier: bool,
     /// When it was last seen to change.
     changed: Instant,
     /// When it was last read, and when that was last tried.
@@ -54,6 +56,7 @@
         Tenure {
             started: now,
             revision: None,
+            is_earlier: false,
             changed: now,
             read: None,
             tried: None,
@@ -78,10 +81,12 @@
         if read_due && (is_first || age(changed) >= READ_AFTER) {
             return Action::Read;
         }
-        // A record that is not there at all needs no grace time at the first candidate.
-        let wait = match (self.revision, rank) {
-            (Some(0), 0) => Duration::ZERO,
-            _ => TAKEOVER + RANK_DELAY * rank,
+        // A record that is not there, or is of an earlier order, needs no grace time at the first candidate.
+        let is_unclaimed = self.is_earlier || self.revision == Some(0);
+        let wait = if is_unclaimed && rank == 0 {
+            Duration::ZERO
+        } else {
+            TAKEOVER + RANK_DELAY * rank
         };
         match self.revision {
             Some(revision) if age(changed) >= wait => Action::TakeOver(revision),
@@ -123,14 +128,21 @@
         }
         let is_first = self.revision.replace(revision).is_none();
         self.wrote = None;
+        self.is_earlier = false;
         // The record may be old when it is first read; it counts from the time when the order became known.
         self.changed = if is_first { self.started } else { began };
         before.filter(|_| !is_first)
     }
 
+    /// Records that the record last read is of an earlier order.
+    pub fn note_earlier_order(&mut self) {
+        self.is_earlier = true;
+    }
+
     /// Records a successful write of this daemon that began at `began`.
     pub fn note_written(&mut self, began: Instant, revision: u64) {
         self.revision = Some(revision);
+        self.is_earlier = false;
         self.changed = began;
         self.wrote = Some(began);
     }
--- a/tests/rollout_tenure.rs
+++ b/tests/rollout_tenure.rs
@@ -17,6 +17,20 @@
     );
 }
 
+/// The record of an earlier order must not delay the first candidate of the next one; the others still wait for it.
+#[test_case(0, Action::TakeOver(12))]
+#[test_case(1, Action::Wait)]
+#[tokio::test(start_paused = true)]
+async fn next_after_earlier_order(rank: u32, expected: Action) {
+    let mut tenure = Tenure::new(Instant::now());
+    tenure.note_read(Instant::now(), 12);
+    tenure.note_earlier_order();
+    assert_eq!(tenure.next(Instant::now(), Some(rank), None), expected);
+    // Another daemon has written the record of this order since.
+    tenure.note_read(Instant::now(), 13);
+    assert_eq!(tenure.next(Instant::now(), Some(rank), None), Action::Wait);
+}
+
 /// Returns the time after which a candidate takes over a record that nobody changes.
 async fn takeover(rank: u32, revision: u64) -> Duration {
     let start = Instant::now();
