Take the share from a bad version before its rollback is written

A whole share stays without renewals, so that a rollback that could not be written left the bad version in service while the platform was away. The decider now sends a step without a share first, and the rollback follows with a greater number. roll_back_without_platform failed before.

A decider whose write has failed decides on nothing until it has read the record, so a version that turns bad after that keeps a whole share as before.

--- a/src/role/rollout/decider.rs
+++ b/src/role/rollout/decider.rs
@@ -126,7 +126,7 @@
             Action::TakeOver(_) => {
                 let step = rollout.step().cloned();
                 let step = step.unwrap_or_else(|| first_step(self.order));
-                self.write(rollout, step, String::new()).await;
+                self.write(rollout, step, reason(rollout)).await;
             }
             Action::Decide => self.decide(now, rollout).await,
         }
@@ -188,9 +188,11 @@
         let renewed = published.and_then(|published| published.renewed);
         let age = renewed.map_or(TAKEOVER, |at| now.saturating_duration_since(at));
         if age >= TAKEOVER {
-            return self.write(rollout, step.clone(), String::new()).await;
+            return self.write(rollout, step.clone(), reason(rollout)).await;
         }
-        let decision = if rollout.removed {
+        let decision = if published.is_some_and(PublishedStep::is_halted) {
+            Decision::RollBack(reason(rollout))
+        } else if rollout.removed {
             Decision::RollBack("order was deleted".into())
         } else if self.has_nothing_to_move(now, rollout) && step.number == 0 {
             Decision::Complete
@@ -201,7 +203,11 @@
             Decision::Hold => (None, String::new()),
             Decision::Next(next) => (Some(next), String::new()),
             Decision::Complete => (Some(self.final_step(step, Phase::Completed)), String::new()),
-            Decision::RollBack(reason) => (Some(self.final_step(step, Phase::RolledBack)), reason),
+            Decision::RollBack(reason) => {
+                let halted = self.halt(now, rollout, &reason);
+                let last = halted.as_ref().unwrap_or(step);
+                (Some(self.final_step(last, Phase::RolledBack)), reason)
+            }
         };
         match next {
             Some(next) => self.write(rollout, next, reason).await,
@@ -212,6 +218,21 @@
         }
     }
 
+    /// Takes the share away before the rollback is written: the write may fail, and a whole share stays without renewals.
+    /// The other backend servers exist until the rollout is completed. Returns the step, if there was a share.
+    fn halt(&self, now: Instant, rollout: &Rollout, reason: &str) -> Option<Step> {
+        let published = rollout.published.as_ref();
+        let halted = published.filter(|known| known.step.share > 0)?;
+        let halted = halted.halted(reason, now);
+        let step = halted.step.clone();
+        let next = Rollout {
+            published: Some(halted),
+            ..rollout.clone()
+        };
+        self.publish(&next, true);
+        Some(step)
+    }
+
     /// Tests whether all backend servers are of the ordered version already, or of one that gets no calls. Daemons
     /// whose backend servers are down count as well, and a daemon that has just started may not know all others.
     fn has_nothing_to_move(&mut self, now: Instant, rollout: &Rollout) -> bool {
@@ -412,6 +433,12 @@
     }
 }
 
+/// Returns why a rollout is to be rolled back; empty if it is not.
+fn reason(rollout: &Rollout) -> String {
+    let published = rollout.published.as_ref();
+    published.map_or_else(String::new, |published| published.reason.clone())
+}
+
 /// Returns the step before the first decision, by which no call goes to the new version.
 fn first_step(order: u64) -> Step {
     Step {
--- a/src/rollout/registry.rs
+++ b/src/rollout/registry.rs
@@ -24,12 +24,37 @@
     /// When that write began, if known; a receiver's estimate is not later than that by more than the time that
     /// the message took.
     pub renewed: Option<Instant>,
-    /// Why the rollout was rolled back; empty otherwise.
+    /// Why the rollout was, or is to be, rolled back; empty otherwise.
     pub reason: String,
     /// The versions of earlier orders that were not completed; their backend servers get no calls.
     pub unproven: Vec<String>,
 }
 
+impl PublishedStep {
+    /// Returns the step that takes the share away until a rollback is recorded. Its renewal is less than that of any
+    /// record with the same number, so that such a record replaces it.
+    #[must_use]
+    pub fn halted(&self, reason: &str, now: Instant) -> PublishedStep {
+        PublishedStep {
+            step: Step {
+                number: self.step.number + 1,
+                share: 0,
+                targets: Vec::new(),
+                ..self.step.clone()
+            },
+            renewed: Some(now),
+            reason: reason.into(),
+            ..self.clone()
+        }
+    }
+
+    /// Tests whether the rollout is to be rolled back, and that is not recorded yet.
+    #[must_use]
+    pub fn is_halted(&self) -> bool {
+        !self.step.phase.is_final() && !self.reason.is_empty()
+    }
+}
+
 /// An order with its newest step.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rollout {
--- a/tests/rollout_faults.rs
+++ b/tests/rollout_faults.rs
@@ -3,7 +3,8 @@
 #[path = "support/rollout.rs"]
 mod support;
 
-use baobabstage::rollout::Phase;
+use baobabstage::generated::mesh::{RolloutPhase, RolloutStep};
+use baobabstage::rollout::{Phase, WHOLE};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use standin::backend::{Behaviour, Fault};
@@ -213,3 +214,32 @@
     fleet.wait_ready().await;
     fleet.call_until(&state(Phase::Completed), LIMIT).await;
 }
+
+/// A rollback that cannot be written must still take the calls from the new version, also where its share would stay
+/// without renewals.
+#[tokio::test(flavor = "multi_thread")]
+async fn roll_back_without_platform() {
+    let fleet = Fleet::start(92, Behaviour::default()).await;
+    let deadline = Instant::now() + LIMIT;
+    let is_whole = |step: RolloutStep| step.phase() == RolloutPhase::Shift && step.share == WHOLE;
+    while !fleet.record().step.is_some_and(is_whole) {
+        assert!(Instant::now() < deadline, "no whole share");
+        fleet.call_for(Duration::from_millis(100)).await;
+    }
+    let decider = fleet.decider();
+    fleet.vms[decider].daemon.rollouts.remove(support::SERVICE);
+    fleet.platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    sleep(Duration::from_secs(1)).await;
+    for vm in &fleet.vms {
+        let known = vm.daemon.rollouts.get(support::SERVICE).unwrap();
+        assert_eq!(known.step().unwrap().share, 0, "{}", vm.name);
+    }
+    let halted = Instant::now();
+    let (count, served) = fleet.call_for(Duration::from_secs(1)).await;
+    assert_eq!((served, fleet.new_runs(halted)), (count, 0));
+    fleet.platform.set_faults(Faults::default());
+    fleet.call_until(&state(Phase::RolledBack), LIMIT).await;
+}
--- a/tests/rollout_registry.rs
+++ b/tests/rollout_registry.rs
@@ -91,6 +91,28 @@
     assert_eq!(registry.get(SERVICE).unwrap().phase(), last);
 }
 
+/// A share that was taken away must not come back by a late renewal; a record of the same number replaces the step.
+#[tokio::test(start_paused = true)]
+async fn merge_halted() {
+    let mut registry = Registry::default();
+    let mut whole = rollout(7, 2, Phase::Shift, 5);
+    let published = whole.published.as_mut().unwrap();
+    published.step.share = WHOLE;
+    let halted = Rollout {
+        published: Some(published.halted("bad", Instant::now())),
+        ..whole.clone()
+    };
+    registry.merge(whole);
+    assert_eq!(registry.merge(halted), Merged::Changed);
+    let late = rollout(7, 2, Phase::Shift, 6);
+    assert_eq!(registry.merge(late), Merged::Nothing);
+    let known = registry.get(SERVICE).unwrap();
+    assert!(known.published.as_ref().unwrap().is_halted());
+    assert_eq!(known.step().unwrap().share, 0);
+    let record = rollout(7, 3, Phase::Completed, 6);
+    assert_eq!(registry.merge(record), Merged::Changed);
+}
+
 /// A decider that is gone must not leave a share in force.
 #[test_case(Phase::Trial, 50, false)]
 #[test_case(Phase::Shift, 500, false)]
