Tell starting daemons whether this one has received the orders

A daemon that had given up waiting for the orders reported that it knew them. One that started later took its empty answer for the absence of orders, and all calls of a version under trial.

--- a/src/role/rollout.rs
+++ b/src/role/rollout.rs
@@ -39,17 +39,21 @@
 fn run(daemon: Arc<Daemon>) -> RoleFuture {
     Box::pin(async move {
         let Some(source) = daemon.ordered_rollouts else {
+            daemon.rollouts.mark_informed();
             daemon.rollouts.mark_synced();
             daemon.drain.reached(Phase::Stopped).await;
             return Ok(());
         };
         let mut watcher = PrefixWatcher::new(source.orders);
-        if !daemon.settings.first_start && !daemon.rollouts.is_synced() {
+        if daemon.settings.first_start {
+            daemon.rollouts.mark_informed();
+        } else if !daemon.rollouts.is_synced() {
             orders::sync(&daemon, &source, &mut watcher).await;
         }
         daemon.rollouts.mark_synced();
         tokio::select! {
             () = orders::follow(&daemon, &source, watcher) => {}
+            () = orders::sync_late(&daemon) => {}
             () = fetch_newer(&daemon) => {}
             () = count_and_report(&daemon) => {}
             () = decider::run(&daemon, &source) => {}
--- a/src/role/rollout/orders.rs
+++ b/src/role/rollout/orders.rs
@@ -10,6 +10,7 @@
 use crate::tree::backoff::{Backoff, jitter_around};
 use rand::seq::IteratorRandom;
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -36,13 +37,25 @@
 pub(super) async fn sync(daemon: &Daemon, source: &Rollouts, watcher: &mut PrefixWatcher) {
     let from = tokio::select! {
         () = sync_with_platform(daemon, source, watcher) => "platform",
-        () = sync_with_peer(daemon) => "peer",
+        () = sync_with_peer(daemon, SYNC_PAUSE) => "peer",
         () = sleep(SYNC_TIMEOUT) => "none",
     };
+    if from != "none" {
+        daemon.rollouts.mark_informed();
+    }
     let orders = daemon.rollouts.load().iter().count();
     event!(RolloutOrdersRead, from = from, orders = orders);
 }
 
+/// Receives the orders from another daemon after the time limit at start has passed without them. Does not return.
+pub(super) async fn sync_late(daemon: &Daemon) {
+    if !daemon.rollouts.is_informed() {
+        sync_with_peer(daemon, SYNC_ATTEMPT).await;
+        daemon.rollouts.mark_informed();
+    }
+    pending::<()>().await;
+}
+
 async fn sync_with_platform(daemon: &Daemon, source: &Rollouts, watcher: &mut PrefixWatcher) {
     let platform = daemon.store.platform();
     loop {
@@ -70,10 +83,10 @@
     }
 }
 
-/// Receives the orders of another daemon of the service that knows them.
-async fn sync_with_peer(daemon: &Daemon) {
+/// Receives the orders of another daemon of the service that knows them, by attempts after a pause each.
+async fn sync_with_peer(daemon: &Daemon, pause: Duration) {
     loop {
-        sleep(jitter_around(SYNC_PAUSE)).await;
+        sleep(jitter_around(pause)).await;
         let peers = peers(daemon, own_service(daemon)).into_iter();
         let peer = peers.choose(&mut rand::rng());
         if knows_members(daemon)
@@ -105,6 +118,7 @@
             Ok(update) => {
                 backoff.reset();
                 apply_update(daemon, source, update, &known);
+                daemon.rollouts.mark_informed();
             }
             Err(err) => {
                 event!(RolloutRecordFailed, key = source.orders, error = err);
--- a/src/rollout/cell.rs
+++ b/src/rollout/cell.rs
@@ -17,6 +17,7 @@
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -40,8 +41,10 @@
     writing: Mutex<()>,
     /// Counts the changes of orders and steps.
     changes: watch::Sender<u64>,
-    /// Whether this daemon knows the orders that others know, or there is nobody to ask.
+    /// Whether this daemon knows the orders that others know, has nobody to ask, or has waited long enough for them.
     synced: watch::Sender<bool>,
+    /// Whether it has received them from the platform or from an informed daemon, or there is nobody to ask.
+    informed: AtomicBool,
     /// A daemon that has stated a newer step than is known here.
     holder: watch::Sender<Option<SocketAddr>>,
     counters: Arc<Counters>,
@@ -80,18 +83,29 @@
         self.holder.subscribe()
     }
 
-    /// Tests whether this daemon knows the orders that others know, or there is nobody to ask.
+    /// Tests whether this daemon need not wait for orders any longer.
     #[must_use]
     pub fn is_synced(&self) -> bool {
         *self.synced.borrow()
     }
 
+    /// Tests whether this daemon knows the orders that others know, or there is nobody to ask.
+    #[must_use]
+    pub fn is_informed(&self) -> bool {
+        self.informed.load(Ordering::Acquire)
+    }
+
     /// Records that this daemon knows the orders that others know, or that there is nobody to ask.
+    pub fn mark_informed(&self) {
+        self.informed.store(true, Ordering::Release);
+    }
+
+    /// Records that this daemon need not wait for orders any longer.
     pub fn mark_synced(&self) {
         self.synced.send_replace(true);
     }
 
-    /// Waits until this daemon knows the orders that others know, or there is nobody to ask.
+    /// Waits until this daemon need not wait for orders any longer.
     pub async fn wait_synced(&self) {
         // The sender lives as long as `self`.
         let _ = self.synced.subscribe().wait_for(|synced| *synced).await;
@@ -257,7 +271,7 @@
             } else {
                 Vec::new()
             },
-            synced: self.is_synced(),
+            synced: self.is_informed(),
             ..wire::RolloutReport::default()
         }
     }
@@ -276,6 +290,7 @@
         });
         json!({
             "synced": self.is_synced(),
+            "informed": self.is_informed(),
             "rollouts": rollouts.collect::<Vec<_>>(),
             "evidence": evidence.collect::<Vec<_>>(),
         })
--- a/tests/rollout_registry.rs
+++ b/tests/rollout_registry.rs
@@ -1,5 +1,6 @@
 //! Merging of orders and steps of rollouts, without a network.
 
+use baobabstage::generated::mesh::RolloutReport;
 use baobabstage::rollout::registry::{Merged, PublishedStep, Registry, Rollout, STEP_TTL};
 use baobabstage::rollout::wire::{decode, encode};
 use baobabstage::rollout::{Order, Phase, RolloutCell, Step, WHOLE};
@@ -186,6 +187,17 @@
     }
 }
 
+/// A daemon that has given up waiting for the orders must not state that it knows them: one that starts later would take
+/// all calls of a version under trial.
+#[test]
+fn respond_uninformed() {
+    let cell = RolloutCell::default();
+    cell.mark_synced();
+    assert!(!cell.respond(RolloutReport::default()).synced);
+    cell.mark_informed();
+    assert!(cell.respond(RolloutReport::default()).synced);
+}
+
 /// A daemon that the decider's message has not reached learns of the renewal from a response.
 #[tokio::test(start_paused = true)]
 async fn note_mark_renewed() {
