Remember a final phase whose order was deleted

Daemons that were all restarted after that did not read the step record without an order, so that calls went to the old version again.

--- a/src/role/rollout/orders.rs
+++ b/src/role/rollout/orders.rs
@@ -65,8 +65,10 @@
                 apply_update(daemon, source, update, &BTreeMap::new());
             }
             let service = own_service(daemon);
-            if daemon.rollouts.load().get(service).is_some() {
+            if daemon.rollouts.get(service).is_some() {
                 record::read(daemon, service).await?;
+            } else if !service.is_empty() {
+                record::read_ended(daemon, service).await?;
             }
             Ok::<(), crate::platform::PlatformError>(())
         };
--- a/src/role/rollout/record.rs
+++ b/src/role/rollout/record.rs
@@ -61,6 +61,28 @@
     })
 }
 
+/// Reads the step record of a service without an order, and merges it if its rollout has ended: a final phase outlasts
+/// the order.
+pub(super) async fn read_ended(daemon: &Daemon, service: &str) -> Result<(), PlatformError> {
+    let key = key(service);
+    let Some(entry) = daemon.store.platform().get(&key).await? else {
+        return Ok(());
+    };
+    match wire::Rollout::decode(entry.value) {
+        Ok(record) if is_ended(&record) => {
+            merge(daemon, record);
+        }
+        Ok(_) => {}
+        Err(err) => event!(RolloutRecordFailed, key = key, error = err),
+    }
+    Ok(())
+}
+
+fn is_ended(record: &wire::Rollout) -> bool {
+    let step = record.step.as_ref();
+    step.is_some_and(|step| convert::decode_phase(step.phase()).is_final())
+}
+
 fn merge(daemon: &Daemon, mut record: wire::Rollout) -> Rollout {
     let since = unix_ms().saturating_sub(record.written_ms);
     if since <= MAX_PAUSE_MS {
--- a/src/rollout/wire.rs
+++ b/src/rollout/wire.rs
@@ -86,7 +86,9 @@
     }
 }
 
-fn decode_phase(phase: wire::RolloutPhase) -> Phase {
+/// Decodes the phase of a step.
+#[must_use]
+pub fn decode_phase(phase: wire::RolloutPhase) -> Phase {
     match phase {
         wire::RolloutPhase::Trial => Phase::Trial,
         wire::RolloutPhase::Shift => Phase::Shift,
--- a/tests/rollout_faults.rs
+++ b/tests/rollout_faults.rs
@@ -243,3 +243,19 @@
     fleet.platform.set_faults(Faults::default());
     fleet.call_until(&state(Phase::RolledBack), LIMIT).await;
 }
+
+/// The order is deleted after its completion and all daemons are restarted: the final phase must not be forgotten, or
+/// calls go to the old version again.
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_all_after_deleted_order() {
+    let mut fleet = Fleet::start(93, Behaviour::default()).await;
+    fleet.call_until(&state(Phase::Completed), LIMIT).await;
+    fleet.delete_order();
+    let killed: Vec<_> = fleet.vms.drain(..).map(support::Vm::kill).collect();
+    let restarted = killed.into_iter().map(|restart| restart(&fleet.platform));
+    fleet.vms = restarted.collect();
+    fleet.wait_ready().await;
+    let from = Instant::now();
+    let (count, served) = fleet.call_for(Duration::from_secs(1)).await;
+    assert_eq!((served, fleet.new_runs(from)), (count, count));
+}
