Receive reports while the decider decides

The lock on the evidence was held for the decision, 29 ms with 3,300 backend servers, and with it the messages of other daemons were held up.

--- a/src/role/rollout/decider.rs
+++ b/src/role/rollout/decider.rs
@@ -268,8 +268,8 @@
                 ready: takes_calls(member),
             })
             .collect();
-        let decide = |evidence: &_| plan.decide(now, step, &servers, evidence);
-        self.daemon.rollouts.with_evidence(self.order, decide)
+        let evidence = self.daemon.rollouts.evidence(self.order);
+        plan.decide(now, step, &servers, &evidence)
     }
 
     fn final_step(&self, step: &Step, phase: Phase) -> Step {
--- a/src/role/rollout/record.rs
+++ b/src/role/rollout/record.rs
@@ -105,12 +105,11 @@
     let order = rollout.order.revision;
     let mut record = convert::encode(rollout, Instant::now());
     record.written_ms = unix_ms();
-    record.evidence = daemon.rollouts.with_evidence(order, |evidence| {
-        let servers = evidence.servers();
-        servers
-            .map(|(key, counts)| convert::encode_counts(order, key, counts))
-            .collect()
-    });
+    let evidence = daemon.rollouts.evidence(order);
+    let servers = evidence.servers();
+    record.evidence = servers
+        .map(|(key, counts)| convert::encode_counts(order, key, counts))
+        .collect();
     if record.encoded_len() > MAX_EVIDENCE_LEN {
         let version = &rollout.order.version;
         record.evidence.retain(|server| server.version == *version);
--- a/src/rollout/cell.rs
+++ b/src/rollout/cell.rs
@@ -49,7 +49,7 @@
     holder: watch::Sender<Option<SocketAddr>>,
     counters: Arc<Counters>,
     /// The evidence received, for the newest order of this daemon's service.
-    evidence: Mutex<(u64, Evidence)>,
+    evidence: Mutex<(u64, Arc<Evidence>)>,
 }
 
 impl RolloutCell {
@@ -169,20 +169,22 @@
     pub fn merge_evidence(&self, order: u64, key: ServerKey, counts: ServerCounts) {
         let mut evidence = lock(&self.evidence);
         if evidence.0 < order {
-            *evidence = (order, Evidence::default());
+            *evidence = (order, Arc::default());
         }
         if evidence.0 == order {
-            evidence.1.merge(key, counts);
+            Arc::make_mut(&mut evidence.1).merge(key, counts);
         }
     }
 
-    /// Calls a function with the evidence about an order.
-    pub fn with_evidence<T>(&self, order: u64, read: impl FnOnce(&Evidence) -> T) -> T {
+    /// Returns the evidence received about an order. It is copied only if a report arrives while it is in use, so that a
+    /// long decision does not hold up the reports.
+    #[must_use]
+    pub fn evidence(&self, order: u64) -> Arc<Evidence> {
         let evidence = lock(&self.evidence);
         if evidence.0 == order {
-            read(&evidence.1)
+            Arc::clone(&evidence.1)
         } else {
-            read(&Evidence::default())
+            Arc::default()
         }
     }
 
@@ -286,7 +288,7 @@
         let evidence = registry.iter().flat_map(|rollout| {
             let service = &rollout.order.service;
             let order = rollout.order.revision;
-            self.with_evidence(order, |evidence| evidence_state(service, evidence))
+            evidence_state(service, &self.evidence(order))
         });
         json!({
             "synced": self.is_synced(),
