--- a/src/role/rollout/orders.rs
+++ b/src/role/rollout/orders.rs
@@ -209,6 +209,7 @@
             revision = entry.revision,
             error = "service is not configured"
         );
+        return;
     }
     let rollout = Rollout::new(order, Instant::now());
     if daemon.rollouts.merge(rollout) == Merged::Changed
--- a/tests/rollout_faults.rs
+++ b/tests/rollout_faults.rs
@@ -259,3 +259,21 @@
     let (count, served) = fleet.call_for(Duration::from_secs(1)).await;
     assert_eq!((served, fleet.new_runs(from)), (count, count));
 }
+
+/// An order for a service that is not configured must have no effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn ignore_order_of_unknown_service() {
+    let mut fleet = Fleet::without_order(94, Behaviour::default()).await;
+    fleet.wait_ready().await;
+    fleet.platform.write_uncounted("orders/other", "v2 14");
+    fleet.order(support::NEW, 14);
+    let deadline = Instant::now() + LIMIT;
+    let knows = |vm: &support::Vm| vm.daemon.rollouts.get(support::SERVICE).is_some();
+    while !fleet.vms.iter().all(knows) {
+        assert!(Instant::now() < deadline, "order did not arrive");
+        sleep(Duration::from_millis(50)).await;
+    }
+    for vm in &fleet.vms {
+        assert!(vm.daemon.rollouts.get("other").is_none(), "{}", vm.name);
+    }
+}
