Count a daemon as informed only once it has the step record

It may have listed the orders at its start and then failed to read the record, so that it does not know a final phase whose order was deleted.

--- a/src/role/rollout/orders.rs
+++ b/src/role/rollout/orders.rs
@@ -3,7 +3,7 @@
 use super::{fetch, knows_members, own_service, peers, record, spread};
 use crate::daemon::Daemon;
 use crate::event;
-use crate::platform::{Entry, KeyEvent, KeyUpdate, PrefixWatcher};
+use crate::platform::{Entry, KeyEvent, KeyUpdate, PlatformError, PrefixWatcher};
 use crate::role::config;
 use crate::rollout::registry::{Merged, Rollout};
 use crate::site::Rollouts;
@@ -64,13 +64,7 @@
                 let update = watcher.next(platform.as_ref(), SYNC_ATTEMPT).await?;
                 apply_update(daemon, source, update, &BTreeMap::new());
             }
-            let service = own_service(daemon);
-            if daemon.rollouts.get(service).is_some() {
-                record::read(daemon, service).await?;
-            } else if !service.is_empty() {
-                record::read_ended(daemon, service).await?;
-            }
-            Ok::<(), crate::platform::PlatformError>(())
+            read_own_record(daemon).await
         };
         match timeout(SYNC_ATTEMPT, read).await {
             Ok(Ok(())) => return,
@@ -85,6 +79,17 @@
     }
 }
 
+/// Reads the step record of the own service.
+async fn read_own_record(daemon: &Daemon) -> Result<(), PlatformError> {
+    let service = own_service(daemon);
+    if daemon.rollouts.get(service).is_some() {
+        record::read(daemon, service).await?;
+    } else if !service.is_empty() {
+        record::read_ended(daemon, service).await?;
+    }
+    Ok(())
+}
+
 /// Receives the orders of another daemon of the service that knows them, by attempts after a pause each.
 async fn sync_with_peer(daemon: &Daemon, pause: Duration) {
     loop {
@@ -120,7 +125,11 @@
             Ok(update) => {
                 backoff.reset();
                 apply_update(daemon, source, update, &known);
-                daemon.rollouts.mark_informed();
+                if !daemon.rollouts.is_informed()
+                    && let Ok(Ok(())) = timeout(SYNC_ATTEMPT, read_own_record(daemon)).await
+                {
+                    daemon.rollouts.mark_informed();
+                }
             }
             Err(err) => {
                 event!(RolloutRecordFailed, key = source.orders, error = err);
