--- a/src/role/rollout/orders.rs
+++ b/src/role/rollout/orders.rs
@@ -3,13 +3,14 @@
 use super::{fetch, knows_members, own_service, peers, record, spread};
 use crate::daemon::Daemon;
 use crate::event;
-use crate::platform::{Entry, KeyEvent, KeyUpdate, PrefixWatcher};
+use crate::platform::{Entry, KeyEvent, KeyUpdate, PlatformError, PrefixWatcher};
 use crate::role::config;
 use crate::rollout::registry::{Merged, Rollout};
 use crate::site::Rollouts;
 use crate::tree::backoff::{Backoff, jitter_around};
 use rand::seq::IteratorRandom;
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -36,13 +37,25 @@
 pub(super) async fn sync(daemon: &Daemon, source: &Rollouts, watcher: &mut PrefixWatcher) {
     let from = tokio::select! {
         () = sync_with_platform(daemon, source, watcher) => "platform",
-        () = sync_with_peer(daemon) => "peer",
+        () = sync_with_peer(daemon, SYNC_PAUSE) => "peer",
         () = sleep(SYNC_TIMEOUT) => "none",
     };
+    if from != "none" {
+        daemon.rollouts.mark_informed();
+    }
     let orders = daemon.rollouts.load().iter().count();
     event!(RolloutOrdersRead, from = from, orders = orders);
 }
 
+/// Receives the orders from another daemon after the time limit at start has passed without them. Does not return.
+pub(super) async fn sync_late(daemon: &Daemon) {
+    if !daemon.rollouts.is_informed() {
+        sync_with_peer(daemon, SYNC_ATTEMPT).await;
+        daemon.rollouts.mark_informed();
+    }
+    pending::<()>().await;
+}
+
 async fn sync_with_platform(daemon: &Daemon, source: &Rollouts, watcher: &mut PrefixWatcher) {
     let platform = daemon.store.platform();
     loop {
@@ -51,11 +64,7 @@
                 let update = watcher.next(platform.as_ref(), SYNC_ATTEMPT).await?;
                 apply_update(daemon, source, update, &BTreeMap::new());
             }
-            let service = own_service(daemon);
-            if daemon.rollouts.load().get(service).is_some() {
-                record::read(daemon, service).await?;
-            }
-            Ok::<(), crate::platform::PlatformError>(())
+            read_own_record(daemon).await
         };
         match timeout(SYNC_ATTEMPT, read).await {
             Ok(Ok(())) => return,
@@ -70,10 +79,21 @@
     }
 }
 
-/// Receives the orders of another daemon of the service that knows them.
-async fn sync_with_peer(daemon: &Daemon) {
+/// Reads the step record of the own service.
+async fn read_own_record(daemon: &Daemon) -> Result<(), PlatformError> {
+    let service = own_service(daemon);
+    if daemon.rollouts.get(service).is_some() {
+        record::read(daemon, service).await?;
+    } else if !service.is_empty() {
+        record::read_ended(daemon, service).await?;
+    }
+    Ok(())
+}
+
+/// Receives the orders of another daemon of the service that knows them, by attempts after a pause each.
+async fn sync_with_peer(daemon: &Daemon, pause: Duration) {
     loop {
-        sleep(jitter_around(SYNC_PAUSE)).await;
+        sleep(jitter_around(pause)).await;
         let peers = peers(daemon, own_service(daemon)).into_iter();
         let peer = peers.choose(&mut rand::rng());
         if knows_members(daemon)
@@ -105,6 +125,11 @@
             Ok(update) => {
                 backoff.reset();
                 apply_update(daemon, source, update, &known);
+                if !daemon.rollouts.is_informed()
+                    && let Ok(Ok(())) = timeout(SYNC_ATTEMPT, read_own_record(daemon)).await
+                {
+                    daemon.rollouts.mark_informed();
+                }
             }
             Err(err) => {
                 event!(RolloutRecordFailed, key = source.orders, error = err);
@@ -193,6 +218,7 @@
             revision = entry.revision,
             error = "service is not configured"
         );
+        return;
     }
     let rollout = Rollout::new(order, Instant::now());
     if daemon.rollouts.merge(rollout) == Merged::Changed
--- a/tests/rollout_faults.rs
+++ b/tests/rollout_faults.rs
@@ -3,7 +3,8 @@
 #[path = "support/rollout.rs"]
 mod support;
 
-use baobabstage::rollout::Phase;
+use baobabstage::generated::mesh::{RolloutPhase, RolloutStep};
+use baobabstage::rollout::{Phase, WHOLE};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use standin::backend::{Behaviour, Fault};
@@ -197,3 +198,82 @@
     let watches = after.watches - started.watches;
     assert!(watches <= 3 * READERS, "{started:?} {after:?}");
 }
+
+/// All daemons lose their power between the final record and the state for operators: one of them must write the state
+/// after the restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_all_before_final_state() {
+    let mut fleet = Fleet::start(91, Behaviour::default()).await;
+    fleet.call_until(&state(Phase::Completed), LIMIT).await;
+    let killed: Vec<_> = fleet.vms.drain(..).map(support::Vm::kill).collect();
+    fleet
+        .platform
+        .write_uncounted(support::STATUS, &state(Phase::Shift));
+    let restarted = killed.into_iter().map(|restart| restart(&fleet.platform));
+    fleet.vms = restarted.collect();
+    fleet.wait_ready().await;
+    fleet.call_until(&state(Phase::Completed), LIMIT).await;
+}
+
+/// A rollback that cannot be written must still take the calls from the new version, also where its share would stay
+/// without renewals.
+#[tokio::test(flavor = "multi_thread")]
+async fn roll_back_without_platform() {
+    let fleet = Fleet::start(92, Behaviour::default()).await;
+    let deadline = Instant::now() + LIMIT;
+    let is_whole = |step: RolloutStep| step.phase() == RolloutPhase::Shift && step.share == WHOLE;
+    while !fleet.record().step.is_some_and(is_whole) {
+        assert!(Instant::now() < deadline, "no whole share");
+        fleet.call_for(Duration::from_millis(100)).await;
+    }
+    let decider = fleet.decider();
+    fleet.vms[decider].daemon.rollouts.remove(support::SERVICE);
+    fleet.platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    sleep(Duration::from_secs(1)).await;
+    for vm in &fleet.vms {
+        let known = vm.daemon.rollouts.get(support::SERVICE).unwrap();
+        assert_eq!(known.step().unwrap().share, 0, "{}", vm.name);
+    }
+    let halted = Instant::now();
+    let (count, served) = fleet.call_for(Duration::from_secs(1)).await;
+    assert_eq!((served, fleet.new_runs(halted)), (count, 0));
+    fleet.platform.set_faults(Faults::default());
+    fleet.call_until(&state(Phase::RolledBack), LIMIT).await;
+}
+
+/// The order is deleted after its completion and all daemons are restarted: the final phase must not be forgotten, or
+/// calls go to the old version again.
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_all_after_deleted_order() {
+    let mut fleet = Fleet::start(93, Behaviour::default()).await;
+    fleet.call_until(&state(Phase::Completed), LIMIT).await;
+    fleet.delete_order();
+    let killed: Vec<_> = fleet.vms.drain(..).map(support::Vm::kill).collect();
+    let restarted = killed.into_iter().map(|restart| restart(&fleet.platform));
+    fleet.vms = restarted.collect();
+    fleet.wait_ready().await;
+    let from = Instant::now();
+    let (count, served) = fleet.call_for(Duration::from_secs(1)).await;
+    assert_eq!((served, fleet.new_runs(from)), (count, count));
+}
+
+/// An order for a service that is not configured must have no effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn ignore_order_of_unknown_service() {
+    let mut fleet = Fleet::without_order(94, Behaviour::default()).await;
+    fleet.wait_ready().await;
+    fleet.platform.write_uncounted("orders/other", "v2 14");
+    fleet.order(support::NEW, 14);
+    let deadline = Instant::now() + LIMIT;
+    let knows = |vm: &support::Vm| vm.daemon.rollouts.get(support::SERVICE).is_some();
+    while !fleet.vms.iter().all(knows) {
+        assert!(Instant::now() < deadline, "order did not arrive");
+        sleep(Duration::from_millis(50)).await;
+    }
+    for vm in &fleet.vms {
+        assert!(vm.daemon.rollouts.get("other").is_none(), "{}", vm.name);
+    }
+}
--- a/tests/rollout_registry.rs
+++ b/tests/rollout_registry.rs
@@ -1,5 +1,6 @@
 //! Merging of orders and steps of rollouts, without a network.
 
+use baobabstage::generated::mesh::RolloutReport;
 use baobabstage::rollout::registry::{Merged, PublishedStep, Registry, Rollout, STEP_TTL};
 use baobabstage::rollout::wire::{decode, encode};
 use baobabstage::rollout::{Order, Phase, RolloutCell, Step, WHOLE};
@@ -91,6 +92,28 @@
     assert_eq!(registry.get(SERVICE).unwrap().phase(), last);
 }
 
+/// A share that was taken away must not come back by a late renewal; a record of the same number replaces the step.
+#[tokio::test(start_paused = true)]
+async fn merge_halted() {
+    let mut registry = Registry::default();
+    let mut whole = rollout(7, 2, Phase::Shift, 5);
+    let published = whole.published.as_mut().unwrap();
+    published.step.share = WHOLE;
+    let halted = Rollout {
+        published: Some(published.halted("bad", Instant::now())),
+        ..whole.clone()
+    };
+    registry.merge(whole);
+    assert_eq!(registry.merge(halted), Merged::Changed);
+    let late = rollout(7, 2, Phase::Shift, 6);
+    assert_eq!(registry.merge(late), Merged::Nothing);
+    let known = registry.get(SERVICE).unwrap();
+    assert!(known.published.as_ref().unwrap().is_halted());
+    assert_eq!(known.step().unwrap().share, 0);
+    let record = rollout(7, 3, Phase::Completed, 6);
+    assert_eq!(registry.merge(record), Merged::Changed);
+}
+
 /// A decider that is gone must not leave a share in force.
 #[test_case(Phase::Trial, 50, false)]
 #[test_case(Phase::Shift, 500, false)]
@@ -164,6 +187,17 @@
     }
 }
 
+/// A daemon that has given up waiting for the orders must not state that it knows them: one that starts later would take
+/// all calls of a version under trial.
+#[test]
+fn respond_uninformed() {
+    let cell = RolloutCell::default();
+    cell.mark_synced();
+    assert!(!cell.respond(RolloutReport::default()).synced);
+    cell.mark_informed();
+    assert!(cell.respond(RolloutReport::default()).synced);
+}
+
 /// A daemon that the decider's message has not reached learns of the renewal from a response.
 #[tokio::test(start_paused = true)]
 async fn note_mark_renewed() {
