--- a/src/call/admission.rs
+++ b/src/call/admission.rs
@@ -2,8 +2,8 @@
 //!
 //! The queue orders calls by weight, the greatest first. Within a weight, calls that can still meet
 //! their latency objective go before those that will miss it anyway, so that a backlog does not
-//! make every call late; among these, organisations take turns by their fair shares. A call that would not end before its deadline is refused as soon as that
-//! is known.
+//! make every call late; among these, organisations take turns by their fair shares. A call that would
+//! not end before its deadline is refused as soon as that is known.
 
 use super::attempt::Load;
 use super::shares::{ShareKey, Shares};
@@ -551,8 +551,8 @@
 
 impl Place {
     /// Tests whether a new call at this position is queued in place of the last one of a full queue. The
-    /// due time does not count, so that calls of one organisation don't replace each other. Without organisations (`fair` is false), only the
-    /// weight counts.
+    /// due time does not count, so that calls of one organisation don't replace each other. Without
+    /// organisations (`fair` is false), only the weight counts.
     fn displaces(&self, last: Place, fair: bool) -> bool {
         let order = |place: &Place| (place.weight, place.misses_objective, place.start);
         self.weight < last.weight || fair && order(self) < order(&last)
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -6,6 +6,7 @@
 mod crash;
 pub(super) mod health;
 mod keyed;
+mod queries;
 mod reachability;
 mod running;
 mod version;
@@ -18,29 +19,26 @@
 use crate::call::fence::{self, ArrivalError, Record};
 use crate::call::fingerprint::{self, Fingerprint};
 use crate::call::gate::{Gate, Rejected};
-use crate::call::idempotency::{KeyId, Keys};
+use crate::call::idempotency::Keys;
 use crate::call::metrics::InboundMetrics;
 use crate::call::read_ahead::{Receiver, Transfers};
 use crate::call::shares::ShareKey;
-use crate::call::upstream::{BackendPool, Reuse, UpstreamError, hello};
+use crate::call::upstream::{BackendPool, Reuse, UpstreamError};
 use crate::call::{self, Outcome, Refusal, RefusalReason};
 use crate::daemon::{Daemon, InFlightGuard, Phase};
 use crate::event;
 use crate::exchange::{self, ExchangeState};
 use crate::kernel::{Plugin, RoleFuture};
 use crate::quarantine::{self, Quarantine};
-use crate::quota::Grant;
-use crate::role::quota::Quotas;
 use crate::rollout;
-use crate::serve::{Body, BodyError, full_body, serve_calls};
+use crate::serve::{Body, BodyError, serve_calls};
 use crate::sync::lock;
 use backend::{check_response, max_body_len, note_leaving, stated_rate, to_backend};
 use bounded::Bounded;
 use crash::{CrashMonitor, MonitoredRun};
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
-use hyper::body::{Body as _, Bytes};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use hyper::body::Body as _;
 use prometheus_client::registry::Registry;
-use prost::Message as _;
 use reachability::Reachability;
 pub use running::LocalCall;
 use running::{RecordedAttempt, RunningCall, receiver, to_outbound};
@@ -213,20 +211,8 @@
         daemon: &Arc<Daemon>,
         mut request: Request<Body>,
     ) -> Response<Body> {
-        if let Some(expected) = call::text(request.headers(), &call::HELLO) {
-            return self.hello_response(daemon, expected.parse().ok());
-        }
-        if let Some(attempt) = call::text(request.headers(), &call::FENCE) {
-            return self.fence_response(daemon, attempt);
-        }
-        if let Some(key) = call::text(request.headers(), &call::KEY_KNOWN) {
-            let known = KeyId::read(key).is_some_and(|key| self.has_key(key));
-            return header_response(call::KEY_KNOWN, if known { "1" } else { "0" });
-        }
-        if let Some(text) = call::text(request.headers(), &call::QUOTA) {
-            let grant = Quotas::of(daemon).grant_to(daemon, text);
-            let grant = grant.map_or_else(String::new, Grant::to_text);
-            return header_response(call::QUOTA, &grant);
+        if let Some(answer) = self.answer_query(daemon, request.headers()) {
+            return answer;
         }
         if request.headers().contains_key(call::EXCHANGE) {
             return exchange::serve(daemon, request).await;
@@ -292,17 +278,6 @@
         response
     }
 
-    /// Returns the response to a hello. Its body is this daemon's member record if another incarnation was
-    /// expected: the sender then knows this one from an old record.
-    fn hello_response(&self, daemon: &Daemon, expected: Option<u64>) -> Response<Body> {
-        let own = daemon.identity.incarnation;
-        let mut response = header_response(call::HELLO, &hello(own, self.clock_ms()));
-        if expected != Some(own) {
-            *response.body_mut() = full_body(daemon.record().encode_to_vec());
-        }
-        response
-    }
-
     /// Returns the execution status of an attempt made by this daemon's own outbound side, and
     /// prevents it from running if it has not started.
     pub fn fence_attempt(&self, attempt: &Attempt) -> Option<fence::ExecutionStatus> {
@@ -310,19 +285,6 @@
         Some(record.fence(Instant::now(), attempt.id, attempt.sent_ms))
     }
 
-    /// Fences an attempt of another daemon, given its header value, and returns the response.
-    fn fence_response(&self, daemon: &Daemon, attempt: &str) -> Response<Body> {
-        let attempt = attempt.parse::<Attempt>().ok();
-        let own = daemon.identity.incarnation;
-        let Some(attempt) = attempt.filter(|attempt| attempt.incarnation == own) else {
-            return header_response(call::FENCE, fence::ExecutionStatus::Forgotten.as_str());
-        };
-        let mut record = lock(&self.record);
-        let status = record.fence(Instant::now(), attempt.id, attempt.sent_ms);
-        drop(record);
-        header_response(call::FENCE, status.as_str())
-    }
-
     /// Admits an attempt and runs it on the backend server.
     async fn forward(
         &self,
@@ -709,11 +671,3 @@
     let left = left.map_or(DEFAULT_DEADLINE, Duration::from_millis);
     Instant::now() + left.min(MAX_DEADLINE)
 }
-
-fn header_response(name: HeaderName, value: &str) -> Response<Body> {
-    let mut response = Response::new(full_body(Bytes::new()));
-    if let Ok(value) = HeaderValue::from_str(value) {
-        response.headers_mut().insert(name, value);
-    }
-    response
-}
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -4,11 +4,12 @@
 mod keys;
 mod newer;
 mod quota;
+mod replacement;
 mod version;
 
 use crate::call::access::{AccessMetrics, PresentedKey};
 use crate::call::attempt::{Attempt, AttemptIds};
-use crate::call::balance::{BalancePolicy, Health, Index, Upstream, UpstreamInfo};
+use crate::call::balance::{BalancePolicy, Health, Index, Upstream};
 use crate::call::body::Guarded;
 use crate::call::budget::{Failure, backoff};
 use crate::call::idempotency::{KEY_TTL, KeyId};
@@ -18,8 +19,6 @@
 use crate::call::{Outcome, Refusal, RefusalReason, request};
 use crate::daemon::{Daemon, InFlightGuard, Phase};
 use crate::event;
-use crate::exchange::ExchangeState;
-use crate::generated::mesh as wire;
 use crate::kernel::{Plugin, RoleFuture};
 use crate::role::inbound;
 use crate::serve::{Body, serve_calls, streaming_body};
@@ -350,56 +349,6 @@
         })
     }
 
-    /// Merges the record of the daemon that has replaced an upstream, and updates the call's upstreams.
-    ///
-    /// Returns false if the upstream is still known as it was: the record is an old one.
-    fn replace_upstream(
-        &self,
-        call: &mut Call<'_>,
-        index: Index,
-        record: wire::Member,
-        tried: &mut Vec<Index>,
-    ) -> bool {
-        let daemon = call.daemon;
-        let old = call.service.group.upstreams()[index.0].info.clone();
-        event!(
-            UpstreamReplaced,
-            request = call.id,
-            upstream = old.name,
-            incarnation = record.incarnation,
-            before = old.incarnation,
-            service = record.service,
-        );
-        ExchangeState::of(daemon)
-            .update_members(daemon, |registry, now| registry.merge_reported(record, now));
-        let limits = **daemon.limits.load();
-        let view = self
-            .views
-            .get(daemon.config.table(), daemon.fleet.load(), limits);
-        let Some(service) = view.service_named(&call.service.name) else {
-            return false;
-        };
-        let service = &call.same_side(service);
-        let is_same = |new: &Upstream, known: &UpstreamInfo| {
-            new.info.name == known.name && new.info.incarnation == known.incarnation
-        };
-        let upstreams = service.group.upstreams();
-        if upstreams.iter().any(|new| is_same(new, &old)) {
-            return false;
-        }
-        let before = call.service.group.upstreams();
-        tried.retain_mut(|index| {
-            let known = &before[index.0].info;
-            let place = upstreams.iter().position(|new| is_same(new, known));
-            place.is_some_and(|place| {
-                *index = Index(place);
-                true
-            })
-        });
-        call.service = Arc::clone(service);
-        true
-    }
-
     /// Makes one attempt at an upstream and classifies its response.
     async fn attempt(
         &self,
