Log and count attempts that are abandoned, by their stage

A cancelled call left one line at the outbound side (510), which did not say how far its attempt had come. The inbound side now logs 524 AttemptAbandoned with the stage (body, queue, run) and counts it; the outbound side has a histogram of the times until callers disconnected.

--- a/src/call/metrics.rs
+++ b/src/call/metrics.rs
@@ -26,6 +26,12 @@
     outcome: &'static str,
 }
 
+/// How far an abandoned attempt had come; the field's name is the metric's label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StageLabel {
+    stage: &'static str,
+}
+
 /// The reason for a refusal; the field's name is the metric's label.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ReasonLabel {
@@ -46,6 +52,8 @@
 pub struct OutboundMetrics {
     calls: LatencyFamily,
     attempts: Family<OutcomeLabel, Counter>,
+    /// The time from a call's arrival until its caller disconnected.
+    cancelled: Histogram,
     created: Instant,
     /// The time from the start until the first call was answered, in seconds; zero before.
     first_answer: Gauge<f64, AtomicU64>,
@@ -56,6 +64,7 @@
         OutboundMetrics {
             calls: latency_family(),
             attempts: Family::default(),
+            cancelled: histogram(),
             created: Instant::now(),
             first_answer: Gauge::default(),
         }
@@ -73,6 +82,11 @@
         }
     }
 
+    /// Records a call whose caller disconnected this long after its arrival.
+    pub fn note_cancelled(&self, time: Duration) {
+        self.cancelled.observe(time.as_secs_f64());
+    }
+
     /// Records an attempt that did not yield the complete response to its call.
     pub fn note_failure(&self, failure: Failure) {
         let outcome = match failure {
@@ -90,6 +104,13 @@
         registry.register_with_unit("call", help, Unit::Seconds, self.calls.clone());
         let help = "Attempts that were not the answer to their calls, by outcome";
         registry.register("attempt_failures", help, self.attempts.clone());
+        let help = "Time of calls until their callers disconnected, before a response";
+        registry.register_with_unit(
+            "cancelled_call",
+            help,
+            Unit::Seconds,
+            self.cancelled.clone(),
+        );
         let help = "Time from the start until the first call was answered; zero before";
         let gauge = self.first_answer.clone();
         registry.register_with_unit("first_answer", help, Unit::Seconds, gauge);
@@ -101,6 +122,7 @@
     queue: Histogram,
     backend: LatencyFamily,
     refusals: Family<ReasonLabel, Counter>,
+    abandoned: Family<StageLabel, Counter>,
 }
 
 impl Default for InboundMetrics {
@@ -109,6 +131,7 @@
             queue: histogram(),
             backend: latency_family(),
             refusals: Family::default(),
+            abandoned: Family::default(),
         }
     }
 }
@@ -129,6 +152,11 @@
         self.refusals.get_or_create(&ReasonLabel { why }).inc();
     }
 
+    /// Records an attempt that its sender abandoned at a stage.
+    pub fn note_abandoned(&self, stage: &'static str) {
+        self.abandoned.get_or_create(&StageLabel { stage }).inc();
+    }
+
     /// Registers the metrics.
     pub fn register(&self, registry: &mut Registry) {
         let help = "Time that calls waited for a slot of the backend server";
@@ -137,5 +165,7 @@
         registry.register_with_unit("backend", help, Unit::Seconds, self.backend.clone());
         let help = "Calls refused before they reached the backend server, by reason";
         registry.register("refusals", help, self.refusals.clone());
+        let help = "Attempts abandoned by their senders before a response, by stage";
+        registry.register("abandoned", help, self.abandoned.clone());
     }
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -122,6 +122,7 @@
     KeyAwaited = 521, Info, "A call waited for a newer version, since the one in force lacks its API key.";
     ContactLost = 522, Warn, "Calls with an API key are refused: the configuration may be out of date.";
     ContactRegained = 523, Info, "Calls with an API key are served again: the configuration is known to be the newest.";
+    AttemptAbandoned = 524, Info, "The sender of an attempt abandoned it before its response.";
     QuotaExhausted = 525, Info, "A call was refused, since its organisation has used up its quota.";
     QuotaUnanswered = 526, Warn, "No owner of an organisation's quota answers; this daemon uses its own share.";
 
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -6,6 +6,7 @@
 mod crash;
 pub(super) mod health;
 mod keyed;
+mod progress;
 mod queries;
 mod reachability;
 mod running;
@@ -38,6 +39,7 @@
 use crash::{CrashMonitor, MonitoredRun};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Body as _;
+use progress::{Progress, Stage as ProgressStage};
 use prometheus_client::registry::Registry;
 use reachability::Reachability;
 pub use running::LocalCall;
@@ -291,6 +293,21 @@
         daemon: &Daemon,
         request: Request<Body>,
         call_guard: InFlightGuard,
+    ) -> Result<Response<Body>, Refusal> {
+        let id = request.headers().get(&daemon.names.request);
+        let mut progress = Progress::new(&self.metrics, id);
+        let response = self.admit_and_run(daemon, request, call_guard, &mut progress);
+        let response = response.await;
+        progress.end();
+        response
+    }
+
+    async fn admit_and_run(
+        &self,
+        daemon: &Daemon,
+        request: Request<Body>,
+        call_guard: InFlightGuard,
+        progress: &mut Progress<'_>,
     ) -> Result<Response<Body>, Refusal> {
         let attempt = call::text(request.headers(), &call::ATTEMPT);
         let attempt = attempt.and_then(|text| text.parse::<Attempt>().ok());
@@ -322,11 +339,13 @@
         let mut admission = admission_request(&attempt, deadline);
         admission.share = share(daemon, request.headers());
         let (request, fingerprint, buffer) = self.buffer_body(daemon, request, &admission).await?;
+        progress.reach(ProgressStage::Queue);
         let monitored = self.crashes.start(&request, fingerprint);
         let monitored = monitored.admit(daemon, deadline).await?;
         let queued_at = Instant::now();
         let permit = self.gate.admit(&admission).await;
         let permit = permit.map_err(admission_refusal)?;
+        progress.reach(ProgressStage::Run);
         // The backend server may have started to drain while the call waited.
         check_accepting(daemon)?;
         let run = RunningCall {
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -162,7 +162,7 @@
         let version = request.version();
         let names = &daemon.names;
         let id = request::request_id(&request, names);
-        let mut call_log = CallLog::new(&id);
+        let mut call_log = CallLog::new(&id, &self.metrics);
         let response = self.forward(daemon, request, &id, call_guard).await;
         let mut response = response.unwrap_or_else(|refusal| {
             event!(
@@ -457,14 +457,16 @@
 /// Logs how a call ends: with a response, or by its caller disconnecting before one.
 struct CallLog<'a> {
     id: &'a str,
+    metrics: &'a OutboundMetrics,
     started: Instant,
     ended: bool,
 }
 
 impl<'a> CallLog<'a> {
-    fn new(id: &'a str) -> Self {
+    fn new(id: &'a str, metrics: &'a OutboundMetrics) -> Self {
         CallLog {
             id,
+            metrics,
             started: Instant::now(),
             ended: false,
         }
@@ -485,8 +487,9 @@
 impl Drop for CallLog<'_> {
     fn drop(&mut self) {
         if !self.ended {
-            let ms = self.started.elapsed().as_millis();
-            event!(AttemptCancelled, request = self.id, ms = ms);
+            let time = self.started.elapsed();
+            self.metrics.note_cancelled(time);
+            event!(AttemptCancelled, request = self.id, ms = time.as_millis());
         }
     }
 }
