Cancel calls whose callers leave while bytes of theirs are unread

Callers saw: work went on for them after they had left, and queued requests were sent on seconds later. Cause: the HTTP library finds the end of a connection only when it has read all bytes before it. It reads none while a further request stands in its buffer, or while the body of a call is unread since the call waits for its slot. A queued call of such a caller ran when its turn came, a running one to its end. Class: the end of a stream is taken to be found by reading it, though nothing reads. Change: each call on a caller's connection waits for the kernel's report of the end of the stream beside its response, and is dropped with it; the same while the response's body is sent. Asked first at each step, so that a call whose caller has left does not start, or take a slot. Connections between daemons keep the order of bytes, since a daemon's last messages before its end are still wanted.

--- a/src/event.rs
+++ b/src/event.rs
@@ -118,6 +118,8 @@
 
     UpstreamReplaced = 518, Info, "Another incarnation of a daemon answered; its record replaces the one known before.";
 
+    CallerLeft = 519, Info, "A caller closed its connection while a call of it was in progress.";
+
     KeyRefused = 520, Info, "A call was refused for its API key; it was not run.";
     KeyAwaited = 521, Info, "A call waited for a newer version, since the one in force lacks its API key.";
     ContactLost = 522, Warn, "Calls with an API key are refused: the configuration may be out of date.";
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -32,7 +32,7 @@
 use crate::kernel::{Plugin, RoleFuture};
 use crate::quarantine::{self, Quarantine};
 use crate::rollout;
-use crate::serve::{Body, BodyError, serve_calls};
+use crate::serve::{Body, BodyError, PeerEnd, serve_calls};
 use crate::sync::lock;
 use backend::{check_response, max_body_len, note_leaving, stated_rate, to_backend};
 use bounded::Bounded;
@@ -92,7 +92,8 @@
             }
         };
         let drain = daemon.drain.clone();
-        serve_calls(&daemon.sockets.inbound, drain, Phase::Closing, handler).await
+        let socket = &daemon.sockets.inbound;
+        serve_calls(socket, drain, Phase::Closing, PeerEnd::InOrder, handler).await
     })
 }
 
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -21,7 +21,7 @@
 use crate::event;
 use crate::kernel::{Plugin, RoleFuture};
 use crate::role::inbound;
-use crate::serve::{Body, serve_calls, streaming_body};
+use crate::serve::{Body, PeerEnd, serve_calls, streaming_body};
 use crate::sync::lock;
 use attempt::{Call, FailedAttempt, StopReason, classify_response, no_upstream};
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -65,7 +65,8 @@
         };
         tokio::spawn(close_idle_links(Arc::downgrade(&component(&daemon))));
         let drain = daemon.drain.clone();
-        serve_calls(&daemon.sockets.outbound, drain, Phase::Draining, handler).await
+        let socket = &daemon.sockets.outbound;
+        serve_calls(socket, drain, Phase::Draining, PeerEnd::OnArrival, handler).await
     })
 }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,9 +1,11 @@
 //! The accept loop of the HTTP listeners.
 
+mod disconnect;
 mod linger;
 
 use crate::daemon::{Drain, InFlightGuard, Phase, Socket};
 use crate::event;
+use disconnect::Disconnect;
 use http::{Request, Response};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -13,8 +15,8 @@
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use linger::ReturnedStream;
-use std::convert::Infallible;
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -45,6 +47,15 @@
 /// The HTTP/2 flow-control window of a connection, in bytes.
 const CONNECTION_WINDOW: u32 = 64 * 1024;
 
+/// When the end of a peer's stream ends the calls of its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerEnd {
+    /// As soon as it arrives, though bytes before it are unread: the peer is a caller that has left.
+    OnArrival,
+    /// Once all bytes before it have been read: what a daemon sends before it closes is still handled.
+    InOrder,
+}
+
 /// Creates a body from complete data.
 #[must_use]
 pub fn full_body(data: impl Into<Bytes>) -> Body {
@@ -79,7 +90,7 @@
     let listener = socket.listener()?;
     let graceful = GracefulShutdown::new();
     accept(&listener, socket, &drain, until, |stream| {
-        spawn_connection(stream, &graceful, None, handler.clone());
+        spawn_connection(stream, &graceful, None, PeerEnd::InOrder, handler.clone());
     })
     .await;
     drop(listener);
@@ -100,6 +111,7 @@
     socket: &Socket,
     drain: Drain,
     graceful_from: Phase,
+    peer_end: PeerEnd,
     handler: H,
 ) -> anyhow::Result<()>
 where
@@ -110,7 +122,7 @@
     let early = GracefulShutdown::new();
     let spawn = |stream, graceful: &GracefulShutdown| {
         let guard = drain.connection();
-        spawn_connection(stream, graceful, Some(guard), handler.clone());
+        spawn_connection(stream, graceful, Some(guard), peer_end, handler.clone());
     };
     accept(&listener, socket, &drain, graceful_from, |stream| {
         spawn(stream, &early);
@@ -154,6 +166,7 @@
     stream: TcpStream,
     graceful: &GracefulShutdown,
     guard: Option<InFlightGuard>,
+    peer_end: PeerEnd,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
@@ -161,9 +174,21 @@
 {
     // With Nagle's algorithm, small responses would wait for the peer's delayed acknowledgement.
     let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let reader = Arc::new(reader);
+    let watched = Arc::clone(&reader);
     let service = service_fn(move |request| {
         let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let disconnect = match peer_end {
+            PeerEnd::OnArrival => Some(Disconnect::of(Arc::clone(&watched))),
+            PeerEnd::InOrder => None,
+        };
+        async move {
+            match disconnect {
+                Some(disconnect) => disconnect.cancel(response).await,
+                None => Ok(response.await),
+            }
+        }
     });
     let head_timeout = if guard.is_some() {
         CALL_HEAD_TIMEOUT
@@ -184,15 +209,15 @@
         .max_header_list_size(u32::try_from(MAX_HEAD_LEN).unwrap_or(u32::MAX))
         .max_send_buf_size(STREAM_WINDOW as usize)
         .max_concurrent_streams(MAX_STREAMS);
-    let (stream, returned) = ReturnedStream::new(stream);
+    let (stream, returned) = ReturnedStream::new((reader, writer));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection.into_owned());
     tokio::spawn(async move {
         if let Err(err) = connection.await {
             event!(ConnectionFailed, error = err);
         }
-        if let Ok(stream) = returned.await {
-            linger::close(stream).await;
+        if let Ok(halves) = returned.await {
+            linger::close(halves).await;
         }
         drop(guard);
     });
--- a/src/serve/linger.rs
+++ b/src/serve/linger.rs
@@ -5,10 +5,12 @@
 
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -19,35 +21,42 @@
 /// The longest time for which bytes of a peer are read that does not end.
 const MAX_TIME: Duration = Duration::from_secs(10);
 
+/// The halves of a connection's stream. The first is shared with those that wait for the peer's end.
+pub(super) type Halves = (Arc<OwnedReadHalf>, OwnedWriteHalf);
+
 /// A stream that is handed back when its connection has ended.
 pub(super) struct ReturnedStream {
     /// Present until the value is dropped.
-    stream: Option<TcpStream>,
-    owner: Option<oneshot::Sender<TcpStream>>,
+    halves: Option<Halves>,
+    owner: Option<oneshot::Sender<Halves>>,
 }
 
 impl ReturnedStream {
     /// Wraps a stream; the receiver gets it back when the value is dropped.
-    pub(super) fn new(stream: TcpStream) -> (Self, oneshot::Receiver<TcpStream>) {
+    pub(super) fn new(halves: Halves) -> (Self, oneshot::Receiver<Halves>) {
         let (owner, returned) = oneshot::channel();
         let stream = ReturnedStream {
-            stream: Some(stream),
+            halves: Some(halves),
             owner: Some(owner),
         };
         (stream, returned)
     }
 
-    fn stream(&mut self) -> Pin<&mut TcpStream> {
-        let stream = self.stream.as_mut();
-        Pin::new(stream.expect("the stream is present until the value is dropped"))
+    fn halves(&mut self) -> &mut Halves {
+        let halves = self.halves.as_mut();
+        halves.expect("the stream is present until the value is dropped")
+    }
+
+    fn writer(&mut self) -> Pin<&mut OwnedWriteHalf> {
+        Pin::new(&mut self.halves().1)
     }
 }
 
 impl Drop for ReturnedStream {
     fn drop(&mut self) {
-        if let (Some(stream), Some(owner)) = (self.stream.take(), self.owner.take()) {
+        if let (Some(halves), Some(owner)) = (self.halves.take(), self.owner.take()) {
             // Without a receiver, the stream is closed at once.
-            let _ = owner.send(stream);
+            let _ = owner.send(halves);
         }
     }
 }
@@ -58,7 +67,16 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.stream().poll_read(cx, buf)
+        let (reader, _) = self.halves();
+        let stream: &TcpStream = (**reader).as_ref();
+        loop {
+            ready!(stream.poll_read_ready(cx))?;
+            match stream.try_read_buf(buf) {
+                Ok(_) => return Poll::Ready(Ok(())),
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                Err(err) => return Poll::Ready(Err(err)),
+            }
+        }
     }
 }
 
@@ -68,15 +86,15 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.stream().poll_write(cx, buf)
+        self.writer().poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream().poll_flush(cx)
+        self.writer().poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream().poll_shutdown(cx)
+        self.writer().poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
@@ -84,7 +102,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.stream().poll_write_vectored(cx, bufs)
+        self.writer().poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -93,13 +111,19 @@
 }
 
 /// Ends the stream for the peer, and reads what it still sends until it ends too or is quiet.
-pub(super) async fn close(mut stream: TcpStream) {
+pub(super) async fn close((reader, mut writer): Halves) {
     // Fails if the connection is broken, which the first read finds too.
-    let _ = stream.shutdown().await;
-    let _ = timeout(MAX_TIME, discard(&mut stream)).await;
+    let _ = writer.shutdown().await;
+    let _ = timeout(MAX_TIME, discard(&reader)).await;
 }
 
-async fn discard(stream: &mut TcpStream) {
+async fn discard(reader: &OwnedReadHalf) {
     let mut buffer = vec![0; 4 * 1024];
-    while let Ok(Ok(1..)) = timeout(QUIET_TIME, stream.read(&mut buffer)).await {}
+    while let Ok(Ok(())) = timeout(QUIET_TIME, reader.readable()).await {
+        match reader.try_read(&mut buffer) {
+            Ok(1..) => {}
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+            Ok(0) | Err(_) => return,
+        }
+    }
 }
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -15,12 +15,13 @@
 use baobabstage::{Category, Error, Result};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
+use standin::caller;
 use standin::fault::{Accept, Control, FaultProxy, Faults};
 use standin::platform::{Limits, Platform};
 use standin::testbed::{LOOPBACK, TIMEOUT};
@@ -92,18 +93,35 @@
 /// A request that a backend server has received.
 #[derive(Clone, Debug)]
 pub struct Received {
+    /// When its head had arrived.
+    pub at: Instant,
     /// The path with its query.
     pub path: String,
     /// The headers.
     pub headers: HeaderMap,
 }
 
-/// A backend server that records the heads of its requests. It answers with the path, after the
-/// milliseconds that the query states; with a second number behind a comma, with a body of that many
-/// bytes instead.
+/// A backend server that records the heads of its requests, and when it ended work on each. It answers with
+/// the path, after the milliseconds that the query states; with a second number behind a comma, with a body
+/// of that many bytes instead. Work ends when its connection is closed.
 #[derive(Clone, Default)]
 pub struct Recorder {
     received: Arc<Mutex<Vec<Received>>>,
+    ended: Arc<Mutex<Vec<(String, Instant)>>>,
+    /// Where requests below `/parent` are sent on, without `/parent`, before they are answered.
+    nested: Arc<Mutex<Option<SocketAddr>>>,
+}
+
+/// Records the end of work on a request when it is dropped.
+struct Work {
+    path: String,
+    recorder: Recorder,
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        lock(&self.recorder.ended).push((self.path.clone(), Instant::now()));
+    }
 }
 
 impl Recorder {
@@ -127,10 +145,23 @@
         let path = request.uri().path_and_query().unwrap().to_string();
         let headers = request.headers().clone();
         lock(&self.received).push(Received {
+            at: Instant::now(),
             path: path.clone(),
             headers,
         });
-        let numbers = request.uri().query().unwrap_or_default().split(',');
+        let _work = Work {
+            path: path.clone(),
+            recorder: self.clone(),
+        };
+        // A connection whose request has an unread body does not notice that it is closed.
+        let _ = request.into_body().collect().await;
+        let nested = *lock(&self.nested);
+        if let (Some(address), Some(rest)) = (nested, path.strip_prefix("/parent")) {
+            let child = Request::get(rest).header("host", "certs");
+            let _ = caller::call(address, child.body(Full::default())?).await;
+        }
+        let query = path.split_once('?').map_or("", |(_, query)| query);
+        let numbers = query.split(',');
         let mut numbers = numbers.map(|number| number.parse().unwrap_or(0));
         sleep(Duration::from_millis(numbers.next().unwrap_or(0))).await;
         let body = match numbers.next().and_then(|len| usize::try_from(len).ok()) {
@@ -145,6 +176,16 @@
         lock(&self.received).clone()
     }
 
+    /// Returns when work on each request ended, by path.
+    pub fn ended(&self) -> Vec<(String, Instant)> {
+        lock(&self.ended).clone()
+    }
+
+    /// Makes requests below `/parent` call the rest of their path at an address.
+    pub fn call_nested(&self, address: SocketAddr) {
+        *lock(&self.nested) = Some(address);
+    }
+
     /// Returns the last request received.
     pub fn last(&self) -> Received {
         lock(&self.received).last().cloned().unwrap()
