Do not take the copy of a refusal for the response to a request

Reported by other operators: a backend server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran, or these ran at a second backend server as well. Cause: a response without a request id was trusted, and 'not run' read from it. And the same attempt may be sent again to the backend server that refused it, on the same connection, so that a copy has the right id. Class: a response is assigned to a request by its place on the connection. Change: a response that lacks the id that backend servers state is of unknown outcome, checked before any other header of it is used; a connection does not carry a request again that was refused on it; a refusal without an id closes its connection; health checks open new ones. The pool of connections moves to call::pool.

--- a/src/call.rs
+++ b/src/call.rs
@@ -12,6 +12,7 @@
 pub mod gate;
 pub mod idempotency;
 pub mod metrics;
+pub mod pool;
 pub mod read_ahead;
 pub mod request;
 pub mod shares;
--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -1,35 +1,30 @@
-//! Connections to backend servers and to other daemons.
+//! Connections to other daemons.
 
 use super::{
     FENCE, HELLO, KEY_KNOWN, QUOTA, attempt::Attempt, fence::ExecutionStatus, idempotency::KeyId,
 };
 use crate::generated::mesh as wire;
 use crate::quota::Grant;
-use crate::serve::{Body, BodyError, full_body};
+use crate::serve::{Body, full_body};
 use crate::sync::lock;
 use crate::transfer::receive;
 use arc_swap::ArcSwapOption;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
-use http_body::{Body as HttpBody, Frame, SizeHint};
+use http::{HeaderName, HeaderValue, Request, Response};
 use hyper::body::{Bytes, Incoming};
-use hyper::client::conn::{http1, http2};
+use hyper::client::conn::http2;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use prost::Message as _;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 /// Timeout to connect for a call, which has another upstream to try. A lost SYN packet is retransmitted only
 /// after a second, so a longer timeout than a few round trips gains little.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Timeout for a query to an inbound side, such as a fence.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -49,16 +44,11 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Greatest length of the head of a server's response, in bytes.
-const MAX_HEAD_LEN: usize = 64 * 1024;
+pub(super) const MAX_HEAD_LEN: usize = 64 * 1024;
 
 /// Greatest length of a member record in the response to a hello, in bytes.
 const MAX_RECORD_LEN: usize = 16 * 1024;
 
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-
-/// How long before the end of a server's keep-alive timeout an idle connection is discarded.
-const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
-
 /// The reason for which a call to an upstream has no response.
 #[derive(Debug, Error)]
 pub enum UpstreamError {
@@ -84,7 +74,7 @@
     Replaced(Box<wire::Member>),
 }
 
-async fn connect(
+pub(super) async fn connect(
     address: SocketAddr,
     limit: Duration,
 ) -> Result<TokioIo<TcpStream>, UpstreamError> {
@@ -99,280 +89,6 @@
     Ok(TokioIo::new(stream))
 }
 
-/// Which idle connections a call may reuse.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reuse {
-    /// None: the call gets a new connection.
-    Never,
-    /// Those that have been idle for no longer than this.
-    Within(Duration),
-}
-
-/// A pool of HTTP/1 connections to one server, each used for one call at a time.
-#[derive(Clone)]
-pub struct BackendPool {
-    address: SocketAddr,
-    connect_timeout: Duration,
-    idle: Arc<Mutex<Vec<Idle>>>,
-    /// One permit for each connection that may still be opened.
-    capacity: Arc<Semaphore>,
-    /// The number of connections that may be open at once.
-    max_open: Arc<Mutex<usize>>,
-}
-
-/// A connection without a call in flight.
-struct Idle {
-    connection: Connection,
-    since: Instant,
-    /// When to stop using it, if the server sent a keep-alive timeout.
-    until: Option<Instant>,
-}
-
-/// A connection to a server. It is closed when it is dropped.
-struct Connection {
-    sender: http1::SendRequest<Body>,
-    task: AbortHandle,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-impl BackendPool {
-    /// Creates an empty pool with a limit of zero: it opens no connections until
-    /// [`BackendPool::set_limit`].
-    #[must_use]
-    pub fn new(address: SocketAddr) -> Self {
-        BackendPool {
-            address,
-            connect_timeout: CONNECT_TIMEOUT,
-            idle: Arc::default(),
-            capacity: Arc::new(Semaphore::new(0)),
-            max_open: Arc::default(),
-        }
-    }
-
-    /// Sets the timeout to connect, for requests that have no other server to try.
-    #[must_use]
-    pub fn with_connect_timeout(self, connect_timeout: Duration) -> Self {
-        BackendPool {
-            connect_timeout,
-            ..self
-        }
-    }
-
-    /// Returns the server's address.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Sets how many connections may be open at once. A lower limit closes all idle connections.
-    pub fn set_limit(&self, limit: usize) {
-        let mut max_open = lock(&self.max_open);
-        if limit > *max_open {
-            self.capacity.add_permits(limit - *max_open);
-            *max_open = limit;
-            return;
-        }
-        let surplus = *max_open - limit;
-        if surplus == 0 {
-            return;
-        }
-        drop(lock(&self.idle).drain(..));
-        // The permits of connections that are still open are withdrawn by later calls.
-        *max_open -= self.capacity.forget_permits(surplus);
-    }
-
-    /// Closes all idle connections.
-    pub fn clear(&self) {
-        drop(lock(&self.idle).drain(..));
-    }
-
-    /// Returns an idle connection or opens a new one.
-    ///
-    /// # Errors
-    ///
-    /// Fails with [`UpstreamError::NotSent`].
-    pub async fn connection(&self, reuse: Reuse) -> Result<Lease, UpstreamError> {
-        let connection = match self.take_idle(reuse) {
-            Some(connection) => connection,
-            None => self.connect().await?,
-        };
-        Ok(Lease {
-            address: self.address,
-            connection,
-            idle: Arc::clone(&self.idle),
-        })
-    }
-
-    fn take_idle(&self, reuse: Reuse) -> Option<Connection> {
-        let now = Instant::now();
-        let mut idle = lock(&self.idle);
-        let usable = |idle: &Idle| idle.until.is_none_or(|until| now < until);
-        idle.retain(|idle| idle.connection.sender.is_ready() && usable(idle));
-        let Reuse::Within(max_idle) = reuse else {
-            // At the limit, an idle connection is closed for the new one, as it would only grow
-            // older.
-            if self.capacity.available_permits() == 0 {
-                idle.pop();
-            }
-            return None;
-        };
-        let newest = idle.last()?;
-        // The newest is the last; all others have been idle for longer.
-        if now.saturating_duration_since(newest.since) > max_idle {
-            idle.clear();
-            return None;
-        }
-        idle.pop().map(|idle| idle.connection)
-    }
-
-    async fn connect(&self) -> Result<Connection, UpstreamError> {
-        let not_sent = |err: String| UpstreamError::NotSent(self.address, err);
-        let capacity = Arc::clone(&self.capacity).acquire_owned();
-        let capacity = tokio::time::timeout(self.connect_timeout, capacity).await;
-        let capacity = capacity.map_err(|_| not_sent("connection limit reached".into()))?;
-        let capacity = capacity.map_err(|err| not_sent(err.to_string()))?;
-        let io = connect(self.address, self.connect_timeout).await?;
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(MAX_HEAD_LEN)
-            .handshake(io)
-            .await
-            .map_err(|err| not_sent(err.to_string()))?;
-        let task = tokio::spawn(run_connection(connection, capacity));
-        let task = task.abort_handle();
-        Ok(Connection { sender, task })
-    }
-}
-
-async fn run_connection(
-    connection: http1::Connection<TokioIo<TcpStream>, Body>,
-    _capacity: OwnedSemaphorePermit,
-) {
-    // The request in flight reports the same error.
-    let _ = connection.await;
-}
-
-/// A connection taken from the pool for one call.
-pub struct Lease {
-    address: SocketAddr,
-    connection: Connection,
-    idle: Arc<Mutex<Vec<Idle>>>,
-}
-
-impl Lease {
-    /// Sends a request. The connection returns to the pool only after a complete response.
-    ///
-    /// # Errors
-    ///
-    /// Fails with [`UpstreamError::NotSent`] only when nothing of the request was sent.
-    pub async fn send(
-        mut self,
-        request: Request<Body>,
-    ) -> Result<Response<PooledBody>, UpstreamError> {
-        let response = self.connection.sender.try_send_request(request).await;
-        let response = response.map_err(|mut err| match err.take_message() {
-            Some(_) => UpstreamError::NotSent(self.address, err.into_error().to_string()),
-            None if err.error().is_parse_too_large() => UpstreamError::Endless(self.address),
-            None => UpstreamError::Lost(self.address, err.into_error().to_string()),
-        })?;
-        let (head, body) = response.into_parts();
-        let until = idle_until(&head.headers, Instant::now());
-        let mut body = PooledBody {
-            body,
-            lease: Some(self),
-            until,
-        };
-        if body.body.is_end_stream() {
-            body.release();
-        }
-        Ok(Response::from_parts(head, body))
-    }
-}
-
-/// A response body that returns its connection to the pool when it has ended.
-///
-/// The connection is closed if the body is dropped before its end.
-pub struct PooledBody {
-    body: Incoming,
-    /// The connection, until it is returned to the pool or closed.
-    lease: Option<Lease>,
-    /// When to stop using the connection, if the server sent a keep-alive timeout.
-    until: Option<Instant>,
-}
-
-impl PooledBody {
-    fn release(&mut self) {
-        let Some(Lease {
-            mut connection,
-            idle,
-            ..
-        }) = self.lease.take()
-        else {
-            return;
-        };
-        let until = self.until;
-        let put = move |connection| {
-            let since = Instant::now();
-            lock(&idle).push(Idle {
-                connection,
-                since,
-                until,
-            });
-        };
-        if connection.sender.is_ready() {
-            put(connection);
-            return;
-        }
-        tokio::spawn(async move {
-            if connection.sender.ready().await.is_ok() {
-                put(connection);
-            }
-        });
-    }
-}
-
-/// Returns when to stop using an idle connection: the server's keep-alive timeout less a margin for
-/// a request in flight at that moment.
-fn idle_until(headers: &HeaderMap, now: Instant) -> Option<Instant> {
-    let value = super::text(headers, &KEEP_ALIVE)?;
-    let mut parts = value.split(',').map(str::trim);
-    let seconds = parts.find_map(|part| part.strip_prefix("timeout="))?;
-    let seconds: u64 = seconds.parse().ok()?;
-    let time = Duration::from_secs(seconds);
-    Some(now + time.saturating_sub(KEEP_ALIVE_MARGIN.min(time / 2)))
-}
-
-impl HttpBody for PooledBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let frame = Pin::new(&mut self.body).poll_frame(cx);
-        match &frame {
-            Poll::Ready(None) => self.release(),
-            Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.release(),
-            Poll::Ready(Some(Err(_))) => self.lease = None,
-            _ => {}
-        }
-        frame.map_err(Into::into)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// A multiplexed HTTP/2 connection to another daemon's inbound side, opened on first use.
 pub struct Link {
     address: SocketAddr,
--- a/src/exchange/peer.rs
+++ b/src/exchange/peer.rs
@@ -2,7 +2,8 @@
 
 use super::{ExchangeState, Hint};
 use crate::call::EXCHANGE;
-use crate::call::upstream::{BackendPool, Reuse, UpstreamError};
+use crate::call::pool::{BackendPool, Reuse};
+use crate::call::upstream::UpstreamError;
 use crate::daemon::Daemon;
 use crate::event;
 use crate::generated::mesh as wire;
--- a/src/header_names.rs
+++ b/src/header_names.rs
@@ -10,6 +10,8 @@
 pub struct HeaderNames {
     /// Identifies the call; the same for all attempts of one call.
     pub request: HeaderName,
+    /// Whether backend servers state the request id in each response. One without it then proves nothing.
+    pub request_echoed: bool,
     /// The remaining time of a call, in milliseconds.
     pub deadline: HeaderName,
     /// Sent to a backend server: the instance that shall run the call.
@@ -48,6 +50,7 @@
     fn default() -> Self {
         HeaderNames {
             request: call::REQUEST_ID,
+            request_echoed: false,
             deadline: call::DEADLINE_MS,
             expected_instance: None,
             instance: None,
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -3,7 +3,8 @@
 use super::{
     Call, Changes, Dialect, Entry, Listing, Platform, PlatformError, PlatformFuture, Reply, Swap,
 };
-use crate::call::upstream::{BackendPool, PooledBody, Reuse, UpstreamError};
+use crate::call::pool::{BackendPool, PooledBody, Reuse};
+use crate::call::upstream::UpstreamError;
 use crate::event;
 use crate::serve::full_body;
 use crate::sync::lock;
--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -22,9 +22,10 @@
 use crate::call::gate::{Gate, Rejected};
 use crate::call::idempotency::Keys;
 use crate::call::metrics::InboundMetrics;
+use crate::call::pool::{BackendPool, Reuse};
 use crate::call::read_ahead::{Receiver, Transfers};
 use crate::call::shares::ShareKey;
-use crate::call::upstream::{BackendPool, Reuse, UpstreamError};
+use crate::call::upstream::UpstreamError;
 use crate::call::{self, Outcome, Refusal, RefusalReason};
 use crate::daemon::{Daemon, InFlightGuard, Phase};
 use crate::event;
@@ -34,7 +35,10 @@
 use crate::rollout;
 use crate::serve::{Body, BodyError, PeerEnd, serve_calls};
 use crate::sync::lock;
-use backend::{check_response, max_body_len, note_leaving, stated_rate, to_backend};
+use backend::{
+    check_origin, check_response, keep_connection, max_body_len, note_leaving, stated_rate,
+    to_backend,
+};
 use bounded::Bounded;
 use crash::{CrashMonitor, MonitoredRun};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -431,7 +435,8 @@
         } else {
             Reuse::Within(MAX_IDLE_UNSAFE)
         };
-        let connection = self.pool.connection(reuse).await;
+        let id = request.headers().get(&names.request);
+        let connection = self.pool.connection_for(reuse, id).await;
         let lease = connection.map_err(|err| self.mark_unreachable(&err))?;
         // A drain or a crash may have been reported while the connection was opened.
         check_accepting(daemon)?;
@@ -457,7 +462,7 @@
             attempt.time_class,
             deadline,
         );
-        let response = match lease.send(request).await {
+        let mut response = match lease.send_once(request).await {
             Ok(response) => response,
             Err(err) => {
                 run.permit.exclude_sample();
@@ -469,6 +474,14 @@
                 return Err(self.no_response(err, monitored).await);
             }
         };
+        let id = id.as_ref();
+        if let Err(refusal) = check_origin(names, &response, id) {
+            run.permit.exclude_sample();
+            if let Some(counted) = counted {
+                counted.fail();
+            }
+            return Err(refusal);
+        }
         self.mark_reachable();
         monitored.set_status(response.status());
         let failed = response.status().is_server_error();
@@ -479,10 +492,7 @@
             .note_run(run.waited, run.permit.service_time(), failed);
         event!(
             AttemptRan,
-            request = id
-                .as_ref()
-                .and_then(|id| id.to_str().ok())
-                .unwrap_or_default(),
+            request = id.and_then(|id| id.to_str().ok()).unwrap_or_default(),
             instance = instance.unwrap_or("-"),
             waited_ms = run.waited.as_millis(),
             ran_ms = run.permit.service_time().as_millis(),
@@ -492,11 +502,11 @@
         if response.headers().contains_key(call::DRAIN) {
             daemon.drain.advance(Phase::Draining);
         }
-        let id = id.as_ref();
         if response.headers().get(&names.request) == id {
             self.update_rate_limit(stated_rate(names, response.headers()));
             note_leaving(daemon, &backend, &response);
         }
+        keep_connection(names, &mut response, id);
         if let Err(refusal) = check_response(daemon, &backend, &response, id) {
             run.permit.exclude_sample();
             match counted {
--- a/src/role/inbound/backend.rs
+++ b/src/role/inbound/backend.rs
@@ -2,14 +2,14 @@
 
 use super::unavailable;
 use crate::backend::{Backend, Stage};
-use crate::call::upstream::PooledBody;
+use crate::call::pool::PooledBody;
 use crate::call::{self, Refusal, RefusalReason, access, request};
 use crate::daemon::Daemon;
 use crate::event;
 use crate::header_names::HeaderNames;
 use crate::serve::Body;
 use crate::site::Leave;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use tokio::time::Instant;
 
 /// Greatest length of a response's body, in bytes.
@@ -18,8 +18,61 @@
 /// Greatest length of the body of a response without a proof of its origin, in bytes.
 const MAX_UNSEALED_LEN: u64 = 64 * 1024;
 
-/// Checks that a response is complete, belongs to this call and comes from the expected backend
-/// server, and that the backend server did not refuse the call.
+/// Checks that a response belongs to this call, before anything else of it is used.
+///
+/// # Errors
+///
+/// Fails if it states another request id, or none although backend servers state it: the outcome is then
+/// unknown.
+pub(super) fn check_origin(
+    names: &HeaderNames,
+    response: &Response<PooledBody>,
+    id: Option<&HeaderValue>,
+) -> Result<(), Refusal> {
+    let actual = response.headers().get(&names.request);
+    if actual == id || actual.is_none() && !names.request_echoed {
+        return Ok(());
+    }
+    event!(
+        AnswerMismatched,
+        request = id.and_then(|id| id.to_str().ok()).unwrap_or_default(),
+        answer = format_args!("{actual:?}")
+    );
+    let reason = "backend server's response belongs to another call";
+    Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason))
+}
+
+/// Decides whether the connection of a response may carry further requests.
+///
+/// A copy of a refusal that arrives later must not be taken for the response to another request.
+pub(super) fn keep_connection(
+    names: &HeaderNames,
+    response: &mut Response<PooledBody>,
+    id: Option<&HeaderValue>,
+) {
+    let refuses = implies_not_run(response.status()) || states_not_run(names, response.headers());
+    let stated = response.headers().get(&names.request).cloned();
+    match stated.filter(|stated| Some(stated) == id) {
+        _ if !refuses => response.body_mut().keep_connection(),
+        Some(id) => response.body_mut().keep_after_refusal(&id),
+        // Nothing would tell a copy from the response to the next request.
+        None => {}
+    }
+}
+
+/// Tests whether a status tells a caller that the call did not run.
+fn implies_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
+/// Tests whether a response states that the backend server did not run the call.
+fn states_not_run(names: &HeaderNames, headers: &HeaderMap) -> bool {
+    let name = names.not_run.as_ref();
+    name.is_some_and(|name| headers.contains_key(name))
+}
+
+/// Checks that a response is complete and comes from the expected backend server, and that the backend
+/// server did not refuse the call.
 pub(super) fn check_response(
     daemon: &Daemon,
     backend: &Backend,
@@ -29,15 +82,6 @@
     let names = &daemon.names;
     let (status, headers) = (response.status(), response.headers());
     let id_text = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
-    if let Some(other) = mismatch(headers, &names.request, id) {
-        event!(
-            AnswerMismatched,
-            request = id_text,
-            answer = format_args!("{other:?}")
-        );
-        let reason = "backend server's response belongs to another call";
-        return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason));
-    }
     if status == StatusCode::MISDIRECTED_REQUEST && names.expected_instance.is_some() {
         let actual = names
             .instance
@@ -57,11 +101,7 @@
             RefusalReason::Shed,
         ));
     }
-    if names
-        .not_run
-        .as_ref()
-        .is_some_and(|name| headers.contains_key(name))
-    {
+    if states_not_run(names, headers) {
         let refusal = unavailable("backend server refused the call", RefusalReason::Shed);
         let after = call::read_retry_after(headers);
         return Err(after.map_or(refusal.clone(), |after| refusal.with_retry_after(after)));
@@ -76,8 +116,7 @@
     }
     // These statuses imply to the caller that the call did not run, but the backend server states
     // that only by the not-run header.
-    let implies_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-    if implies_not_run {
+    if implies_not_run(status) {
         let reason = format!("backend server answered {status}");
         return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason));
     }
@@ -124,16 +163,6 @@
     }
 }
 
-/// Returns a header's value when it is present and not the expected one.
-fn mismatch<'a>(
-    headers: &'a HeaderMap,
-    name: &HeaderName,
-    expected: Option<&HeaderValue>,
-) -> Option<&'a HeaderValue> {
-    let actual = headers.get(name)?;
-    (Some(actual) != expected).then_some(actual)
-}
-
 /// Turns an attempt into the request that the backend server receives; returns its request id too.
 ///
 /// The organisation is the one that the outbound side states. If keys are checked here, a caller's
--- a/src/role/inbound/bounded.rs
+++ b/src/role/inbound/bounded.rs
@@ -3,7 +3,7 @@
 use super::crash::MonitoredRun;
 use super::reachability::Reachability;
 use crate::call::body::CutOffError;
-use crate::call::upstream::PooledBody;
+use crate::call::pool::PooledBody;
 use crate::rollout::counters::CountedRun;
 use crate::serve::BodyError;
 use http_body::{Body as HttpBody, Frame, SizeHint};
--- a/src/role/inbound/health.rs
+++ b/src/role/inbound/health.rs
@@ -4,7 +4,8 @@
 //! or be wrong. Only a response that reports a drain has an effect; other changes are logged.
 
 use crate::call;
-use crate::call::upstream::{BackendPool, Reuse, UpstreamError};
+use crate::call::pool::{BackendPool, Reuse};
+use crate::call::upstream::UpstreamError;
 use crate::daemon::{Daemon, Phase};
 use crate::event;
 use crate::serve::full_body;
@@ -87,7 +88,8 @@
     let host = HeaderValue::from_static("backend");
     request.headers_mut().insert(header::HOST, host);
     let exchange = async {
-        let response = pool.connection(Reuse::Never).await?.send(request).await?;
+        let connection = pool.connection(Reuse::Never).await?;
+        let response = connection.send_once(request).await?;
         Ok::<_, UpstreamError>(response)
     };
     let Ok(Ok(response)) = tokio::time::timeout(CONFIRM_TIMEOUT, exchange).await else {
@@ -124,11 +126,9 @@
     *request.uri_mut() = path.parse().unwrap_or_default();
     let host = HeaderValue::from_static("backend");
     request.headers_mut().insert(header::HOST, host);
-    let response = pool
-        .connection(Reuse::Within(PROBE_INTERVAL * 2))
-        .await?
-        .send(request)
-        .await?;
+    // Responses have no request id, so a late copy of one could not be told from the next on a kept connection.
+    let connection = pool.connection(Reuse::Never).await?;
+    let response = connection.send_once(request).await?;
     let (head, body) = response.into_parts();
     if head.headers.contains_key(call::DRAIN) {
         return Ok(Health::Draining);
--- a/tests/call_disconnect.rs
+++ b/tests/call_disconnect.rs
@@ -8,11 +8,10 @@
 use futures_util::stream;
 use http::Request;
 use http_body::Frame;
-use http_body_util::{BodyExt, Empty, Full, StreamBody, combinators::UnsyncBoxBody};
+use http_body_util::{BodyExt, Empty, StreamBody, combinators::UnsyncBoxBody};
 use hyper::client::conn::http2;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use site::{TestSite, policy, route, service, wait_until};
-use standin::caller;
 use std::convert::Infallible;
 use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
@@ -84,28 +83,10 @@
     resources.extend(service("certs", 1));
     resources.extend(service("other", 8));
     site.configure(&resources).await;
-    wait_served(&site).await;
+    site.wait_served("/certs/ready").await;
     site
 }
 
-/// Waits until both daemons serve calls. A daemon refuses calls until it has the records of its peers.
-async fn wait_served(site: &TestSite) {
-    for vm in &site.vms {
-        let deadline = Instant::now() + Duration::from_secs(20);
-        loop {
-            let request = Request::get("/certs/ready").header("host", "certs");
-            let response = caller::call(vm.outbound(), request.body(Full::default()).unwrap());
-            let response = response.await.unwrap();
-            if response.status().is_success() {
-                break;
-            }
-            println!("not served yet: {response:?}");
-            assert!(Instant::now() < deadline, "{response:?}");
-            sleep(Duration::from_millis(50)).await;
-        }
-    }
-}
-
 /// Waits until the backend server that is called has received a request.
 async fn wait_received(site: &TestSite, path: &str) {
     let backend = &site.vms[OWN_VM].backend;
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -242,10 +242,29 @@
 
     /// Starts a daemon beside a backend server of a service, with further settings.
     pub async fn add(&mut self, service: &str, settings: &[(&str, &str)]) {
-        let (address, link) = FaultProxy::start(self.platform.address()).await.unwrap();
+        let names = HeaderNames {
+            credential: Some(HeaderName::from_static(KEY_HEADER)),
+            organisation: Some(HeaderName::from_static(ORGANISATION_HEADER)),
+            ..HeaderNames::default()
+        };
         let backend = Recorder::default();
-        let backend_address = backend.start().await.to_string();
-        let (name, platform) = (format!("vm-{}", self.vms.len()), address.to_string());
+        let address = backend.start().await;
+        self.add_beside(service, backend, address, names, settings)
+            .await;
+    }
+
+    /// Starts a daemon beside the backend server at an address, which speaks with these header names.
+    pub async fn add_beside(
+        &mut self,
+        service: &str,
+        backend: Recorder,
+        address: SocketAddr,
+        names: HeaderNames,
+        settings: &[(&str, &str)],
+    ) {
+        let (proxy, link) = FaultProxy::start(self.platform.address()).await.unwrap();
+        let backend_address = address.to_string();
+        let (name, platform) = (format!("vm-{}", self.vms.len()), proxy.to_string());
         let pairs = [
             ("NAME", name.as_str()),
             ("DOMAIN", "espoo"),
@@ -259,16 +278,12 @@
         let pairs = pairs.map(|(name, value)| (format!("BAOBAB_{name}"), (*value).to_owned()));
         let settings = Settings::new(&Flags::default(), &pairs.collect()).unwrap();
         let site = Site {
-            names: HeaderNames {
-                credential: Some(HeaderName::from_static(KEY_HEADER)),
-                organisation: Some(HeaderName::from_static(ORGANISATION_HEADER)),
-                ..HeaderNames::default()
-            },
+            names,
             source: Source::External(ExternalConfig {
                 key: CONFIG.into(),
                 decode: Arc::new(decode),
             }),
-            ..Site::new(Arc::new(client(address)))
+            ..Site::new(Arc::new(client(proxy)))
         };
         let daemon = Daemon::with_site(settings, site).unwrap();
         tokio::spawn(kernel::run(Arc::clone(&daemon)));
@@ -279,6 +294,23 @@
         });
     }
 
+    /// Waits until each daemon serves calls of a path. A daemon refuses calls until it has the records of its peers.
+    pub async fn wait_served(&self, path: &str) {
+        for vm in &self.vms {
+            let deadline = Instant::now() + TIMEOUT;
+            loop {
+                let request = Request::get(path).header("host", "certs");
+                let response = caller::call(vm.outbound(), request.body(Full::default()).unwrap());
+                let response = response.await.unwrap();
+                if response.status().is_success() {
+                    break;
+                }
+                assert!(Instant::now() < deadline, "{response:?}");
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
     /// Writes the next version to the platform; returns its number.
     pub async fn write(&self, resources: &[Value]) -> u64 {
         let version = {
