Accept calls during a planned stop only if they will end before it

Reported by other operators: requests that came late in the grace time of a stopped daemon were passed on and cut off at its end, among them requests that may not be repeated. Cause: the cut-off was set only once the linger time (2.5 s) was over, so a call that arrived before that was not checked at all; after it, six times the average service time was compared, which many short calls make too short. Class: a time limit that is known is not used until a later phase. Change: the cut-off is set at the signal. A call is accepted if its own time limit ends before the cut-off, or the longest recent call of its class does with a margin; a class with a call in progress that is older than all that have ended has no known limit. Others are refused at once. Accepted ones get a deadline before the cut-off.

--- a/src/call.rs
+++ b/src/call.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod budget;
 pub mod bulk;
+pub mod durations;
 pub mod fence;
 pub mod fingerprint;
 pub mod gate;
--- a/src/call/view.rs
+++ b/src/call/view.rs
@@ -2,6 +2,7 @@
 
 use super::balance::{BalancingLimits, Group, Health, Index, Upstream, UpstreamInfo};
 use super::budget::Budget;
+use super::durations::CallDurations;
 use super::split::Split;
 use super::upstream::Link;
 use crate::daemon::RuntimeLimits;
@@ -42,6 +43,8 @@
     pub budget: Arc<Budget>,
     /// Average service times per time class, and the error rate of the service.
     pub stats: Arc<ServiceStats>,
+    /// How long calls to the service take.
+    pub durations: Arc<CallDurations>,
     /// When this daemon last observed a change of the set of upstreams.
     pub changed: Instant,
     /// The links, in the order of the group; `None` for this daemon's own upstream.
@@ -79,6 +82,7 @@
             group: self.group.subset(kept),
             budget: Arc::clone(&self.budget),
             stats: Arc::clone(&self.stats),
+            durations: Arc::clone(&self.durations),
             changed: Instant::now(),
             links,
             split: ArcSwapOption::empty(),
@@ -132,15 +136,6 @@
         *average = (*average * (TIME_SMOOTHING - 1) + service_time) / TIME_SMOOTHING;
         u32::try_from(ratio).unwrap_or(u32::MAX)
     }
-
-    /// Returns the average service time of a time class; zero if there is no sample.
-    #[must_use]
-    pub fn average(&self, class: u32) -> Duration {
-        lock(&self.averages)
-            .get(&class)
-            .copied()
-            .unwrap_or_default()
-    }
 }
 
 /// An immutable snapshot: one version of the configuration with the members known at one time.
@@ -213,6 +208,7 @@
     // By service name; the entries of removed services are kept.
     budgets: BTreeMap<String, Arc<Budget>>,
     stats: BTreeMap<String, Arc<ServiceStats>>,
+    durations: BTreeMap<String, Arc<CallDurations>>,
     changes: BTreeMap<String, Change>,
 }
 
@@ -311,12 +307,15 @@
             let budget = Arc::clone(budget);
             size_budget(limits, &budget, &fleet);
             let stats = Arc::clone(self.stats.entry(entry.name.clone()).or_default());
+            let durations = self.durations.entry(entry.name.clone()).or_default();
+            let durations = Arc::clone(durations);
             let changed = self.record_change(&entry.name, &group, now);
             let view = ServiceView {
                 name: entry.name.clone(),
                 group,
                 budget,
                 stats,
+                durations,
                 changed,
                 links,
                 split: ArcSwapOption::empty(),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -141,7 +141,7 @@
     /// Whether this daemon reads the configuration from the platform while the platform does not answer others
     /// of the failure domain.
     pub platform_answers: AtomicBool,
-    /// When calls in flight are cut off; set once the process drains.
+    /// When calls in flight are cut off; set once the process shuts down.
     cutoff: OnceLock<Instant>,
     /// The member record last announced.
     announced: Mutex<Option<wire::Member>>,
@@ -254,17 +254,19 @@
     pub async fn shut_down(&self) {
         let start = Instant::now();
         let limits = self.limits.load();
-        let cutoff = match limits.grace {
-            Some(grace) => {
-                self.drain.advance(Phase::Leaving);
-                event!(Leaving, in_flight = self.drain.in_flight());
-                sleep(LINGER_TIME.min(grace / 2)).await;
-                start + grace.mul_f64(GRACE_SHARE)
-            }
-            None => start + ANNOUNCE_TIME + self.settings.drain_timeout,
-        };
+        let cutoff = start
+            + match limits.grace {
+                Some(grace) => grace.mul_f64(GRACE_SHARE),
+                None => ANNOUNCE_TIME + self.settings.drain_timeout,
+            };
+        // Set before the first call of the shutdown, each of which is accepted only if it will end by then.
         // Setting fails only if it was set before; a process is shut down once.
         let _ = self.cutoff.set(cutoff);
+        if let Some(grace) = limits.grace {
+            self.drain.advance(Phase::Leaving);
+            event!(Leaving, in_flight = self.drain.in_flight());
+            sleep(LINGER_TIME.min(grace / 2)).await;
+        }
         self.drain.advance(Phase::Draining);
         event!(Draining, in_flight = self.drain.in_flight());
         if limits.grace.is_none() {
@@ -290,7 +292,7 @@
         self.drain.advance(Phase::Stopped);
     }
 
-    /// Returns the time until calls in flight are cut off; `None` before the process drains.
+    /// Returns the time until calls in flight are cut off; `None` before the process shuts down.
     #[must_use]
     pub fn time_left(&self) -> Option<Duration> {
         let cutoff = self.cutoff.get()?;
--- a/src/role/outbound.rs
+++ b/src/role/outbound.rs
@@ -12,6 +12,7 @@
 use crate::call::balance::{BalancePolicy, Health, Index, Upstream};
 use crate::call::body::Guarded;
 use crate::call::budget::{Failure, backoff};
+use crate::call::durations::OngoingCall;
 use crate::call::idempotency::{KEY_TTL, KeyId};
 use crate::call::metrics::{ANSWERED, OutboundMetrics};
 use crate::call::upstream::{Link, LinkError, UpstreamError};
@@ -129,6 +130,9 @@
     outbound.newer.register(registry);
 }
 
+/// Counts a call as in flight until the end of its response.
+type CallGuard = (InFlightGuard, OngoingCall);
+
 struct Outbound {
     metrics: OutboundMetrics,
     access: AccessMetrics,
@@ -198,12 +202,16 @@
         if let Some(awaited) = newer::awaited_version(daemon, &request, key) {
             self.newer.wait(daemon, id, awaited).await;
         }
-        let call = self.route(daemon, request, key, id)?;
+        let mut call = self.route(daemon, request, key, id)?;
         call.check_time_left()?;
+        let ongoing = call
+            .service
+            .durations
+            .begin(Instant::now(), call.time_class);
         let token = quota::take(daemon, &call).await?;
         // Boxed, since each idle connection would otherwise reserve memory for this large future,
         // which is needed only while a call is in flight.
-        let response = Box::pin(self.run(call, call_guard)).await;
+        let response = Box::pin(self.run(call, (call_guard, ongoing))).await;
         token.settle(response.as_ref());
         response
     }
@@ -244,7 +252,7 @@
     async fn run(
         &self,
         mut call: Call<'_>,
-        call_guard: InFlightGuard,
+        call_guard: CallGuard,
     ) -> Result<Response<Body>, Refusal> {
         let mut call_guard = Some(call_guard);
         let mut tried = Vec::new();
@@ -356,7 +364,7 @@
         call: &Call<'_>,
         index: Index,
         wait_limit: Option<Duration>,
-        call_guard: &mut Option<InFlightGuard>,
+        call_guard: &mut Option<CallGuard>,
     ) -> Result<Response<Body>, FailedAttempt> {
         let upstream = &call.service.group.upstreams()[index.0];
         let in_flight = InFlight::new(&upstream.health);
--- a/src/role/outbound/attempt.rs
+++ b/src/role/outbound/attempt.rs
@@ -32,9 +32,9 @@
 /// The `Retry-After` of a call that did not run, as no upstream could be reached or none exists.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Multiple of its average service time that a call may take before it is cut off by a shutdown.
-/// Service times vary, and the latency to the upstream is known only in part.
-const SAFETY_FACTOR: u32 = 6;
+/// Time before the cut-off of a shutdown at which the deadline of a call ends that is accepted during it, so
+/// that a backend server's own response at the deadline still arrives.
+const CUTOFF_MARGIN: Duration = Duration::from_millis(100);
 
 /// Timeout of a fence request before the call's deadline.
 const FENCE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -172,20 +172,18 @@
         })
     }
 
-    /// Refuses a call that is likely to be cut off by the shutdown of this process.
-    pub(super) fn check_time_left(&self) -> Result<(), Refusal> {
+    /// Refuses a call that is likely to be cut off by the shutdown of this process, and shortens the deadline of
+    /// one that is accepted during it.
+    pub(super) fn check_time_left(&mut self) -> Result<(), Refusal> {
         let Some(left) = self.daemon.time_left() else {
             return Ok(());
         };
-        let average = self.service.stats.average(self.time_class);
+        let left = left.saturating_sub(CUTOFF_MARGIN);
         let now = Instant::now();
-        let longest = self.retry_limits.deadline.saturating_duration_since(now);
-        let expected = if average.is_zero() {
-            longest
-        } else {
-            longest.min(average * SAFETY_FACTOR)
-        };
-        if expected <= left {
+        let limit = self.retry_limits.deadline.saturating_duration_since(now);
+        let durations = &self.service.durations;
+        if durations.ends_within(now, self.time_class, limit, left) {
+            self.retry_limits.deadline = now + limit.min(left);
             return Ok(());
         }
         let reason = "daemon shuts down before the call would end";
--- a/tests/drain_calls.rs
+++ b/tests/drain_calls.rs
@@ -1,9 +1,13 @@
 //! A graceful shutdown interrupts no call, and every call gets a response.
 
+#[path = "support/site.rs"]
+mod site;
+
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
 use serde_json::Value;
+use site::{TestSite, policy, route, service};
 use standin::backend::{Behaviour, pattern};
 use standin::bench::calls::mesh::Mesh;
 use standin::bench::calls::profile::Profile;
@@ -145,6 +149,68 @@
     assert_eq!(response.headers()["x-baobab-outcome"], "unknown");
 }
 
+/// Calls of very different durations arrive during a planned stop. None is passed on and then cut off, and those
+/// that will not end in time are refused at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_late_calls() {
+    const GRACE_MS: u64 = 4_000;
+    let mut site = TestSite::start().await;
+    site.add("other", &[("GRACE_MS", &GRACE_MS.to_string())])
+        .await;
+    site.add("certs", &[]).await;
+    let mut resources = vec![policy(64), route("/certs", "certs", false)];
+    resources.extend(service("certs", 200));
+    resources.extend(service("other", 8));
+    site.configure(&resources).await;
+    site.wait_served("/certs/ready").await;
+    let (address, start) = (site.vms[0].outbound(), Instant::now());
+    let signal_at = Duration::from_millis(500);
+    let calls = (0..25_u32).flat_map(|number| {
+        [20, 1_200, 3_000].map(|work| {
+            tokio::spawn(async move {
+                let at = start + number * Duration::from_millis(100);
+                tokio::time::sleep_until(at).await;
+                let path = format!("/certs/{number}?{work}");
+                let response = call_path(address, &path).await;
+                (path, at - start, start.elapsed(), response)
+            })
+        })
+    });
+    let calls: Vec<_> = calls.collect();
+    tokio::time::sleep_until(start + signal_at).await;
+    let daemon = Arc::clone(&site.vms[0].daemon);
+    let stopped = tokio::spawn(async move { daemon.shut_down().await });
+    let mut served = 0;
+    for call in calls {
+        let (path, sent, ended, response) = call.await.unwrap();
+        let received = site.vms[1].backend.received();
+        if received.iter().any(|request| request.path == path) {
+            assert_eq!(
+                response,
+                Some(200),
+                "{path} sent at {sent:?}: cut off at {ended:?}"
+            );
+            served += 1;
+        } else {
+            let waited = ended.saturating_sub(sent);
+            assert!(
+                waited < Duration::from_millis(500),
+                "{path} waited {waited:?}"
+            );
+        }
+    }
+    // Those before the signal at least.
+    assert!(served >= 15, "{served} served");
+    stopped.await.unwrap();
+}
+
+/// Returns the status of the response to a call; `None` without a complete response.
+async fn call_path(address: SocketAddr, path: &str) -> Option<u16> {
+    let request = Request::post(path).header("host", "certs");
+    let response = caller::call(address, request.body(Full::default()).unwrap()).await;
+    response.ok().map(|response| response.status().as_u16())
+}
+
 /// A backend server that reports a drain gets no new calls, and its daemon drains.
 #[tokio::test(flavor = "multi_thread")]
 async fn drain_by_backend() {
