Add a soak of callers that leave and refusals that are written twice

Callers leave while queued, running, half sent or with a further request behind, under random restarts and pauses of daemons; backend servers write each refusal once more before the next response. From what the backend servers see: nothing arrives or is worked on over 0.5 s after its caller left (around a fault of a daemon it is not judged), no call told as not run ran, none ran twice, and responses belong to their requests.

--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -1,5 +1,6 @@
 //! A stand-in for a backend server with configurable limits and faults, which records each run.
 
+mod copies;
 mod record;
 mod response;
 
@@ -7,6 +8,7 @@
 pub use response::pattern;
 
 use baobabstage::sync::lock;
+use copies::CopyingStream;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -50,6 +52,8 @@
     Crossed,
     /// The connection ends after the run, without a response.
     Lost,
+    /// Each refusal is written once more before the next response of its connection.
+    RefusalCopied,
 }
 
 /// The limits, timing and faults of a backend server.
@@ -292,6 +296,8 @@
     }
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request| Arc::clone(shared).respond(request));
+    let copies = shared.behaviour.borrow().fault == Fault::RefusalCopied;
+    let stream = CopyingStream::new(stream, copies);
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     // The caller handles a broken connection.
     let _ = connection.await;
--- a/standin/src/backend/response.rs
+++ b/standin/src/backend/response.rs
@@ -117,7 +117,7 @@
                 run.end(RunEnd::Done);
                 bail!("response lost");
             }
-            Fault::None | Fault::Truncated => {}
+            Fault::None | Fault::Truncated | Fault::RefusalCopied => {}
         }
         id.clone_into(&mut lock(&self.last_id));
         run.end(RunEnd::Done);
