--- a/src/role/inbound.rs
+++ b/src/role/inbound.rs
@@ -1,11 +1,14 @@
 //! The inbound side: accepts attempts from outbound sides and runs them on this daemon's own
 //! backend server. No call reaches the backend server another way.
 
+mod admit;
 mod backend;
 mod bounded;
+mod buffer;
 mod crash;
 pub(super) mod health;
 mod keyed;
+mod limits;
 mod progress;
 mod queries;
 mod reachability;
@@ -13,18 +16,14 @@
 mod version;
 
 use crate::backend::Stage;
-use crate::call::admission::{AdmissionRequest, Limits, Reason};
 use crate::call::attempt::Attempt;
-use crate::call::body::{CutOffError, prefetch};
 use crate::call::bulk::{BulkCalls, BulkGuard};
 use crate::call::fence::{self, ArrivalError, Record};
-use crate::call::fingerprint::{self, Fingerprint};
-use crate::call::gate::{Gate, Rejected};
+use crate::call::gate::Gate;
 use crate::call::idempotency::Keys;
 use crate::call::metrics::InboundMetrics;
 use crate::call::pool::{BackendPool, Reuse};
 use crate::call::read_ahead::{Receiver, Transfers};
-use crate::call::shares::ShareKey;
 use crate::call::upstream::UpstreamError;
 use crate::call::{self, Outcome, Refusal, RefusalReason};
 use crate::daemon::{Daemon, InFlightGuard, Phase};
@@ -33,17 +32,18 @@
 use crate::kernel::{Plugin, RoleFuture};
 use crate::quarantine::{self, Quarantine};
 use crate::rollout;
-use crate::serve::{Body, BodyError, PeerEnd, serve_calls};
+use crate::serve::{Body, PeerEnd, serve_calls};
 use crate::sync::lock;
+use admit::{admission_refusal, admission_request, deadline, share};
 use backend::{
     check_origin, check_response, keep_connection, max_body_len, note_leaving, stated_rate,
     to_backend,
 };
 use bounded::Bounded;
 use crash::{CrashMonitor, MonitoredRun};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Body as _;
-use progress::{Progress, Stage as ProgressStage};
+use progress::{AttemptStage, Progress};
 use prometheus_client::registry::Registry;
 use reachability::Reachability;
 pub use running::LocalCall;
@@ -51,16 +51,13 @@
 use serde_json::{Value, json};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Semaphore;
 use tokio::time::{Instant, timeout_at};
 
 inventory::submit! {
     Plugin { name: "inbound", run, state, metrics }
 }
 
-/// Time limit of a call that states no deadline.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
-
 /// Longest idle time after which a connection to the backend server is used again.
 const MAX_IDLE: Duration = Duration::from_secs(4);
 
@@ -71,16 +68,6 @@
 /// The `Retry-After` of a refusal. The caller sees it only if no other upstream accepts the call.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Longest part of a request's body that is buffered before its call requests a slot, in bytes.
-const MAX_BUFFERED_LEN: usize = 512 * 1024;
-
-/// Calls whose bodies are buffered at once; further bodies are streamed to the backend server. With
-/// [`MAX_BUFFERED_LEN`] this limits the memory for bodies to 8 MiB.
-const MAX_BUFFERED_BODIES: usize = 16;
-
-/// Greatest time limit of a call; a later deadline is shortened to it.
-const MAX_DEADLINE: Duration = Duration::from_mins(10);
-
 fn run(daemon: Arc<Daemon>) -> RoleFuture {
     Box::pin(async move {
         let inbound = component(&daemon);
@@ -196,7 +183,7 @@
             gate: Gate::default(),
             record: Arc::new(Mutex::new(Record::new(Instant::now(), fence::CAPACITY))),
             keys: Mutex::default(),
-            body_buffers: Arc::new(Semaphore::new(MAX_BUFFERED_BODIES)),
+            body_buffers: buffer::permits(),
             transfers: Transfers::default(),
             bulk_calls: BulkCalls::default(),
             reachability,
@@ -344,13 +331,13 @@
         let mut admission = admission_request(&attempt, deadline);
         admission.share = share(daemon, request.headers());
         let (request, fingerprint, buffer) = self.buffer_body(daemon, request, &admission).await?;
-        progress.reach(ProgressStage::Queue);
+        progress.reach(AttemptStage::Queue);
         let monitored = self.crashes.start(&request, fingerprint);
         let monitored = monitored.admit(daemon, deadline).await?;
         let queued_at = Instant::now();
         let permit = self.gate.admit(&admission).await;
         let permit = permit.map_err(admission_refusal)?;
-        progress.reach(ProgressStage::Run);
+        progress.reach(AttemptStage::Run);
         // The backend server may have started to drain while the call waited.
         check_accepting(daemon)?;
         let run = RunningCall {
@@ -366,42 +353,6 @@
         response.map_err(|_| Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))?
     }
 
-    /// Buffers a request's body before its call takes a slot, as the slot would be idle until the
-    /// body has arrived, and returns the fingerprint of the request. A call that would be refused now is
-    /// refused before its body is read. Of a body that is not buffered, the part in the fingerprint is read.
-    async fn buffer_body(
-        &self,
-        daemon: &Daemon,
-        request: Request<Body>,
-        admission: &AdmissionRequest,
-    ) -> Result<(Request<Body>, Fingerprint, Option<OwnedSemaphorePermit>), Refusal> {
-        let (head, body) = request.into_parts();
-        let caller = call::text(&head.headers, &daemon.names.calling_service());
-        let caller = caller.unwrap_or_default();
-        if body.is_end_stream() {
-            let fingerprint = Fingerprint::new(&head, caller, None);
-            return Ok((Request::from_parts(head, body), fingerprint, None));
-        }
-        self.gate.check(admission).map_err(admission_refusal)?;
-        let permit = Arc::clone(&self.body_buffers).try_acquire_owned().ok();
-        let len = if permit.is_some() {
-            MAX_BUFFERED_LEN
-        } else {
-            fingerprint::BODY_LEN
-        };
-        let body = timeout_at(admission.deadline, prefetch(body, len)).await;
-        let late = |_| {
-            Refusal::not_run(
-                StatusCode::GATEWAY_TIMEOUT,
-                "request body did not arrive in time",
-            )
-        };
-        let body = body.map_err(late)?.map_err(|err| body_refusal(&err))?;
-        let fingerprint = Fingerprint::new(&head, caller, Some(&body));
-        let request = Request::from_parts(head, Body::new(body));
-        Ok((request, fingerprint, permit))
-    }
-
     /// Checks that this daemon has the records of crashes that the others have.
     fn check_synced(&self) -> Result<(), Refusal> {
         if self.quarantine.is_synced() {
@@ -550,41 +501,6 @@
         unavailable(err, RefusalReason::Down)
     }
 
-    /// Applies the rate limit that the backend server's last response stated. It holds for the calls
-    /// of all daemons, which all come through this one.
-    fn update_rate_limit(&self, rate: Option<f64>) {
-        let mut current = lock(&self.rate_limit);
-        if *current != rate {
-            let text = |rate: Option<f64>| rate.map_or("none".to_owned(), |rate| rate.to_string());
-            event!(BackendRateLimit, rate = text(rate), before = text(*current));
-            *current = rate;
-            self.gate.set_rate(rate);
-        }
-    }
-
-    /// Updates the limits to the configuration in force and the slots that the backend server
-    /// reports.
-    fn update_limits(&self, daemon: &Daemon) -> Result<(), Refusal> {
-        let Some(name) = &self.service else {
-            return Err(unavailable(
-                "daemon has no backend server",
-                RefusalReason::Down,
-            ));
-        };
-        let table = daemon.config.table();
-        let service = table.service_named(name);
-        let service =
-            service.ok_or_else(|| unavailable("service is not configured", RefusalReason::Down))?;
-        let connections = service.pool.connections;
-        let slots = daemon.backend.load().slots.unwrap_or(service.pool.slots);
-        self.pool.set_limit(connections as usize);
-        self.gate.set_limits(Limits {
-            slots: slots.min(connections),
-            queue: service.policy.queue,
-        });
-        Ok(())
-    }
-
     /// Admits a call whose response is expected to be long, if another daemon receives it.
     ///
     /// Such calls are refused early: their responses wait for the link, and calls with short
@@ -652,52 +568,3 @@
     let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, message);
     refusal.with_retry_after(RETRY_AFTER).with_reason(reason)
 }
-
-fn admission_refusal(rejected: Rejected) -> Refusal {
-    let reason = match rejected.reason {
-        Reason::Busy => RefusalReason::Busy,
-        Reason::RateLimited => RefusalReason::RateLimited,
-        Reason::Late | Reason::Full => RefusalReason::Full,
-        Reason::Draining => RefusalReason::Leaving,
-    };
-    let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, rejected);
-    refusal
-        .with_retry_after(rejected.retry_after)
-        .with_reason(reason)
-}
-
-/// Refuses a call whose body was cut off or is too long.
-fn body_refusal(err: &BodyError) -> Refusal {
-    let status = match err.downcast_ref() {
-        Some(CutOffError::TooLong(_)) => StatusCode::PAYLOAD_TOO_LARGE,
-        _ => StatusCode::BAD_REQUEST,
-    };
-    Refusal::not_run(status, err)
-}
-
-fn admission_request(attempt: &Attempt, deadline: Instant) -> AdmissionRequest {
-    let millis = |ms: u32| Duration::from_millis(u64::from(ms));
-    let objective = attempt.objective_ms;
-    AdmissionRequest {
-        weight: attempt.weight,
-        time_class: attempt.time_class,
-        objective: (objective > 0).then(|| Instant::now() + millis(objective)),
-        deadline,
-        wait_limit: attempt.wait_limit_ms.map(millis),
-        share: None,
-    }
-}
-
-/// Returns whose share a call uses; `None` if the deployment has no organisations.
-fn share(daemon: &Daemon, headers: &HeaderMap) -> Option<ShareKey> {
-    let organisation = call::text(headers, &call::ORGANISATION);
-    let has_organisations = daemon.config.table().checks_keys();
-    has_organisations.then(|| ShareKey::new(organisation))
-}
-
-/// Returns the deadline of a call, from the time left that the header states.
-fn deadline(headers: &HeaderMap) -> Instant {
-    let left = call::number(headers, &call::DEADLINE_MS);
-    let left = left.map_or(DEFAULT_DEADLINE, Duration::from_millis);
-    Instant::now() + left.min(MAX_DEADLINE)
-}
--- a/src/role/inbound/progress.rs
+++ b/src/role/inbound/progress.rs
@@ -7,7 +7,7 @@
 
 /// How far an attempt has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Stage {
+pub(super) enum AttemptStage {
     /// Its body is being received.
     Body,
     /// It waits for a slot of the backend server.
@@ -16,13 +16,13 @@
     Run,
 }
 
-impl Stage {
+impl AttemptStage {
     /// Returns the stage's label in metrics and logs.
     fn as_str(self) -> &'static str {
         match self {
-            Stage::Body => "body",
-            Stage::Queue => "queue",
-            Stage::Run => "run",
+            AttemptStage::Body => "body",
+            AttemptStage::Queue => "queue",
+            AttemptStage::Run => "run",
         }
     }
 }
@@ -34,7 +34,7 @@
     id: Option<HeaderValue>,
     started: Instant,
     /// `None` once the attempt has its response or refusal.
-    stage: Option<Stage>,
+    stage: Option<AttemptStage>,
 }
 
 impl<'a> Progress<'a> {
@@ -44,12 +44,12 @@
             metrics,
             id: id.cloned(),
             started: Instant::now(),
-            stage: Some(Stage::Body),
+            stage: Some(AttemptStage::Body),
         }
     }
 
     /// Sets the stage that the attempt has reached.
-    pub(super) fn reach(&mut self, stage: Stage) {
+    pub(super) fn reach(&mut self, stage: AttemptStage) {
         self.stage = Some(stage);
     }
 
