--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -11,12 +11,14 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -538,6 +540,10 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 process.wait()
+        if "KEEP_LOGS" in os.environ:
+            print(f"logs of the daemons: {self.folder}")
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def route(name, prefix, service=None, kind="safe", priority=1, attempts=2, timeout_ms=1200,
@@ -571,6 +577,14 @@
     return value
 
 
+async def limited(case):
+    """Ends a script that takes too long or is told to end; what it started is ended then too."""
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(case, 112)
+
+
 def run(main, folder):
     """Runs a script; exits with 1 if a rule was broken, 0 if it held, 2 if it could not run."""
     record = Record(folder)
@@ -580,10 +594,9 @@
         if not os.path.exists(PROGRAM):
             record.say("the program is not built")
         else:
-            code = asyncio.run(asyncio.wait_for(main(record, trouble), 115))
-    except (Exception, asyncio.TimeoutError) as err:
+            code = asyncio.run(limited(main(record, trouble)))
+    except (Exception, asyncio.CancelledError) as err:
         record.say(f"could not run: {type(err).__name__}: {err}")
-        import traceback
         traceback.print_exc()
     record.say({0: "the rule held", 1: "the rule was broken"}.get(code, "the case could not run"))
     record.close()
