--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,8 @@
 HOST = "desk.example"
 WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20  # quotaWindowS, quotaOverage, quotaSlack
 RATE, BURST = 60, 60
-USUAL, HOT = 40.0, 7.5  # the tenant's usual requests a second, and how many times that it sends
+USUAL = 40.0  # the tenant's usual requests a second
+HOT, HOT_S = 7.5, 6.5  # it sends so many times that, for so long
 LOSS = 0.025  # share of the packets that the links of a zone lose
 LOSS_S = 5.5
 RETRANSMIT_S = 0.2  # a lost packet is sent again after so long, and holds up what is behind it
@@ -92,21 +93,23 @@
         record.say("no tenant's account is at the first machine")
         return 2
     tenant = owned[0]
-    record.say(f"{tenant['name']} has {RATE} requests a second and {BURST} more; it sends "
-               f"{USUAL * HOT:.0f} a second")
+    record.say(f"{tenant['name']} has {RATE} requests a second and {BURST} more; its usual is "
+               f"{USUAL:.0f} a second")
     stop = asyncio.Event()
+    rate = {"now": USUAL}
 
     async def traffic(machine):
-        period = len(fleet.machines) / (USUAL * HOT)
-        at = now() + random.random() * period
+        at = now() + random.random() * len(fleet.machines) / USUAL
         while not stop.is_set():
             asyncio.ensure_future(client.call(
                 machine, HOST, "/a/x", extra={"Credential": tenant["apiKeys"][0]}))
-            at += period
+            at += len(fleet.machines) / rate["now"]
             await asyncio.sleep(max(0, at - now()))
 
     tasks = [asyncio.ensure_future(traffic(machine)) for machine in fleet.machines]
-    await asyncio.sleep(3)
+    await asyncio.sleep(4)
+    rate["now"] = USUAL * HOT
+    record.say(f"it sends {rate['now']:.0f} a second for {HOT_S} s")
     if trouble:
         link.lossy = True
         record.say(f"the links of {first.zone} lose {LOSS:.1%} of the packets for {LOSS_S} s")
@@ -116,6 +119,8 @@
         account = (await fleet.state(machine))["quota"]["accounts"].get(tenant["name"])
         if account is not None:
             record.say(f"{machine.name} keeps an account of {tenant['name']}: {account:.1f} tokens")
+    await asyncio.sleep(HOT_S - LOSS_S)
+    rate["now"] = USUAL
     await asyncio.sleep(3)
     stop.set()
     await asyncio.gather(*tasks)
