Find watches on silent connections within the apply limit

Cause: a watch of the platform waited for 30 s, and only a missing response shows that a connection has gone silent. Renewals of the lease use another connection and succeed, so that nothing ended the watch. In a small deployment all daemons wait alike and no peer has anything newer.

That holds for the configuration, the head of the own interface, relays and the orders of rollouts; watches on members wait up to twice the limit, as records reach daemons by exchanges too. A call without a response closes the pool's idle connections, which may be as silent. A reader that has read a version late tells the other readers; each reader tells its part of the daemons that do not read, where regular exchanges took up to 2.2 s without calls between daemons.

Why this works: a dead watch is found after 1.5 + 0.6 s at the latest with bounds of 2 and 3 s, and the first reader that finds it tells all.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -7,7 +7,7 @@
 mod socket;
 
 pub use config::ConfigCell;
-pub use contact::{ContactCell, renewal_time};
+pub use contact::{ContactCell, member_watch_time, renewal_time, watch_time};
 pub use drain::{Drain, InFlightGuard, Phase};
 pub use socket::{Socket, Sockets};
 
@@ -56,6 +56,9 @@
 /// Time for connections to close once the calls in flight have ended, where no grace time is set.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Part of the apply limit for which the response to a watch may be late before its connection counts as dead.
+const WATCH_MARGIN_SHARE: u32 = 5;
+
 /// The identity of this process in the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Identity {
@@ -82,6 +85,9 @@
     pub retry_window: Duration,
     /// Time without contact after which calls with an API key are refused; `None` to serve them.
     pub contact_limit: Option<Duration>,
+    /// Time within which an accepted version must be in force, also where connections have failed
+    /// right before.
+    pub apply_limit: Duration,
 }
 
 impl RuntimeLimits {
@@ -91,6 +97,7 @@
             retry_extra: settings.retry_extra,
             retry_window: settings.retry_window,
             contact_limit: settings.fail_closed.then_some(settings.revoke_time),
+            apply_limit: settings.apply_time.max(settings.reconnect_time),
         }
     }
 }
@@ -186,10 +193,10 @@
             domain: settings.domain.clone(),
             region: settings.region.clone(),
         };
-        let platform = Arc::new(RateLimitedPlatform::new(
-            site.platform,
-            settings.platform_timeout,
-        ));
+        let limits = RuntimeLimits::new(&settings);
+        let platform = RateLimitedPlatform::new(site.platform, settings.platform_timeout);
+        let platform =
+            Arc::new(platform.with_watch_margin(limits.apply_limit / WATCH_MARGIN_SHARE));
         Ok(Arc::new(Daemon {
             identity,
             sockets,
@@ -199,7 +206,7 @@
             source: site.source,
             reports: site.reports,
             readiness: site.readiness,
-            limits: ArcSwap::from_pointee(RuntimeLimits::new(&settings)),
+            limits: ArcSwap::from_pointee(limits),
             reload: site.reload,
             ordered_rollouts: site.rollouts,
             rollouts: RolloutCell::default(),
--- a/src/daemon/contact.rs
+++ b/src/daemon/contact.rs
@@ -12,6 +12,12 @@
 /// watch ends, and twice as old when the next one does.
 const WATCH_SHARE: u32 = 8;
 
+/// Longest wait of any watch of the platform.
+const MAX_WATCH_TIME: Duration = Duration::from_secs(30);
+
+/// Longest wait of a watch on the members, as a multiple of the apply limit.
+const MEMBER_WATCH_FACTOR: u32 = 2;
+
 /// Age of the proof, in percent of the revocation time, from which regular exchanges are with daemons
 /// that read from the platform.
 const STALE_PERCENT: u32 = 30;
@@ -107,3 +113,19 @@
 pub fn renewal_time(limits: &RuntimeLimits) -> Option<Duration> {
     limits.contact_limit.map(|limit| limit / WATCH_SHARE)
 }
+
+/// Returns the longest wait of a watch on the configuration.
+///
+/// A connection may go silent without an end, which shows only when the response to a watch is missing. The
+/// rest of the apply limit is for that, for the read on a new connection, and for telling the other daemons.
+#[must_use]
+pub fn watch_time(limits: &RuntimeLimits) -> Duration {
+    let longest = (limits.apply_limit / 2).min(MAX_WATCH_TIME);
+    renewal_time(limits).map_or(longest, |time| time.min(longest))
+}
+
+/// Returns the longest wait of a watch on the members, which also reach every daemon by exchanges.
+#[must_use]
+pub fn member_watch_time(limits: &RuntimeLimits) -> Duration {
+    (limits.apply_limit * MEMBER_WATCH_FACTOR).min(MAX_WATCH_TIME)
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -95,6 +95,7 @@
     SuspectsReceived = 419, Info, "The records of crashes were received from another daemon at start.";
     SuspectsUnsaved = 420, Warn, "A record of crashes could not be read from the platform or written to it.";
     ReadingHandedOver = 421, Info, "The platform does not answer this reader; a daemon that reads in its place is told.";
+    VersionPassedOn = 422, Info, "A reader tells other daemons of the version in force at once.";
 
     CallRefused = 500, Info, "A call was refused; it was not run.";
     CallUnknown = 501, Warn, "A call ended without a known outcome.";
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -63,6 +63,8 @@
     queried: watch::Sender<bool>,
     /// Whether this daemon read from the platform until that no longer answered it.
     turned_away: watch::Sender<bool>,
+    /// The last version that this daemon has read late, since the platform had not answered it.
+    late: watch::Sender<u64>,
 }
 
 /// All resources of a version as sent to daemons that have none of them, compressed.
@@ -162,6 +164,18 @@
         self.turned_away.subscribe()
     }
 
+    /// Records that this daemon has read a version late. The other readers are told, whose connections may have
+    /// failed as well.
+    pub fn set_late(&self, version: u64) {
+        self.late.send_replace(version);
+    }
+
+    /// Returns a receiver that is notified when this daemon has read a version late.
+    #[must_use]
+    pub fn late(&self) -> watch::Receiver<u64> {
+        self.late.subscribe()
+    }
+
     /// Merges this daemon's own record into the registry, and returns it.
     fn update_own(&self, daemon: &Daemon) -> wire::Member {
         let own = daemon.record();
--- a/src/member.rs
+++ b/src/member.rs
@@ -137,6 +137,30 @@
             .collect()
     }
 
+    /// Returns the daemons of a failure domain that a reader tells of a version: a part of those that do not read
+    /// from the platform. Each reader has a part of its own.
+    #[must_use]
+    pub fn dependents(&self, name: &str, domain: &str) -> Vec<Arc<wire::Member>> {
+        let members = self.members.values();
+        let members = members.filter(|member| member.domain == domain);
+        let (readers, others): (Vec<_>, Vec<_>) =
+            members.partition(|member| self.is_reader(&member.name, domain));
+        let Some(part) = readers.iter().position(|reader| reader.name == name) else {
+            return Vec::new();
+        };
+        let part = others.into_iter().skip(part).step_by(readers.len());
+        part.cloned().collect()
+    }
+
+    /// Returns the daemons other than this one that read from the platform, of all failure domains.
+    #[must_use]
+    pub fn other_readers(&self, name: &str) -> Vec<Arc<wire::Member>> {
+        let members = self.members.values();
+        let readers = members
+            .filter(|member| member.name != name && self.is_reader(&member.name, &member.domain));
+        readers.cloned().collect()
+    }
+
     /// Tests whether a reader only stands in for others while they are away: a daemon whose link is more than
     /// twice as fast, in any failure domain, states that the platform answers it while it turns others away,
     /// or is not known to be turned away, as no such daemon of the own one is. Versions arrive from there in
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -48,6 +48,18 @@
     epoch: Arc<Epoch>,
 }
 
+/// Closes the idle connections of a pool when it is dropped: a call had no response, and what has silenced its
+/// connection may have silenced them as well.
+struct Unanswered<'a>(Option<&'a BackendPool>);
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if let Some(pool) = self.0 {
+            pool.clear();
+        }
+    }
+}
+
 /// The epoch of the service, as last stated in a response.
 #[derive(Debug, Default)]
 struct Epoch {
@@ -107,7 +119,11 @@
                 PlatformError::Unknown(reason)
             }
         };
+        let mut unanswered = Unanswered(Some(&self.pool));
         let response = tokio::time::timeout(self.timeout + wait, self.send(&call)).await;
+        if matches!(response, Ok(Ok(_))) {
+            unanswered.0 = None;
+        }
         let response = match response {
             Ok(Ok(response)) => response,
             Ok(Err(err @ UpstreamError::NotSent(..))) => {
--- a/src/platform/rate_limit.rs
+++ b/src/platform/rate_limit.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Maximum number of calls of a process per second; the burst is the calls of one second.
 pub const CALLS_PER_SECOND: u32 = 50;
@@ -30,6 +30,8 @@
 pub struct RateLimitedPlatform {
     inner: Arc<dyn Platform>,
     wait_limit: Duration,
+    /// Time for which the response to a watch may be late; longer than any watch if not set.
+    watch_margin: Duration,
     buckets: Mutex<Buckets>,
     /// Whether the last call failed because the platform did not respond.
     failing: AtomicBool,
@@ -50,6 +52,7 @@
         RateLimitedPlatform {
             inner,
             wait_limit,
+            watch_margin: Duration::MAX,
             buckets: Mutex::new(Buckets {
                 calls: TokenBucket::new(CALLS_PER_SECOND, now),
                 retries: TokenBucket::new(RETRIES_PER_SECOND, now),
@@ -59,6 +62,19 @@
         }
     }
 
+    /// Sets the time for which the response to a watch may be late. After that the connection counts as dead and
+    /// the watch fails as unavailable.
+    ///
+    /// A watch whose wait is no longer than `margin` has the time limit of the inner platform, so that one that
+    /// follows a failed one succeeds where all responses are slow.
+    #[must_use]
+    pub fn with_watch_margin(self, margin: Duration) -> Self {
+        RateLimitedPlatform {
+            watch_margin: margin,
+            ..self
+        }
+    }
+
     /// Returns a receiver that is notified when the platform responds again after a failure.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<u64> {
@@ -167,7 +183,17 @@
         wait: Duration,
     ) -> PlatformFuture<'a, Changes> {
         // Not repeated here, because callers of a watch retry anyway.
-        Box::pin(self.write(move || self.inner.changes(prefix, after, wait)))
+        Box::pin(self.write(move || {
+            let changes = self.inner.changes(prefix, after, wait);
+            if wait <= self.watch_margin {
+                return changes;
+            }
+            Box::pin(async move {
+                let changes = timeout(wait + self.watch_margin, changes).await;
+                let late = |_| PlatformError::Unavailable("watch not answered in time".into());
+                changes.map_err(late)?
+            })
+        }))
     }
 
     fn grant(&self, ttl: Duration) -> PlatformFuture<'_, u64> {
--- a/src/role/config.rs
+++ b/src/role/config.rs
@@ -1,7 +1,7 @@
 //! The role that obtains accepted versions from the platform, from peers or through the
 //! distribution tree, and applies them.
 
-use crate::daemon::{Daemon, renewal_time};
+use crate::daemon::{Daemon, renewal_time, watch_time};
 use crate::error::{Category, Result};
 use crate::event;
 use crate::exchange::{self, ExchangeState};
@@ -11,7 +11,7 @@
 use crate::role::members::reader_or_any;
 use crate::settings::Distribution;
 use crate::site::{ExternalConfig, Source};
-use crate::tree::backoff::{Backoff, jitter_around};
+use crate::tree::backoff::{Backoff, jitter_around, jitter_below};
 use crate::tree::{self, Tree};
 use prometheus_client::registry::{Registry, Unit};
 use rand::Rng;
@@ -20,13 +20,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
-/// Time after which a watch on `head` returns without a change.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Time after which a watch on an externally managed configuration returns without a change. A dead
-/// connection is detected by then at the latest; until then peers report newer versions.
-const EXTERNAL_WATCH_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Pause after a version as a multiple of the time that reading one took, and its bounds. A quick
 /// succession of versions then needs few platform calls and a small share of the link.
 const PAUSE_FACTOR: u32 = 5;
@@ -154,11 +147,7 @@
         }
         let started = Instant::now();
         let lists = watcher.lists_next();
-        // Where keyed calls depend on it, a watch ends early to prove that there is no newer version.
-        let renewal = renewal_time(&daemon.limits.load());
-        let wait = renewal.map_or(EXTERNAL_WATCH_TIMEOUT, |time| {
-            time.min(EXTERNAL_WATCH_TIMEOUT)
-        });
+        let wait = jitter_below(watch_time(&daemon.limits.load()));
         let entries = match follow_prefix(daemon, &mut watcher, wait).await {
             Ok(KeyUpdate::Listing(entries) | KeyUpdate::Restored(entries)) => entries,
             Ok(KeyUpdate::Events(events)) => events.into_iter().filter_map(put_entry).collect(),
@@ -179,17 +168,23 @@
             }
         };
         backoff.reset();
-        has_failed = false;
+        let was_lost = std::mem::take(&mut has_failed);
         record_answer(daemon);
         if lists {
             read_time = started.elapsed();
         }
         let newest = entries.iter().rev().find(|entry| entry.key == external.key);
         if let Some(entry) = newest {
+            let previous = daemon.config.stamp().version;
             apply_external(daemon, external, entry);
             daemon.contact.mark_current(started);
             let applied = daemon.config.stamp().version;
+            if was_lost && applied > previous {
+                ExchangeState::of(daemon).set_late(applied);
+            }
             let pause = read_pause(read_time);
+            // Where keyed calls depend on it, the proof that there is no newer version is renewed in time.
+            let renewal = renewal_time(&daemon.limits.load());
             sleep(renewal.map_or(pause, |time| time.min(pause))).await;
             if ExchangeState::of(daemon).newest_known(daemon) > applied {
                 // A watch would deliver each version in between in full; a listing has only the
@@ -359,8 +354,7 @@
 async fn follow_head(daemon: &Daemon, seen: Option<u64>) -> Result<u64> {
     let head = match seen {
         Some(seen) => {
-            let renewal = renewal_time(&daemon.limits.load());
-            let wait = renewal.map_or(WATCH_TIMEOUT, |time| time.min(WATCH_TIMEOUT));
+            let wait = jitter_below(watch_time(&daemon.limits.load()));
             daemon.store.watch(seen, wait).await?
         }
         None => daemon.store.head().await?,
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -7,7 +7,7 @@
 
 use super::config;
 use crate::backend::Stage;
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, member_watch_time};
 use crate::event;
 use crate::exchange::ExchangeState;
 use crate::generated::mesh as wire;
@@ -18,7 +18,7 @@
 use crate::settings::Distribution;
 use crate::tree::Tree;
 use crate::tree::actor::Message;
-use crate::tree::backoff::{Backoff, jitter, jitter_around};
+use crate::tree::backoff::{Backoff, jitter, jitter_around, jitter_below};
 use prometheus_client::registry::Registry;
 use prost::Message as _;
 use std::sync::Arc;
@@ -35,10 +35,6 @@
 /// Time between lease renewals; two may fail before the lease expires.
 const RENEW_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Time after which a watch on the entries returns without a change. A dead connection is detected
-/// by then at the latest.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Time after a change in which further ones are batched.
 const BATCH_TIME: Duration = Duration::from_secs(2);
 
@@ -84,7 +80,9 @@
                     announce(&daemon),
                     follow_members(&daemon),
                     peers::exchange(&daemon),
-                    hand_over::run(&daemon)
+                    hand_over::tell_successors(&daemon),
+                    hand_over::tell_dependents(&daemon),
+                    hand_over::tell_readers(&daemon)
                 )?;
                 Ok(())
             }
@@ -326,7 +324,8 @@
             sleep(config::READER_CHECK_INTERVAL).await;
             continue;
         }
-        let update = config::follow_prefix(daemon, &mut watcher, WATCH_TIMEOUT).await;
+        let wait = jitter_below(member_watch_time(&daemon.limits.load()));
+        let update = config::follow_prefix(daemon, &mut watcher, wait).await;
         match update {
             Ok(update) => {
                 backoff.reset();
--- a/src/role/rollout/orders.rs
+++ b/src/role/rollout/orders.rs
@@ -1,22 +1,19 @@
 //! Reading the orders of rollouts.
 
 use super::{fetch, knows_members, own_service, peers, record, spread};
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, watch_time};
 use crate::event;
 use crate::platform::{Entry, KeyEvent, KeyUpdate, PlatformError, PrefixWatcher};
 use crate::role::config;
 use crate::rollout::registry::{Merged, Rollout};
 use crate::site::Rollouts;
-use crate::tree::backoff::{Backoff, jitter_around};
+use crate::tree::backoff::{Backoff, jitter_around, jitter_below};
 use rand::seq::IteratorRandom;
 use std::collections::BTreeMap;
 use std::future::pending;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
-/// Time after which a watch on the orders returns without a change.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Time at start after which a daemon that is not served by peers follows the orders, and the pause between checks. No
 /// change is missed meanwhile.
 const START_TIMEOUT: Duration = Duration::from_secs(1);
@@ -121,7 +118,9 @@
             continue;
         }
         let known = known_orders(daemon);
-        match config::follow_prefix(daemon, &mut watcher, WATCH_TIMEOUT).await {
+        // An order must be known as soon as a version of the configuration.
+        let wait = jitter_below(watch_time(&daemon.limits.load()));
+        match config::follow_prefix(daemon, &mut watcher, wait).await {
             Ok(update) => {
                 backoff.reset();
                 apply_update(daemon, source, update, &known);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -121,6 +121,10 @@
     pub fail_closed: bool,
     /// The time within which a withdrawn API key stops working.
     pub revoke_time: Duration,
+    /// The time within which an accepted version must be in force on every daemon.
+    pub apply_time: Duration,
+    /// The time after which a daemon whose connections have failed must be in contact again.
+    pub reconnect_time: Duration,
     /// Whether all daemons start together for the first time, so that the members are not complete
     /// at the start.
     pub first_start: bool,
@@ -222,6 +226,8 @@
             retry_window: self.millis("retry-window-ms", 10_000, 100, 600_000),
             fail_closed: self.fail_closed(),
             revoke_time: self.millis("revoke-ms", 5_000, 100, 600_000),
+            apply_time: self.millis("apply-ms", 10_000, 100, 600_000),
+            reconnect_time: self.millis("reconnect-ms", 3_000, 0, 600_000),
             first_start: self.choice("first-start", false, &[("true", true), ("false", false)]),
             link_mbps: self.number("link-mbps", 0, 0, 1_000_000),
             threads: self.number("threads", 1, 1, 64),
--- a/src/settings/flags.rs
+++ b/src/settings/flags.rs
@@ -74,6 +74,11 @@
             optional --fail-closed value: String
             /// The time within which a withdrawn API key stops working, in milliseconds.
             optional --revoke-ms ms: String
+            /// The time within which an accepted version must be in force on every daemon, in milliseconds.
+            optional --apply-ms ms: String
+            /// The time after which a daemon whose connections have failed must be in contact again, in
+            /// milliseconds; versions accepted meanwhile must be in force by then.
+            optional --reconnect-ms ms: String
             /// Whether all daemons start together for the first time: true or false.
             optional --first-start value: String
             /// The rate of the VM's link, in Mbit/s; zero if it is not known. Daemons with the fastest
@@ -92,7 +97,7 @@
 }
 
 /// The flags that take a value, each with an environment variable.
-pub const FLAGS: [&str; 33] = [
+pub const FLAGS: [&str; 35] = [
     "name",
     "domain",
     "region",
@@ -121,6 +126,8 @@
     "retry-window-ms",
     "fail-closed",
     "revoke-ms",
+    "apply-ms",
+    "reconnect-ms",
     "first-start",
     "link-mbps",
     "threads",
@@ -196,6 +203,8 @@
             flags.retry_window_ms,
             flags.fail_closed,
             flags.revoke_ms,
+            flags.apply_ms,
+            flags.reconnect_ms,
             flags.first_start,
             flags.link_mbps,
             flags.threads,
--- a/src/tree/relay.rs
+++ b/src/tree/relay.rs
@@ -2,14 +2,14 @@
 //! other relays.
 
 use super::actor::{Message, TreeRef};
-use super::backoff::{Backoff, jitter_around};
+use super::backoff::{Backoff, jitter_around, jitter_below};
 use super::discovery::RELAY_SLOTS;
 use super::link::Side;
 use super::node::{TreeRole, is_relay};
 use super::target::Target;
 use super::uplink::{relay_record, set_role};
 use super::{Tree, lease, session};
-use crate::daemon::{Daemon, Phase};
+use crate::daemon::{Daemon, Phase, watch_time};
 use crate::error::{Category, Result};
 use crate::event;
 use crate::generated::mesh as wire;
@@ -21,8 +21,6 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-/// Longest wait of one watch call on `head`.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 /// Bounds of the delay after a failed read of `head`; see [`Backoff`].
 const RETRY_MIN: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_secs(5);
@@ -157,7 +155,10 @@
 /// is newer than the one in force. Returns the revision of `head`.
 async fn read_head(daemon: &Daemon, actor: &TreeRef, seen_revision: Option<u64>) -> Result<u64> {
     let head = match seen_revision {
-        Some(seen_revision) => daemon.store.watch(seen_revision, WATCH_TIMEOUT).await?,
+        Some(seen_revision) => {
+            let wait = jitter_below(watch_time(&daemon.limits.load()));
+            daemon.store.watch(seen_revision, wait).await?
+        }
         None => daemon.store.head().await?,
     };
     if head.revision != 0 && head.stamp().version > daemon.config.stamp().version {
--- a/standin/src/fault.rs
+++ b/standin/src/fault.rs
@@ -1,8 +1,11 @@
 //! A TCP proxy that injects faults between two processes.
 
+use baobabstage::sync::lock;
 use rand::Rng;
 use rand::rngs::StdRng;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -121,6 +124,27 @@
     target: watch::Sender<SocketAddr>,
     /// Each change resets all open connections.
     resets: watch::Sender<u32>,
+    /// The connections that have not gone silent yet.
+    flows: Arc<Mutex<Vec<Arc<Flow>>>>,
+}
+
+/// The state of one connection through the proxy.
+struct Flow {
+    /// The number of the connection, counted from 1.
+    number: u32,
+    /// When bytes were last forwarded.
+    used: Mutex<Instant>,
+    /// Whether no more bytes are forwarded, although the connection stays open.
+    silent: AtomicBool,
+}
+
+impl Flow {
+    /// Never returns once the connection has gone silent.
+    async fn wait_unless_silent(&self) {
+        if self.silent.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    }
 }
 
 impl Control {
@@ -139,6 +163,17 @@
         self.resets.send_modify(|count| *count += 1);
     }
 
+    /// Makes the open connections that have been idle for `min_idle` go silent for good: they neither
+    /// forward bytes nor end. New connections are not affected.
+    pub fn silence_connections(&self, min_idle: Duration) {
+        let mut flows = lock(&self.flows);
+        flows.retain(|flow| {
+            let is_silent = lock(&flow.used).elapsed() >= min_idle;
+            flow.silent.store(is_silent, Ordering::Relaxed);
+            !is_silent
+        });
+    }
+
     /// Changes the target of new connections.
     pub fn set_target(&self, target: SocketAddr) {
         self.target.send_replace(target);
@@ -151,11 +186,13 @@
     }
 
     /// Waits until bytes of a connection may pass in this direction.
-    async fn wait_to_pass(&self, direction: Direction, number: u32) {
+    async fn wait_to_pass(&self, direction: Direction, flow: &Flow) {
         let mut faults = self.faults.subscribe();
         let _ = faults
-            .wait_for(|faults| faults.allows(direction, number))
+            .wait_for(|faults| faults.allows(direction, flow.number))
             .await;
+        flow.wait_unless_silent().await;
+        *lock(&flow.used) = Instant::now();
     }
 }
 
@@ -175,6 +212,7 @@
             faults: watch::Sender::default(),
             target: watch::Sender::new(target),
             resets: watch::Sender::default(),
+            flows: Arc::default(),
         };
         tokio::spawn(accept(listener, control.clone()));
         Ok((address, control))
@@ -210,10 +248,18 @@
     server.set_nodelay(true)?;
     let (from_client, to_client) = client.into_split();
     let (from_server, to_server) = server.into_split();
-    let up = forward(from_client, to_server, Direction::Up, number, control);
-    let down = forward(from_server, to_client, Direction::Down, number, control);
+    let flow = Arc::new(Flow {
+        number,
+        used: Mutex::new(Instant::now()),
+        silent: AtomicBool::new(false),
+    });
+    lock(&control.flows).push(Arc::clone(&flow));
+    let up = forward(from_client, to_server, Direction::Up, &flow, control);
+    let down = forward(from_server, to_client, Direction::Down, &flow, control);
     // An error in one direction ends both.
-    tokio::try_join!(up, down).map(|_| ())
+    let result = tokio::try_join!(up, down).map(|_| ());
+    lock(&control.flows).retain(|open| open.number != number);
+    result
 }
 
 /// Forwards bytes in one direction until the sender ends or the connection has to break.
@@ -221,13 +267,13 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     direction: Direction,
-    number: u32,
+    flow: &Flow,
     control: &Control,
 ) -> std::io::Result<()> {
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
     let result = {
         let both = async {
-            let write = write(&mut to, receiver, direction, number, control);
+            let write = write(&mut to, receiver, direction, flow, control);
             tokio::try_join!(read(&mut from, sender, control), write)
         };
         tokio::select! {
@@ -273,13 +319,13 @@
     to: &mut OwnedWriteHalf,
     mut chunks: mpsc::Receiver<(Instant, Vec<u8>)>,
     direction: Direction,
-    number: u32,
+    flow: &Flow,
     control: &Control,
 ) -> Result<(), Break> {
     let mut sent: u64 = 0;
     while let Some((due, mut chunk)) = chunks.recv().await {
         sleep_until(due).await;
-        control.wait_to_pass(direction, number).await;
+        control.wait_to_pass(direction, flow).await;
         let faults = *control.faults.borrow();
         if faults.rate > 0 {
             let len = u32::try_from(chunk.len()).unwrap_or(u32::MAX);
@@ -296,6 +342,7 @@
         to.write_all(&chunk).await?;
         sent += chunk.len() as u64;
     }
+    flow.wait_unless_silent().await;
     to.shutdown().await?;
     Ok(())
 }
--- a/tests/contact.rs
+++ b/tests/contact.rs
@@ -1,18 +1,21 @@
 //! The proof that the configuration in force is the newest, and its age.
 
-use baobabstage::daemon::{ContactCell, RuntimeLimits};
+use baobabstage::daemon::{ContactCell, RuntimeLimits, member_watch_time, watch_time};
 use std::time::Duration;
 use test_case::test_case;
 use tokio::time::{Instant, advance};
 
 const REVOKE_TIME: Duration = Duration::from_secs(5);
 
+const APPLY_LIMIT: Duration = Duration::from_secs(3);
+
 fn limits(contact_limit: Option<Duration>) -> RuntimeLimits {
     RuntimeLimits {
         grace: None,
         retry_extra: 0,
         retry_window: Duration::from_secs(10),
         contact_limit,
+        apply_limit: APPLY_LIMIT,
     }
 }
 
@@ -82,3 +85,16 @@
     own.mark_from_wire(started, age_at_peer);
     assert_eq!(own.age(), Some(Duration::from_secs(1)));
 }
+
+/// A connection that goes silent under a watch is found in the apply limit, and keyed calls may need it earlier.
+#[test_case(Duration::from_secs(3), None => (1_500, 6_000); "apply limit")]
+#[test_case(Duration::from_secs(3), Some(REVOKE_TIME) => (625, 6_000); "revocation time")]
+#[test_case(Duration::from_mins(5), None => (30_000, 30_000); "longest wait")]
+fn watch_time_limits(apply_limit: Duration, contact_limit: Option<Duration>) -> (u128, u128) {
+    let limits = RuntimeLimits {
+        apply_limit,
+        ..limits(contact_limit)
+    };
+    let members = member_watch_time(&limits);
+    (watch_time(&limits).as_millis(), members.as_millis())
+}
