Keep acknowledged leaves outside the process that acknowledged them

Cause: a leave was acknowledged at once and recorded later, in the daemon's own entry. A restarted daemon whose backend server had not reported wrote that entry again without the leave; the entry also lapses with its lease, and is not read again where the platform does not answer at the start. A second late report then counted as proof, though it proves no more than the first one.

Change: a leave (a notice or a report of draining) is acknowledged once the platform has stored it under a key of its own, which does not lapse with the daemon's entry, or, where the platform does not answer, once two peers know of it. A starting daemon reads that key until it is answered, and each exchange tells the receiver the leaves of its backend server that the sender has seen. A first report waits up to a second for the platform's word; without a health check a repeated report counts only once the platform and a peer have told all, or from 10 s after the start on, when no report from before it can be on its way. A notice without a start time holds for starts before its arrival.

Why this works: what was acknowledged is known to the platform or to two peers before the acknowledgement is sent, and a new process believes no report that could be older than that word.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -1,5 +1,9 @@
 //! The state of the backend server beside this daemon, from its own reports.
 
+mod leaves;
+
+pub use leaves::{Leaves, MAX_LEAVES};
+
 use crate::event;
 use crate::site::Leave;
 use crate::sync::lock;
@@ -105,11 +109,33 @@
     Unproven,
 }
 
+/// Who has told a daemon, since its start, of the leaves that its earlier processes have acknowledged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Recalled {
+    /// Nobody.
+    #[default]
+    Nothing,
+    /// The platform, which has those that it could store in time.
+    Stored,
+    /// The platform and a peer, if there are peers, which have all.
+    All,
+}
+
+/// Longest time for which a report may be on its way. One that arrives later after the start of this daemon was sent
+/// after it, and so after each leave that an earlier process has acknowledged.
+pub const REPORT_DELAY: Duration = Duration::from_secs(10);
+
 /// The current state of the backend server beside this daemon, with change notification.
 pub struct BackendCell {
     service: Option<String>,
     address: Option<SocketAddr>,
+    /// When this daemon started.
+    started: Instant,
     state: Mutex<State>,
+    /// The instances known to leave.
+    leaves: watch::Sender<Leaves>,
+    /// Who has told of the leaves that earlier processes of this daemon have acknowledged.
+    recalled: watch::Sender<Recalled>,
     current: watch::Sender<Arc<Backend>>,
 }
 
@@ -117,13 +143,8 @@
 struct State {
     /// Whether the first report since the start of this daemon has been confirmed.
     confirmed: bool,
-    /// Instances known to be leaving, newest last, with their start time in Unix milliseconds.
-    leaving: Vec<(String, u64)>,
 }
 
-/// The maximum number of leaving instances that are remembered; the oldest is dropped first.
-const MAX_LEAVING: usize = 16;
-
 impl BackendCell {
     /// Creates a cell for a backend server that does not report; if present, it counts as ready.
     #[must_use]
@@ -133,22 +154,24 @@
         } else {
             Stage::Unknown
         };
-        BackendCell {
-            service: None,
-            address: None,
-            state: Mutex::default(),
-            current: watch::Sender::new(Arc::new(Backend::new(stage))),
-        }
+        BackendCell::new(None, None, stage)
     }
 
     /// Creates a cell for a backend server that reports; it is unknown until then.
     #[must_use]
     pub fn reporting(service: &str, address: SocketAddr) -> Self {
+        BackendCell::new(Some(service.to_owned()), Some(address), Stage::Unknown)
+    }
+
+    fn new(service: Option<String>, address: Option<SocketAddr>, stage: Stage) -> Self {
         BackendCell {
-            service: Some(service.to_owned()),
-            address: Some(address),
+            service,
+            address,
+            started: Instant::now(),
             state: Mutex::default(),
-            current: watch::Sender::new(Arc::new(Backend::new(Stage::Unknown))),
+            leaves: watch::Sender::default(),
+            recalled: watch::Sender::default(),
+            current: watch::Sender::new(Arc::new(Backend::new(stage))),
         }
     }
 
@@ -166,9 +189,10 @@
 
     /// Applies a report.
     ///
-    /// The first report since the start of this daemon may be an old one that arrived late, so it
-    /// counts only when `healthy` (a health check names the same instance) or when a later report
-    /// of the same instance follows.
+    /// The first report since the start of this daemon may be an old one that arrived late, so it counts only when
+    /// `healthy` (a health check names the same instance) or when a later report of the same instance follows. That
+    /// one may be from before the instance left as well: it counts once all leaves are recalled, or from
+    /// [`REPORT_DELAY`] on.
     pub fn report(&self, now: Instant, report: &Report, healthy: bool) -> ReportOutcome {
         if self.service.as_ref() != Some(&report.service) || self.address != Some(report.address) {
             return ReportOutcome::Foreign;
@@ -183,19 +207,22 @@
         if same && report.sequence <= known.sequence {
             return ReportOutcome::Old;
         }
-        let has_left =
-            |(id, born): &(String, u64)| *id == report.instance && *born >= report.born_ms;
-        let leaving =
-            report.state == ReportedState::Draining || locked.leaving.iter().any(has_left);
+        let has_left = self
+            .leaves
+            .borrow()
+            .contains(&report.instance, report.born_ms);
+        let leaving = report.state == ReportedState::Draining || has_left;
         let repeated = same && known.sequence > 0;
-        locked.confirmed = locked.confirmed || healthy || repeated;
+        let has_not_left = *self.recalled.borrow() == Recalled::All
+            || now.saturating_duration_since(self.started) > REPORT_DELAY;
+        locked.confirmed = locked.confirmed || healthy || repeated && has_not_left;
         let stage = match (leaving, locked.confirmed) {
             (true, _) => Stage::Leaving,
             (false, true) => Stage::Ready,
             (false, false) => Stage::Unknown,
         };
         if leaving {
-            locked.leave(&report.instance, report.born_ms);
+            self.insert_leave(&report.instance, report.born_ms);
         }
         self.publish(Backend {
             stage,
@@ -213,12 +240,13 @@
         }
     }
 
-    /// Applies a backend server's notice that it leaves.
+    /// Applies a backend server's notice that it leaves, received at `received_ms` (milliseconds since the Unix
+    /// epoch).
     ///
     /// Returns whether the stage becomes [`Stage::Leaving`]: the notice concerns the known instance
     /// or a later start, or no instance is known yet.
-    pub fn leave(&self, leave: &Leave) -> bool {
-        let mut state = lock(&self.state);
+    pub fn leave(&self, leave: &Leave, received_ms: u64) -> bool {
+        let _state = lock(&self.state);
         let known = self.load();
         let same = known.instance.as_ref() == Some(&leave.instance);
         let later = leave.born_ms.is_some_and(|born| born > known.born_ms);
@@ -226,30 +254,71 @@
         if same && earlier {
             return false;
         }
-        state.leave(&leave.instance, leave.born_ms.unwrap_or(known.born_ms));
+        // A notice without a start time is about the start that is known, or the last one before it arrived.
+        let last_start = if same { known.born_ms } else { received_ms };
+        let born_ms = leave.born_ms.unwrap_or(last_start);
+        self.insert_leave(&leave.instance, born_ms);
         if same || known.instance.is_none() || later {
             let mut next = (*known).clone();
             next.stage = Stage::Leaving;
             next.instance = Some(leave.instance.clone());
-            next.born_ms = leave.born_ms.unwrap_or(known.born_ms);
+            next.born_ms = born_ms;
             self.publish(next);
             return true;
         }
         false
     }
 
-    /// Restores from the platform that an instance leaves, as an earlier process recorded it.
-    pub fn restore_leave(&self, instance: &str, born_ms: u64) {
-        let mut state = lock(&self.state);
-        state.leave(instance, born_ms);
+    /// Restores leaves that an earlier process of this daemon has acknowledged.
+    pub fn restore_leaves(&self, leaves: &Leaves) {
+        let _state = lock(&self.state);
+        let is_new = self.leaves.send_if_modified(|known| known.merge(leaves));
+        if !is_new {
+            return;
+        }
+        event!(
+            BackendRecalled,
+            instances = format_args!("{:?}", leaves.to_wire())
+        );
         let known = self.load();
-        if known.instance.as_deref() == Some(instance) && known.born_ms <= born_ms {
+        let instance = known.instance.as_deref().unwrap_or_default();
+        if leaves.contains(instance, known.born_ms) && known.stage != Stage::Leaving {
             let mut next = (*known).clone();
             next.stage = Stage::Leaving;
             self.publish(next);
         }
     }
 
+    /// Returns a receiver of the instances known to leave.
+    #[must_use]
+    pub fn leaves(&self) -> watch::Receiver<Leaves> {
+        self.leaves.subscribe()
+    }
+
+    /// Records who has told of the leaves that earlier processes of this daemon have acknowledged.
+    pub fn set_recalled(&self, recalled: Recalled) {
+        self.recalled.send_replace(recalled);
+    }
+
+    /// Waits until the platform has told of these leaves.
+    pub async fn wait_recalled(&self) {
+        let mut recalled = self.recalled.subscribe();
+        // The sender lives as long as `self`.
+        let _ = recalled.wait_for(|by| *by >= Recalled::Stored).await;
+    }
+
+    /// Returns the time since this daemon started.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Records that an instance leaves, so that a later report of it does not make it ready again.
+    fn insert_leave(&self, instance: &str, born_ms: u64) {
+        self.leaves
+            .send_if_modified(|known| known.insert(instance, born_ms));
+    }
+
     /// Stops calls until the next report, since another instance than `instance` has responded.
     pub fn note_mismatch(&self, instance: &str) {
         let _state = lock(&self.state);
@@ -277,20 +346,3 @@
         }
     }
 }
-
-impl State {
-    /// Records that an instance leaves, so that a later report of it does not make it ready again.
-    fn leave(&mut self, instance: &str, born_ms: u64) {
-        let known = self
-            .leaving
-            .iter()
-            .any(|(id, born)| id == instance && *born >= born_ms);
-        if known {
-            return;
-        }
-        if self.leaving.len() == MAX_LEAVING {
-            self.leaving.remove(0);
-        }
-        self.leaving.push((instance.to_owned(), born_ms));
-    }
-}
--- a/src/event.rs
+++ b/src/event.rs
@@ -79,7 +79,7 @@
     BackendHealthy = 405, Info, "This daemon's own backend server answers.";
 
     BackendStage = 406, Info, "The life cycle stage or the instance of this daemon's backend server has changed.";
-    BackendRecalled = 407, Info, "The leave of the backend server, recorded by an earlier process, was restored.";
+    BackendRecalled = 407, Info, "Leaves of the backend server that an earlier process has acknowledged were restored.";
     ReportIgnored = 408, Debug, "A report of the backend server was outdated or is not confirmed yet.";
     ReportRefused = 409, Warn, "A report was invalid or is about another backend server.";
     AnnouncementFailed = 410, Warn, "This daemon's entry in the platform could not be renewed.";
@@ -96,6 +96,8 @@
     SuspectsUnsaved = 420, Warn, "A record of crashes could not be read from the platform or written to it.";
     ReadingHandedOver = 421, Info, "The platform does not answer this reader; a daemon that reads in its place is told.";
     VersionPassedOn = 422, Info, "A reader tells other daemons of the version in force at once.";
+    LeavesUnsaved = 423, Warn, "A leave of the backend server could not be read from the platform or written to it.";
+    LeavesKeptByPeers = 424, Info, "The platform has not stored a leave of the backend server in time; peers keep it.";
 
     CallRefused = 500, Info, "A call was refused; it was not run.";
     CallUnknown = 501, Warn, "A call ended without a known outcome.";
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -8,6 +8,7 @@
 
 pub use peer::{ExchangeError, post, serve, with_peer};
 
+use crate::backend::Leaves;
 use crate::call::number;
 use crate::daemon::Daemon;
 use crate::error::{Category, Error, Result};
@@ -232,8 +233,9 @@
         let buckets = std::mem::take(&mut request.buckets);
         let has_members = !request.members.is_empty();
         let (rollout_digest, has_rollouts) = (request.rollout_digest, !request.rollouts.is_empty());
+        let sender = request.sender.as_ref().map(|sender| sender.name.clone());
         self.merge(daemon, request);
-        let mut response = self.summary(daemon);
+        let mut response = self.summary(daemon, sender.as_deref());
         let differs = response.buckets != buckets;
         if differs || wants {
             response.members = lock(&self.registry).records_for(&buckets);
@@ -267,6 +269,9 @@
             }
             changed
         });
+        daemon
+            .backend
+            .restore_leaves(&Leaves::from_wire(&message.leaves));
         daemon.rollouts.merge_messages(message.rollouts);
         let Some(newer) = message.newer else {
             return;
@@ -352,14 +357,18 @@
         Some(Newer::Packed(data))
     }
 
-    /// Returns a message with this daemon's own record, stamp and digest, without member records.
-    fn summary(&self, daemon: &Daemon) -> wire::Exchange {
+    /// Returns a message with this daemon's own record, stamp and digest, without member records, and with what a
+    /// new process of the receiver may not know of its backend server.
+    fn summary(&self, daemon: &Daemon, receiver: Option<&str>) -> wire::Exchange {
         // Read before the stamp: it proves that the version in force then was the newest.
         let current_ms = daemon.contact.to_wire();
+        let sender = self.update_own(daemon);
+        let registry = lock(&self.registry);
         wire::Exchange {
-            sender: Some(self.update_own(daemon)),
+            sender: Some(sender),
             stamp: Some(daemon.config.stamp().to_wire()),
-            buckets: lock(&self.registry).buckets(),
+            buckets: registry.buckets(),
+            leaves: receiver.map_or_else(Vec::new, |name| registry.leaves_of(name).to_wire()),
             whole: self.mismatched.load(Ordering::Relaxed),
             current_ms,
             rollout_digest: daemon.rollouts.digest(),
--- a/src/exchange/peer.rs
+++ b/src/exchange/peer.rs
@@ -53,7 +53,9 @@
 ) -> Result<(), ExchangeError> {
     let state = ExchangeState::of(daemon);
     let started = Instant::now();
-    let response = send(peer, state.summary(daemon), limit).await?;
+    let receiver = name_of(daemon, peer);
+    let receiver = receiver.as_deref();
+    let response = send(peer, state.summary(daemon, receiver), limit).await?;
     let other = Stamp::from_wire(response.stamp.as_ref());
     let current_ms = response.current_ms;
     let (wants, whole) = (response.wants, response.whole);
@@ -61,7 +63,7 @@
     let rollout_digest = response.rollout_digest;
     state.merge(daemon, response);
     if wants || state.mismatched.load(Ordering::Relaxed) {
-        let mut more = state.summary(daemon);
+        let mut more = state.summary(daemon, receiver);
         if wants {
             more.members = lock(&state.registry).records_for(&buckets);
         }
@@ -84,6 +86,15 @@
     Ok(())
 }
 
+/// Returns the name of the daemon whose inbound listener has the address `peer`, if it is known.
+fn name_of(daemon: &Daemon, peer: SocketAddr) -> Option<String> {
+    let peer = peer.to_string();
+    let fleet = daemon.fleet.load();
+    let mut members = fleet.members().values();
+    let member = members.find(|member| member.inbound == peer);
+    member.map(|member| member.name.clone())
+}
+
 async fn send(
     peer: SocketAddr,
     message: wire::Exchange,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -111,6 +111,7 @@
 pub mod table;
 pub mod transfer;
 pub mod tree;
+mod unix_time;
 pub mod zlib;
 pub use change::Change;
 pub use error::{Category, Error, Result};
--- a/src/member/registry.rs
+++ b/src/member/registry.rs
@@ -8,6 +8,7 @@
 //! circulating among them does not restore it.
 
 use super::{Fleet, Rank, rank};
+use crate::backend::Leaves;
 use crate::generated::mesh as wire;
 use crate::generated::mesh::MemberState;
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,6 +30,9 @@
 /// Time for which the ranks of removed members are kept, to reject older copies of their records.
 const TOMBSTONE_TIME: Duration = Duration::from_mins(2);
 
+/// Time for which the leave of a backend server is kept after it was last stated.
+const LEAVE_TIME: Duration = Duration::from_mins(10);
+
 /// Number of buckets into which members are divided by a hash of their names. Two daemons exchange
 /// the records of those buckets only whose digests differ.
 pub const BUCKETS: usize = 32;
@@ -50,6 +54,9 @@
     entries: BTreeMap<String, Entry>,
     /// The ranks of removed members, and when they were removed.
     removed: BTreeMap<String, (Rank, Instant)>,
+    /// The instances of each daemon's backend server that leave by its records, and when they were last stated. A
+    /// later process of the daemon may not know of them.
+    leaves: BTreeMap<String, (Leaves, Instant)>,
 }
 
 impl MemberRegistry {
@@ -59,6 +66,7 @@
     /// higher sequence alone counts as a change.
     pub fn merge_listed(&mut self, record: wire::Member, now: Instant) -> bool {
         self.following = true;
+        self.note_leave(&record, now);
         // The platform is the primary source: its listing overrides a tombstone of any rank.
         self.removed.remove(&record.name);
         let name = record.name.clone();
@@ -135,6 +143,7 @@
     /// Returns whether the members have changed; a higher sequence alone is not a change. The removal
     /// of a member that the platform lists is ignored.
     pub fn merge_reported(&mut self, record: wire::Member, now: Instant) -> bool {
+        self.note_leave(&record, now);
         let new = rank(&record);
         let known = self.entries.get(&record.name);
         if record.state() == MemberState::Gone && known.is_some_and(|entry| entry.listed) {
@@ -172,9 +181,28 @@
             keep
         });
         removed.retain(|_, (_, at)| age(*at) < TOMBSTONE_TIME);
+        self.leaves.retain(|_, (_, at)| age(*at) < LEAVE_TIME);
         self.entries.len() != before
     }
 
+    /// Returns the instances of a daemon's backend server that leave, by the records of that daemon.
+    #[must_use]
+    pub fn leaves_of(&self, name: &str) -> Leaves {
+        let leaves = self.leaves.get(name);
+        leaves.map_or_else(Leaves::default, |(leaves, _)| leaves.clone())
+    }
+
+    fn note_leave(&mut self, record: &wire::Member, now: Instant) {
+        if let Some(leave) = stated_leave(record) {
+            let (leaves, at) = self
+                .leaves
+                .entry(record.name.clone())
+                .or_insert_with(|| (Leaves::default(), now));
+            leaves.merge(&leave);
+            *at = now;
+        }
+    }
+
     /// Returns the members as a [`Fleet`], without those whose inbound address a later process has.
     #[must_use]
     pub fn fleet(&self) -> Fleet {
@@ -244,6 +272,15 @@
     }
 }
 
+/// Returns the leave of a backend server that a record states, if it does.
+#[must_use]
+pub fn stated_leave(record: &wire::Member) -> Option<Leaves> {
+    let mut leaves = Leaves::default();
+    let is_stated = record.left && !record.instance.is_empty();
+    is_stated.then(|| leaves.insert(&record.instance, record.born_ms))?;
+    Some(leaves)
+}
+
 /// Returns the bucket of a member.
 fn bucket_of(name: &str) -> usize {
     let hash = xxh3_64(name.as_bytes()) % BUCKETS as u64;
--- a/src/role/inbound/backend.rs
+++ b/src/role/inbound/backend.rs
@@ -9,6 +9,7 @@
 use crate::header_names::HeaderNames;
 use crate::serve::Body;
 use crate::site::Leave;
+use crate::unix_time::unix_ms;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use tokio::time::Instant;
 
@@ -156,10 +157,11 @@
         return;
     }
     if let Some(instance) = backend.instance.clone() {
-        daemon.backend.leave(&Leave {
+        let leave = Leave {
             instance,
             born_ms: Some(backend.born_ms),
-        });
+        };
+        daemon.backend.leave(&leave, unix_ms());
     }
 }
 
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -13,6 +13,7 @@
 use crate::generated::mesh as wire;
 use crate::kernel::{Plugin, RoleFuture};
 use crate::member::registry::MemberRegistry;
+use crate::member::registry::stated_leave;
 use crate::platform::{self, Entry, KeyUpdate, PlatformError, PrefixWatcher, Swap};
 use crate::quarantine::Quarantine;
 use crate::settings::Distribution;
@@ -230,15 +231,8 @@
             event!(MemberUnreadable, key = key, revision = entry.revision);
             return;
         };
-        if record.left && !record.instance.is_empty() {
-            event!(
-                BackendRecalled,
-                instance = record.instance,
-                born_ms = record.born_ms
-            );
-            daemon
-                .backend
-                .restore_leave(&record.instance, record.born_ms);
+        if let Some(leaves) = stated_leave(&record) {
+            daemon.backend.restore_leaves(&leaves);
         }
     }
 
--- a/src/role/reports.rs
+++ b/src/role/reports.rs
@@ -1,5 +1,8 @@
 //! The role that receives reports from this daemon's backend server.
 
+mod leaves;
+
+use self::leaves::LeaveRecord;
 use super::inbound::{self, health};
 use crate::backend::{Report, ReportOutcome, ReportedState, Stage};
 use crate::daemon::{Daemon, Phase};
@@ -7,6 +10,7 @@
 use crate::kernel::{Plugin, RoleFuture};
 use crate::serve::{Body, full_body, serve};
 use crate::site::{Leave, ReportRequest, Reports};
+use crate::unix_time::unix_ms;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -14,7 +18,7 @@
 use serde_json::{Value, json};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 /// Maximum length of a report, in bytes.
 const MAX_REPORT_LEN: usize = 64 * 1024;
@@ -22,6 +26,12 @@
 /// Time limit for reading a report.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which the handling of a report waits for the leaves that earlier processes have acknowledged.
+const RECALL_WAIT: Duration = Duration::from_millis(300);
+
+/// Time after the start from which they are no longer waited for.
+const RECALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 inventory::submit! {
     Plugin { name: "reports", run, state, metrics }
 }
@@ -37,7 +47,11 @@
             let (daemon, reports) = (Arc::clone(&shared), reports.clone());
             async move { handle(&daemon, &reports, request).await }
         };
-        serve(socket, daemon.drain.clone(), Phase::Stopped, handler).await
+        let record = LeaveRecord::of(&daemon);
+        tokio::select! {
+            ended = serve(socket, daemon.drain.clone(), Phase::Stopped, handler) => ended,
+            () = record.run(&daemon) => Ok(()),
+        }
     })
 }
 
@@ -57,31 +71,33 @@
 async fn handle(daemon: &Daemon, reports: &Reports, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
     let body = Limited::new(body, MAX_REPORT_LEN).collect();
-    let body = match tokio::time::timeout(READ_TIMEOUT, body).await {
+    let body = match timeout(READ_TIMEOUT, body).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(err)) => return refusal_response(StatusCode::BAD_REQUEST, &err.to_string()),
         Err(_) => return refusal_response(StatusCode::REQUEST_TIMEOUT, "not sent in time"),
     };
     match (reports.decode)(&head.method, head.uri.path(), &body) {
         Some(Ok(ReportRequest::Report(report))) => handle_report(daemon, &report).await,
-        Some(Ok(ReportRequest::Leave(leave))) => handle_leave(daemon, &leave),
+        Some(Ok(ReportRequest::Leave(leave))) => handle_leave(daemon, &leave).await,
         Some(Err(err)) => refusal_response(StatusCode::BAD_REQUEST, &err.to_string()),
         None => refusal_response(StatusCode::NOT_FOUND, "no such call"),
     }
 }
 
 async fn handle_report(daemon: &Daemon, report: &Report) -> Response<Body> {
-    let unknown = daemon.backend.load().stage == Stage::Unknown;
     // A report may be late, and after a start there is no earlier state to compare it with. The
-    // health endpoint confirms it then.
-    let healthy = unknown && health::confirms_instance(daemon, &report.instance).await;
+    // health endpoint confirms it then, unless the instance has left before.
+    let unconfirmed =
+        report.state == ReportedState::Ready && daemon.backend.load().stage == Stage::Unknown;
+    let healthy = unconfirmed
+        && is_recalled(daemon).await
+        && health::confirms_instance(daemon, &report.instance).await;
     let outcome = daemon.backend.report(Instant::now(), report, healthy);
     match outcome {
         ReportOutcome::New => {
             if report.state == ReportedState::Ready {
                 inbound::component(daemon).mark_reachable();
             }
-            empty_response()
         }
         ReportOutcome::Unproven | ReportOutcome::Old => {
             event!(
@@ -91,20 +107,43 @@
                 sequence = report.sequence,
                 born_ms = report.born_ms,
             );
-            empty_response()
         }
         ReportOutcome::Foreign => {
             let reason = "report is about another backend server";
-            refusal_response(StatusCode::BAD_REQUEST, reason)
+            return refusal_response(StatusCode::BAD_REQUEST, reason);
         }
     }
+    match report.state {
+        ReportedState::Ready => empty_response(),
+        ReportedState::Draining => acknowledge_leave(daemon).await,
+    }
 }
 
-fn handle_leave(daemon: &Daemon, leave: &Leave) -> Response<Body> {
-    if !daemon.backend.leave(leave) {
+/// Tests whether the leaves that earlier processes have stored are known, or the platform has not answered since the
+/// start; peers may have told of them meanwhile.
+async fn is_recalled(daemon: &Daemon) -> bool {
+    let limit = RECALL_WAIT.min(RECALL_TIMEOUT.saturating_sub(daemon.backend.age()));
+    let recalled = timeout(limit, daemon.backend.wait_recalled()).await;
+    recalled.is_ok() || daemon.backend.age() >= RECALL_TIMEOUT
+}
+
+async fn handle_leave(daemon: &Daemon, leave: &Leave) -> Response<Body> {
+    if !daemon.backend.leave(leave, unix_ms()) {
         event!(ReportIgnored, reason = "leave", instance = leave.instance);
     }
-    empty_response()
+    acknowledge_leave(daemon).await
+}
+
+/// Acknowledges a leave once it is kept elsewhere too. The acknowledgement binds later processes of this daemon,
+/// so a leave that only this one knows is not acknowledged; calls to the instance end in any case.
+async fn acknowledge_leave(daemon: &Daemon) -> Response<Body> {
+    if LeaveRecord::of(daemon).record(daemon).await {
+        return empty_response();
+    }
+    refusal_response(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "leave is not recorded yet, repeat it",
+    )
 }
 
 fn empty_response() -> Response<Body> {
--- a/src/store/accept.rs
+++ b/src/store/accept.rs
@@ -10,12 +10,13 @@
 use crate::platform::{MAX_VALUE_LEN, PlatformError, Swap};
 use crate::snapshot::Snapshot;
 use crate::tree::backoff::Backoff;
+use crate::unix_time::unix_ms;
 use bytes::Bytes;
 use futures_util::future::try_join_all;
 use prost::Message;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
 /// Bounds of the delay between two attempts to accept a change; see [`Backoff`].
@@ -298,9 +299,3 @@
     }
     touched
 }
-
-/// Returns the time since the Unix epoch, in milliseconds.
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
-}
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -1,6 +1,9 @@
 //! The state of the backend server beside a daemon, from its reports.
 
-use baobabstage::backend::{BackendCell, Report, ReportOutcome, ReportedState, Stage};
+use baobabstage::backend::{
+    BackendCell, Leaves, MAX_LEAVES, REPORT_DELAY, Recalled, Report, ReportOutcome, ReportedState,
+    Stage,
+};
 use baobabstage::site::Leave;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,6 +12,9 @@
 
 const SERVICE: &str = "certs";
 
+/// The time at which notices arrive, in milliseconds since the Unix epoch.
+const NOW_MS: u64 = 1_000;
+
 fn address() -> SocketAddr {
     ([10, 0, 0, 1], 8_000).into()
 }
@@ -90,6 +96,7 @@
 #[test]
 fn report_unconfirmed() {
     let cell = cell();
+    cell.set_recalled(Recalled::All);
     let now = Instant::now();
     let first = report("a", 1, 7);
     assert_eq!(cell.report(now, &first, false), ReportOutcome::Unproven);
@@ -100,11 +107,31 @@
     assert_eq!(cell.load().stage, Stage::Ready);
 }
 
+/// Guards against a second late report that makes an instance ready which left before the restart: it proves no
+/// more than the first while a leave may be unknown, and until no report can be on its way any longer.
+#[test_case(Recalled::Nothing; "platform and peers silent")]
+#[test_case(Recalled::Stored; "peers silent")]
+fn report_repeated_unrecalled(recalled: Recalled) {
+    let cell = cell();
+    cell.set_recalled(recalled);
+    let now = Instant::now();
+    for (sequence, after) in [(7, Duration::ZERO), (8, REPORT_DELAY * 9 / 10)] {
+        let late = report("a", 1, sequence);
+        let outcome = cell.report(now + after, &late, false);
+        assert_eq!(outcome, ReportOutcome::Unproven);
+        assert_eq!(cell.load().stage, Stage::Unknown);
+    }
+    let later = now + REPORT_DELAY + Duration::from_secs(1);
+    let current = report("a", 1, 9);
+    assert_eq!(cell.report(later, &current, false), ReportOutcome::New);
+    assert_eq!(cell.load().stage, Stage::Ready);
+}
+
 #[test]
 fn leave_then_report() {
     let cell = cell();
     apply(&cell, &report("a", 1, 1));
-    assert!(cell.leave(&leave("a", 1)));
+    assert!(cell.leave(&leave("a", 1), NOW_MS));
     apply(&cell, &report("a", 1, 2));
     assert_eq!(cell.load().stage, Stage::Leaving);
 }
@@ -112,7 +139,7 @@
 #[test]
 fn leave_before_report() {
     let cell = cell();
-    assert!(cell.leave(&leave("a", 1)));
+    assert!(cell.leave(&leave("a", 1), NOW_MS));
     apply(&cell, &report("a", 1, 5));
     assert_eq!(cell.load().stage, Stage::Leaving);
 }
@@ -121,21 +148,84 @@
 fn leave_earlier_start() {
     let cell = cell();
     apply(&cell, &report("a", 5, 1));
-    assert!(!cell.leave(&leave("a", 4)));
-    assert!(!cell.leave(&leave("old", 4)));
+    assert!(!cell.leave(&leave("a", 4), NOW_MS));
+    assert!(!cell.leave(&leave("old", 4), NOW_MS));
     assert_eq!(cell.load().stage, Stage::Ready);
 }
 
+/// Returns what a later process of the daemon restores.
+fn recorded(cell: &BackendCell) -> Leaves {
+    Leaves::from_wire(&cell.leaves().borrow().to_wire())
+}
+
 #[test]
-fn restore_leave_other_start() {
+fn restore_leaves_other_start() {
+    let first = cell();
+    first.leave(&leave("a", 5), NOW_MS);
     let cell = cell();
-    cell.restore_leave("a", 5);
+    cell.restore_leaves(&recorded(&first));
     apply(&cell, &report("a", 5, 9));
     assert_eq!(cell.load().stage, Stage::Leaving);
     apply(&cell, &report("a", 6, 1));
     assert_eq!(cell.load().stage, Stage::Ready);
 }
 
+/// What an earlier process has acknowledged may become known only after a report: it holds nevertheless.
+#[test]
+fn restore_leaves_after_report() {
+    let first = cell();
+    apply(&first, &draining(report("a", 5, 3)));
+    let cell = cell();
+    apply(&cell, &report("a", 5, 2));
+    cell.restore_leaves(&recorded(&first));
+    assert_eq!(cell.load().stage, Stage::Leaving);
+}
+
+/// Guards against a leave that is forgotten at the second restart, since the first one recorded nothing.
+#[test]
+fn restore_leaves_twice() {
+    let mut cell = cell();
+    cell.leave(&leave("a", 5), NOW_MS);
+    for _ in 0..3 {
+        let next = self::cell();
+        next.restore_leaves(&recorded(&cell));
+        cell = next;
+    }
+    apply(&cell, &report("a", 5, 9));
+    assert_eq!(cell.load().stage, Stage::Leaving);
+}
+
+/// A notice without a start time holds for the start before it, also where no report has named the instance.
+#[test]
+fn leave_without_start() {
+    let notice = Leave {
+        born_ms: None,
+        ..leave("a", 0)
+    };
+    let cell = cell();
+    assert!(cell.leave(&notice, NOW_MS));
+    apply(&cell, &report("a", NOW_MS - 1, 5));
+    assert_eq!(cell.load().stage, Stage::Leaving);
+    apply(&cell, &report("a", NOW_MS + 1, 1));
+    assert_eq!(cell.load().stage, Stage::Ready);
+}
+
+/// A later instance leaves too: the earlier ones stay known, as many as are remembered.
+#[test]
+fn leave_several_instances() {
+    let cell = cell();
+    let instances = 0..=u64::try_from(MAX_LEAVES).unwrap();
+    for number in instances.clone() {
+        let name = format!("i-{number}");
+        apply(&cell, &report(&name, number + 1, 1));
+        cell.leave(&leave(&name, number + 1), NOW_MS);
+    }
+    let leaves = recorded(&cell);
+    let known = |number: &u64| leaves.contains(&format!("i-{number}"), number + 1);
+    let forgotten: Vec<u64> = instances.filter(|number| !known(number)).collect();
+    assert_eq!(forgotten, [0]);
+}
+
 #[test]
 fn note_mismatch_until_report() {
     let cell = cell();
