Lend each daemon's share of a quota to one owner at a time

Cause: an owner refilled an account by the share of daemons that had contacted it. Every daemon contacts every owner, whichever it asks, so two owners refilled at the whole rate each. One answer that was 200 ms late, as after one lost packet, made a daemon ask another owner for two seconds.

Change: a daemon lends its share to one owner of each account at a time, for a stated time in that owner's clock; a contact names the lists of owners by which the receiver must be the owner, and two contacts in force have a list in common (docs/design/quota.md). The capacity of an account goes with the share. An owner is passed over when it refuses connections or has not answered for a second, not for a late answer; calls wait for it for up to 0.6 s or half of their time, then use the daemon's own share, or a reserve of 0.375 of the burst in 5 s over all daemons.

--- a/src/call.rs
+++ b/src/call.rs
@@ -62,6 +62,14 @@
 /// sender and that of the organisation, separated by spaces; the response carries the grant.
 pub const QUOTA: HeaderName = HeaderName::from_static("x-baobab-quota");
 
+/// Lends the sender's share in the refill of accounts to their owner: the name and incarnation of the sender, the
+/// number of this contact, the end of the lent time in milliseconds of the inbound side's clock, and the number of
+/// members known, separated by spaces. `1` in the response if it is accepted.
+pub const QUOTA_CONTACT: HeaderName = HeaderName::from_static("x-baobab-quota-contact");
+
+/// The lists of owners by which the receiver of a [`QUOTA_CONTACT`] must be an account's owner, separated by spaces.
+pub const QUOTA_OWNERS: HeaderName = HeaderName::from_static("x-baobab-quota-owners");
+
 /// Requests that the inbound side records the call's idempotency key.
 pub const KEY_RECORD: HeaderName = HeaderName::from_static("x-baobab-key-record");
 
--- a/src/call/upstream.rs
+++ b/src/call/upstream.rs
@@ -1,7 +1,8 @@
 //! Connections to other daemons.
 
 use super::{
-    FENCE, HELLO, KEY_KNOWN, QUOTA, attempt::Attempt, fence::ExecutionStatus, idempotency::KeyId,
+    FENCE, HELLO, KEY_KNOWN, QUOTA, QUOTA_CONTACT, QUOTA_OWNERS, attempt::Attempt,
+    fence::ExecutionStatus, idempotency::KeyId,
 };
 use crate::generated::mesh as wire;
 use crate::quota::Grant;
@@ -202,9 +203,51 @@
         Some(known == "1")
     }
 
-    /// Requests tokens of an organisation from the daemon that owns its account; `None` if the query fails.
-    pub async fn request_tokens(&self, request: &str) -> Option<Grant> {
-        Grant::read(&self.query(QUOTA, request).await?)
+    /// Requests tokens of an organisation from the daemon that owns its account; `None` if the query fails. The
+    /// owner gives no answer, `Some(None)`, where it does not know of a limit.
+    pub async fn request_tokens(&self, request: &str) -> Option<Option<Grant>> {
+        Some(Grant::read(&self.query(QUOTA, request).await?))
+    }
+
+    /// Lends this daemon's share to an owner of accounts. `contact` formats the contact, given a lower bound of the
+    /// owner's clock. Like a query, it is sent once more if it fails.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the owner does not answer, or has been replaced.
+    pub async fn contact_owner(
+        &self,
+        contact: impl Fn(u64) -> String,
+        lists: &str,
+    ) -> Result<(), LinkError> {
+        match self.contact_once(&contact, lists).await {
+            Err(LinkError::Unreachable(_)) => {
+                self.reset();
+                self.contact_once(&contact, lists).await
+            }
+            result => result,
+        }
+    }
+
+    async fn contact_once(
+        &self,
+        contact: impl Fn(u64) -> String,
+        lists: &str,
+    ) -> Result<(), LinkError> {
+        let ready = self.ready().await?;
+        let value = |text: &str| {
+            let value = HeaderValue::from_str(text);
+            value.map_err(|err| self.not_sent(&err.to_string()))
+        };
+        let mut request = query_request();
+        let headers = request.headers_mut();
+        headers.insert(QUOTA_CONTACT, value(&contact(ready.sent_ms))?);
+        headers.insert(QUOTA_OWNERS, value(lists)?);
+        let response = ready.send(request).await?;
+        match super::text(response.headers(), &QUOTA_CONTACT) {
+            Some("1") => Ok(()),
+            _ => Err(UpstreamError::Lost(self.address, "contact not accepted".into()).into()),
+        }
     }
 
     /// Sends a query in a header and returns the same header of the response.
@@ -229,8 +272,7 @@
     }
 
     async fn query_once(&self, name: &HeaderName, value: &HeaderValue) -> Option<String> {
-        let mut request = Request::new(full_body(Bytes::new()));
-        *request.uri_mut() = http::Uri::from_static("http://inbound/");
+        let mut request = query_request();
         request.headers_mut().insert(name, value.clone());
         let response = self.ready().await.ok()?.send(request).await.ok()?;
         super::text(response.headers(), name).map(ToOwned::to_owned)
@@ -292,8 +334,7 @@
             .await
             .map_err(|err| self.not_sent(&err.to_string()))?;
         tokio::spawn(connection);
-        let mut request = Request::new(full_body(Bytes::new()));
-        *request.uri_mut() = http::Uri::from_static("http://inbound/");
+        let mut request = query_request();
         request.headers_mut().insert(HELLO, self.incarnation.into());
         let response = sender.send_request(request).await;
         let response = response.map_err(|err| self.not_sent(&err.to_string()))?;
@@ -322,6 +363,13 @@
     }
 }
 
+/// Returns a request to an inbound side itself, which headers describe.
+fn query_request() -> Request<Body> {
+    let mut request = Request::new(full_body(Bytes::new()));
+    *request.uri_mut() = http::Uri::from_static("http://inbound/");
+    request
+}
+
 /// Formats the value of the [`HELLO`] header of a response: incarnation and clock.
 #[must_use]
 pub fn hello(incarnation: u64, clock_ms: u64) -> String {
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -4,17 +4,21 @@
 //! outbound sides take tokens from it, one for each call, and keep a few for a moment in their [`Holdings`].
 //! `docs/design/quota.md` tells what bounds the sum over all daemons.
 
+mod client;
 mod holdings;
 mod ledger;
+mod lending;
+mod owners;
+mod reach;
 
+pub use client::{QuotaClient, lend_time};
 pub use holdings::{Holdings, Taken};
-pub use ledger::Ledger;
+pub use ledger::{Contact, Ledger};
+pub use lending::{Claim, Lending};
+pub use owners::{MAX_OWNERS, OwnerList, owners};
+pub use reach::{PASS_TIME, Reach, SILENT_TIME};
 
-use crate::generated::mesh as wire;
-use crate::member::Fleet;
-use std::cmp::Reverse;
 use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Time for which a token may be used after the owner has handed it out.
 pub const TOKEN_TIME: Duration = Duration::from_millis(300);
@@ -26,12 +30,9 @@
 /// Contacts a second at one owner.
 pub const MAX_CONTACT_RATE: u32 = 200;
 
-/// Contact intervals after which a daemon that has not asked no longer counts for the refill.
+/// Contact intervals for which a contact lends a daemon's share.
 pub const CONTACT_INTERVALS: u32 = 2;
 
-/// The number of daemons among which the owners are chosen: few, so that each is asked often by all daemons.
-pub const MAX_OWNERS: usize = 8;
-
 /// The limit of an organisation's calls over all daemons.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
@@ -80,25 +81,3 @@
     let members = u32::try_from(members).unwrap_or(u32::MAX);
     CONTACT_INTERVAL.max(Duration::from_secs(1) * members / MAX_CONTACT_RATE)
 }
-
-/// Returns the daemons among which owners are chosen: those with the fastest links, by name.
-#[must_use]
-pub fn owners(fleet: &Fleet) -> Vec<&wire::Member> {
-    let members = fleet.members().values().map(AsRef::as_ref);
-    let mut members: Vec<&wire::Member> = members
-        .filter(|member| member.state() == wire::MemberState::Ready)
-        .collect();
-    let speed = |member: &wire::Member| member.link_mbps.checked_ilog2().map_or(0, |log| log + 1);
-    members.sort_by(|a, b| (Reverse(speed(a)), &a.name).cmp(&(Reverse(speed(b)), &b.name)));
-    members.truncate(MAX_OWNERS);
-    members
-}
-
-/// Orders the owners for an organisation by rendezvous hashing: the first one is asked, and the next when it
-/// does not answer.
-pub fn sort_by_precedence(owners: &mut [&wire::Member], organisation: &str) {
-    owners.sort_by_key(|owner| {
-        let key = format!("{} {organisation}", owner.name);
-        (Reverse(xxh3_64(key.as_bytes())), owner.name.clone())
-    });
-}
--- a/src/quota/holdings.rs
+++ b/src/quota/holdings.rs
@@ -8,11 +8,13 @@
 /// Time for which a daemon asks for tokens in advance.
 const ADVANCE: Duration = Duration::from_millis(200);
 
-/// The share of `rate / members` that a daemon uses while no owner answers it.
-const ALONE_SHARE: f64 = 0.5;
+/// Time for which the share that a daemon uses on its own accumulates.
+const OWN_TIME: Duration = Duration::from_secs(1);
 
-/// Time for which that share accumulates.
-const ALONE_TIME: Duration = Duration::from_secs(1);
+/// The share of an organisation's burst that daemons may use, all together, while owners do not answer, and the time
+/// in which they may use it once.
+const RESERVE_SHARE: f64 = 0.375;
+const RESERVE_TIME: Duration = Duration::from_secs(5);
 
 /// The most organisations for which tokens are held; beyond, those without a valid token are dropped.
 const MAX_HELD: usize = 1_024;
@@ -43,9 +45,37 @@
     /// Calls a second, as an average that decays within a second.
     demand: f64,
     seen: Instant,
-    /// The part of a call that this daemon may let run on its own.
-    alone: f64,
-    alone_at: Instant,
+    /// This daemon's own share, and its part of the reserve.
+    own: Allowance,
+    reserve: Allowance,
+}
+
+/// Calls that may run without an owner's word.
+#[derive(Debug, Default)]
+struct Allowance {
+    /// When a call was last decided on; before the first one, the allowance is full.
+    taken_at: Option<Instant>,
+    calls: f64,
+}
+
+impl Allowance {
+    /// Decides on a call, given the calls a second and at most. Less than one is used up by chance.
+    fn take(&mut self, now: Instant, rate: f64, most: f64, sample: f64) -> bool {
+        let elapsed = self.taken_at.replace(now);
+        let elapsed = elapsed.map(|at| now.saturating_duration_since(at));
+        self.calls = elapsed.map_or(most, |elapsed| {
+            (self.calls + rate * elapsed.as_secs_f64()).min(most)
+        });
+        if self.calls >= 1.0 {
+            self.calls -= 1.0;
+            return true;
+        }
+        sample < std::mem::take(&mut self.calls)
+    }
+}
+
+fn count(members: usize) -> f64 {
+    f64::from(u32::try_from(members.max(1)).unwrap_or(u32::MAX))
 }
 
 impl Held {
@@ -72,8 +102,8 @@
             exhausted_until: now,
             demand: 0.0,
             seen: now,
-            alone: 0.0,
-            alone_at: now,
+            own: Allowance::default(),
+            reserve: Allowance::default(),
         }
     }
 }
@@ -116,9 +146,9 @@
         self.held(now, organisation).exhausted_until = now + time;
     }
 
-    /// Decides on a call while no owner answers, by this daemon's own share of the limit. `sample` is uniformly
+    /// Decides on a call by this daemon's own share of the limit, while no owner may count it. `sample` is uniformly
     /// distributed in 0 to 1: most shares are below one call, and chance keeps their sum over all daemons.
-    pub fn take_alone(
+    pub fn take_own(
         &mut self,
         now: Instant,
         organisation: &str,
@@ -126,20 +156,27 @@
         members: usize,
         sample: f64,
     ) -> bool {
-        let members = u32::try_from(members.max(1)).unwrap_or(u32::MAX);
-        let rate = limit.rate * ALONE_SHARE / f64::from(members);
+        let rate = limit.rate / count(members);
+        let most = rate * OWN_TIME.as_secs_f64();
+        self.held(now, organisation)
+            .own
+            .take(now, rate, most, sample)
+    }
+
+    /// Decides on a call by this daemon's part of the reserve, while an owner that may count this daemon does not
+    /// answer. The reserve of all daemons together is a share of the burst in any [`RESERVE_TIME`].
+    pub fn take_reserve(
+        &mut self,
+        now: Instant,
+        organisation: &str,
+        limit: Limit,
+        members: usize,
+        sample: f64,
+    ) -> bool {
+        let most = limit.burst * RESERVE_SHARE / count(members);
+        let rate = most / RESERVE_TIME.as_secs_f64();
         let held = self.held(now, organisation);
-        let elapsed = now.saturating_duration_since(held.alone_at);
-        held.alone += rate * elapsed.min(ALONE_TIME).as_secs_f64();
-        held.alone = held.alone.min((rate * ALONE_TIME.as_secs_f64()).max(1.0));
-        held.alone_at = now;
-        if held.alone >= 1.0 {
-            held.alone -= 1.0;
-            return true;
-        }
-        let chance = held.alone;
-        held.alone = 0.0;
-        sample < chance
+        held.reserve.take(now, rate, most, sample)
     }
 
     fn held(&mut self, now: Instant, organisation: &str) -> &mut Held {
--- a/src/quota/ledger.rs
+++ b/src/quota/ledger.rs
@@ -1,12 +1,12 @@
 //! The accounts of the organisations that a daemon owns.
 
-use super::{CONTACT_INTERVALS, Grant, Limit, contact_interval};
+use super::{Grant, Limit, OwnerList};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The share of an organisation's burst that its account holds at most. The rest covers the tokens that are
-/// still valid elsewhere and the shares of daemons that no owner answers.
+/// The share of an organisation's burst that all its accounts hold together at most. The rest covers the tokens that
+/// are still valid elsewhere and the shares of daemons that no owner answers.
 const BURST_SHARE: f64 = 0.35;
 
 /// The share of that with which an account begins: an owner before may have handed out the rest.
@@ -21,16 +21,32 @@
 /// The most accounts that are kept; beyond, idle ones are dropped first.
 const MAX_ACCOUNTS: usize = 4_096;
 
-/// Time for which the number of daemons in contact is kept: counting them takes longer than a decision.
+/// Time for which the shares lent to this daemon are kept as counted: counting them takes longer than a decision.
 const COUNT_TIME: Duration = Duration::from_millis(50);
 
-/// The accounts of the organisations that a daemon owns, and the daemons that have asked it of late.
-#[derive(Debug, Default)]
+/// A contact of another daemon, or of this one with itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Contact {
+    /// The incarnation of the sender, and the number of its contact. A late contact changes nothing.
+    pub order: (u64, u64),
+    /// The number of members that the sender knows.
+    pub members: usize,
+    /// The end of the time for which the sender lends its share.
+    pub until: Instant,
+    /// The lists by which the receiver must be an owner to count the sender.
+    pub lists: Vec<OwnerList>,
+}
+
+/// The accounts of the organisations that a daemon owns, and the shares that daemons lend to it.
+#[derive(Debug)]
 pub struct Ledger {
+    /// The name of this daemon.
+    name: String,
     accounts: BTreeMap<String, Account>,
-    contacts: BTreeMap<String, Instant>,
-    /// The share of the members in contact, and when it was counted.
-    counted: Option<(Instant, f64)>,
+    contacts: BTreeMap<String, Contact>,
+    /// The sum of the shares lent by the same lists, and when they were counted.
+    lent: Vec<(Vec<OwnerList>, f64)>,
+    counted_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -44,32 +60,43 @@
 }
 
 impl Ledger {
-    /// Records that a daemon is in contact with this one.
-    pub fn note_contact(&mut self, now: Instant, daemon: &str, members: usize) {
-        let limit = contact_interval(members) * CONTACT_INTERVALS;
-        if let Some(last) = self.contacts.get_mut(daemon) {
-            *last = now;
+    /// Creates the ledger of the daemon with this name.
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Ledger {
+            name: name.to_owned(),
+            accounts: BTreeMap::new(),
+            contacts: BTreeMap::new(),
+            lent: Vec::new(),
+            counted_at: None,
+        }
+    }
+
+    /// Records a contact of a daemon, unless a later one is known.
+    pub fn note_contact(&mut self, now: Instant, sender: &str, contact: Contact) {
+        if let Some(last) = self.contacts.get_mut(sender) {
+            if last.order < contact.order {
+                *last = contact;
+            }
             return;
         }
-        self.contacts
-            .retain(|_, last| now.saturating_duration_since(*last) <= limit);
-        self.contacts.insert(daemon.to_owned(), now);
+        self.contacts.retain(|_, last| now < last.until);
+        self.contacts.insert(sender.to_owned(), contact);
     }
 
-    /// Hands out tokens of an organisation to a daemon that wants some: one if there is one, and more only from
-    /// what is left. The refill grows with the share of the `members` that are in contact.
+    /// Hands out tokens of an organisation: one if there is one, and more, up to `wanted`, only from what is left.
+    /// The account is refilled by the shares of the `members` that are lent to it.
     pub fn request(
         &mut self,
         now: Instant,
-        daemon: &str,
         organisation: &str,
         limit: Limit,
         wanted: u32,
         members: usize,
     ) -> Grant {
-        self.note_contact(now, daemon, members);
-        let rate = limit.rate * self.recent_share(now, members);
-        let capacity = (limit.burst * BURST_SHARE).max(1.0);
+        let share = self.share(now, organisation, members);
+        let rate = limit.rate * share;
+        let capacity = (limit.burst * BURST_SHARE * share).max(1.0);
         self.drop_idle(now);
         let account = self.accounts.entry(organisation.to_owned());
         let account = account.or_insert_with(|| Account {
@@ -88,8 +115,8 @@
         }
         account.waiting = 0;
         // A daemon gets at most a tenth of what is there beyond its first token: many may ask at once.
-        let spare = (account.tokens - 1.0) / 10.0;
-        let extra = f64::from(wanted.saturating_sub(1)).min(spare).floor();
+        let most = (account.tokens - 1.0) / 10.0;
+        let extra = f64::from(wanted.saturating_sub(1)).min(most).floor();
         account.tokens -= 1.0 + extra;
         // Below `wanted`.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -97,26 +124,24 @@
         Grant::Tokens(1 + extra)
     }
 
-    fn recent_share(&mut self, now: Instant, members: usize) -> f64 {
-        if let Some((at, share)) = self.counted
-            && now.saturating_duration_since(at) < COUNT_TIME
-        {
-            return share;
+    /// Returns the part of an organisation's rate by which its account is refilled here, at most 1.
+    #[must_use]
+    pub fn share(&mut self, now: Instant, organisation: &str, members: usize) -> f64 {
+        let is_counted = |at: Instant| now.saturating_duration_since(at) < COUNT_TIME;
+        if !self.counted_at.is_some_and(is_counted) {
+            self.count(now, members);
         }
-        let share = self.contact_share(now, members);
-        self.counted = Some((now, share));
-        share
+        let is_owner = |list: &OwnerList| list.owner(organisation) == Some(&self.name);
+        let lent = self.lent.iter();
+        let lent = lent.filter(|(lists, _)| lists.iter().all(is_owner));
+        lent.map(|(_, share)| share).sum::<f64>().min(1.0)
     }
 
-    /// Returns the share of the members that have been in contact of late, at most 1.
+    /// Returns the number of daemons that have been in contact of late.
     #[must_use]
-    pub fn contact_share(&self, now: Instant, members: usize) -> f64 {
-        let limit = contact_interval(members) * CONTACT_INTERVALS;
+    pub fn contacts(&self, now: Instant) -> usize {
         let contacts = self.contacts.values();
-        let recent = contacts.filter(|last| now.saturating_duration_since(**last) <= limit);
-        let recent = u32::try_from(recent.count()).unwrap_or(u32::MAX);
-        let members = u32::try_from(members.max(1)).unwrap_or(u32::MAX);
-        (f64::from(recent) / f64::from(members)).min(1.0)
+        contacts.filter(|contact| now < contact.until).count()
     }
 
     /// Iterates over the accounts with the tokens that were left when they were last asked for.
@@ -125,6 +150,23 @@
         accounts.map(|(name, account)| (name.as_str(), account.tokens))
     }
 
+    /// Sums the shares lent now. Of the two numbers of members known, the greater one counts: a process that has
+    /// just started knows few.
+    fn count(&mut self, now: Instant, members: usize) {
+        let mut lent: BTreeMap<&[OwnerList], f64> = BTreeMap::new();
+        let contacts = self.contacts.values();
+        for contact in contacts.filter(|contact| now < contact.until && !contact.lists.is_empty()) {
+            let members = contact.members.max(members).max(1);
+            let members = u32::try_from(members).unwrap_or(u32::MAX);
+            *lent.entry(&contact.lists).or_default() += 1.0 / f64::from(members);
+        }
+        let lent = lent
+            .into_iter()
+            .map(|(lists, share)| (lists.to_vec(), share));
+        self.lent = lent.collect();
+        self.counted_at = Some(now);
+    }
+
     fn drop_idle(&mut self, now: Instant) {
         if self.accounts.len() < MAX_ACCOUNTS {
             return;
--- a/src/role/inbound/queries.rs
+++ b/src/role/inbound/queries.rs
@@ -34,6 +34,14 @@
             let known = if known { "1" } else { "0" };
             return Some(header_response(call::KEY_KNOWN, known));
         }
+        if let Some(contact) = call::text(headers, &call::QUOTA_CONTACT) {
+            let lists = call::text(headers, &call::QUOTA_OWNERS).unwrap_or_default();
+            let accepted = Quotas::of(daemon).accept_contact(daemon, contact, lists);
+            return Some(header_response(
+                call::QUOTA_CONTACT,
+                if accepted.is_some() { "1" } else { "0" },
+            ));
+        }
         let request = call::text(headers, &call::QUOTA)?;
         let grant = Quotas::of(daemon).grant_to(daemon, request);
         let grant = grant.map_or_else(String::new, Grant::to_text);
--- a/src/role/outbound/quota.rs
+++ b/src/role/outbound/quota.rs
@@ -8,6 +8,10 @@
 use crate::serve::Body;
 use http::{Response, StatusCode};
 use std::sync::Arc;
+use tokio::time::Instant;
+
+/// The part of its remaining time for which a call waits for a token: one half.
+const WAIT_PART: u32 = 2;
 
 /// The token that a call has taken, if its organisation has a limit.
 pub(super) struct CallToken {
@@ -26,7 +30,13 @@
         return Ok(CallToken { taken: None });
     };
     let quotas = Quotas::of(daemon);
-    if let Err(time) = quotas.take(daemon, &organisation.name, limit).await {
+    let left = call
+        .retry_limits
+        .deadline
+        .saturating_duration_since(Instant::now());
+    let longest = left / WAIT_PART;
+    let taken = quotas.take(daemon, &organisation.name, limit, longest);
+    if let Err(time) = taken.await {
         event!(
             QuotaExhausted,
             request = call.id,
--- a/tests/quota_calls.rs
+++ b/tests/quota_calls.rs
@@ -3,12 +3,14 @@
 #[path = "support/site.rs"]
 mod site;
 
+use baobabstage::quota::OwnerList;
 use bytes::Bytes;
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use serde_json::{Value, json};
 use site::{KEY_HEADER, TestSite, organisation, policy, route, service};
 use standin::caller;
+use standin::fault::{FaultProxy, Faults};
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, interval, sleep};
@@ -25,15 +27,20 @@
     for _ in 0..DAEMONS {
         site.add("certs", &[]).await;
     }
-    let mut limited: Value = organisation("kasi", &[KEY]);
-    limited[2]["rate_per_ks"] = json!(RATE * 1_000);
-    limited[2]["burst"] = json!(RATE);
+    configure(&site, "kasi", RATE).await;
+    site
+}
+
+/// Puts a limit of an organisation in force.
+async fn configure(site: &TestSite, name: &str, rate: u32) {
+    let mut limited: Value = organisation(name, &[KEY]);
+    limited[2]["rate_per_ks"] = json!(rate * 1_000);
+    limited[2]["burst"] = json!(rate);
     let mut resources = vec![policy(64), route("/certs", "certs", false), limited];
     resources.extend(service("certs", 20));
     site.configure(&resources).await;
     // The daemons have told the owner of the organisation that they are there.
     sleep(Duration::from_secs(2)).await;
-    site
 }
 
 /// Sends a call at each daemon in turn for `time`, and returns the status codes and whether a `Retry-After` was
@@ -86,3 +93,38 @@
     let refused = responses.iter().filter(|(s, _)| *s != StatusCode::OK);
     assert_eq!(refused.count(), 0);
 }
+
+/// Guards against two daemons that each refill the account of an organisation at the whole rate, since the answers of
+/// the one that owns it are late: it is not lost, and goes on serving its own callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn quota_late_answers() {
+    const LIMIT: u32 = 60;
+    const TIME: u32 = 5;
+    let mut site = TestSite::start().await;
+    let unused = ([127, 0, 0, 1], 9).into();
+    let (address, link) = FaultProxy::start(unused).await.unwrap();
+    let advertised = address.to_string();
+    site.add("certs", &[("ADVERTISE_INBOUND", &advertised)])
+        .await;
+    link.set_target(site.vms[0].daemon.addresses().inbound);
+    for _ in 1..DAEMONS {
+        site.add("certs", &[]).await;
+    }
+    let owners = OwnerList::new((0..DAEMONS).map(|number| format!("vm-{number}")));
+    let mut names = (0..).map(|number| format!("kasi-{number}"));
+    let name = names.find(|name| owners.owner(name) == Some("vm-0"));
+    let name = name.unwrap();
+    configure(&site, &name, LIMIT).await;
+    link.set(Faults {
+        delay: Duration::from_millis(120),
+        ..Faults::default()
+    });
+    let time = Duration::from_secs(TIME.into());
+    let responses = call(&site, 6 * LIMIT, time).await;
+    let served = responses.iter().filter(|(s, _)| *s == StatusCode::OK);
+    let served = f64::from(u32::try_from(served.count()).unwrap());
+    let allowed = f64::from(LIMIT * TIME + LIMIT) * 1.1 + 20.0;
+    println!("{served} of {allowed}");
+    assert!(served <= allowed, "{served} of {allowed}");
+    assert!(served >= f64::from(LIMIT * TIME) * 0.7, "{served}");
+}
