Leave out entries of the platform that cannot be read

Cause: the decoder of a listing and of a watch's events failed as a whole for one item: a value that is not Base64, a field of another type, a revision out of range, JSON nested deeper than the parser allows. Everybody who read the prefix was blind to the others.

Change: items are split off first and decoded one by one, in one place of the adapter; what cannot be read is left out, logged once for each key and reason (event 215, at most 256 remembered) and counted. A listing goes on after the last key of a page also if that item cannot be read. A single key that cannot be read is refused, not repeated.

--- a/src/event.rs
+++ b/src/event.rs
@@ -60,6 +60,7 @@
     KeysListed = 212, Info, "Keys of the platform are listed instead of watched: at first, or since changes were missed.";
     PlatformRestored = 213, Warn, "The platform has been restored from an older copy; its revisions went back.";
     VersionReported = 214, Debug, "A call, a response or a peer states a newer version than any known before.";
+    EntryUnreadable = 215, Warn, "An entry of the platform cannot be read, as another writer may leave one; it is left out.";
 
     Attached = 300, Info, "This daemon has attached to a relay.";
     Detached = 301, Warn, "The stream to a relay has ended.";
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -7,11 +7,13 @@
 mod dialect;
 mod prefix_watcher;
 mod rate_limit;
+mod unreadable;
 
 pub use client::{Client, ClientSettings};
 pub use dialect::{Call, Dialect, HttpCall, JsonDialect, Reply, json_dialect};
 pub use prefix_watcher::{KeyUpdate, PrefixWatcher};
 pub use rate_limit::{CALLS_PER_SECOND, RETRIES_PER_SECOND, RateLimitedPlatform};
+pub use unreadable::skip_unreadable;
 
 use bytes::Bytes;
 use std::future::Future;
@@ -32,8 +34,9 @@
     /// The response was lost: the call may have taken effect, or may still do so.
     #[error("platform response lost: {0}")]
     Unknown(String),
-    /// The platform rejected the call as invalid, or the client did: its settings are invalid, or
-    /// the type of the response does not match the call. Repeating the call does not help.
+    /// The platform rejected the call as invalid, or the client did: its settings are invalid, the type
+    /// of the response does not match the call, or the entry that was asked for cannot be read. Repeating
+    /// the call does not help.
     #[error("platform rejected the call: {0}")]
     Refused(String),
 }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -185,17 +185,14 @@
         Box::pin(async move {
             // A [`Call::List`] always returns values too, so the flag for keys only has no effect.
             let mut all: Option<Listing> = None;
+            let mut after = String::new();
             for _ in 0..MAX_PAGES {
-                let last = all.as_ref().and_then(|all| all.entries.last());
                 let call = Call::List {
                     prefix: prefix.into(),
-                    after: last.map(|entry| entry.key.clone()).unwrap_or_default(),
+                    after,
                 };
-                let (page, more) = match self.call(call, Duration::ZERO).await? {
-                    Reply::Page(page, more) => {
-                        let more = more && !page.entries.is_empty();
-                        (page, more)
-                    }
+                let (page, last) = match self.call(call, Duration::ZERO).await? {
+                    Reply::Page(page, last) => (page, last),
                     other => return Err(unexpected_reply(&other)),
                 };
                 match &mut all {
@@ -203,13 +200,15 @@
                     None => all = Some(page),
                 }
                 let read = all.as_ref().map_or(0, |all| all.entries.len());
-                if !more || limit != 0 && read >= limit as usize {
+                let is_enough = limit != 0 && read >= limit as usize;
+                let Some(last) = last.filter(|_| !is_enough) else {
                     let mut all = all.unwrap_or_default();
                     if limit != 0 {
                         all.entries.truncate(limit as usize);
                     }
                     return Ok(all);
-                }
+                };
+                after = last;
             }
             let message = format!("listing of {prefix:?} has more than {MAX_PAGES} pages");
             Err(PlatformError::Refused(message))
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -73,8 +73,8 @@
 pub enum Reply {
     /// Response to [`Call::Get`]; `None` if the key is absent.
     Entry(Option<Entry>),
-    /// Response to [`Call::List`]: one page, and whether further pages follow.
-    Page(Listing, bool),
+    /// Response to [`Call::List`]: one page, and the last key on it if further pages follow.
+    Page(Listing, Option<String>),
     /// Response to [`Call::Swap`].
     Swap(Swap),
     /// Response to [`Call::Changes`].
@@ -268,8 +268,10 @@
         Ok(match reply {
             json_dialect::Reply::Entry(entry) => Reply::Entry(entry.map(from_json)),
             json_dialect::Reply::Page(entries, revision, more) => {
-                let entries = entries.into_iter().map(from_json).collect();
-                Reply::Page(Listing { entries, revision }, more)
+                let entries: Vec<Entry> = entries.into_iter().map(from_json).collect();
+                let last = entries.last().map(|entry| entry.key.clone());
+                let last = last.filter(|_| more);
+                Reply::Page(Listing { entries, revision }, last)
             }
             json_dialect::Reply::Swap(true, revision) => Reply::Swap(Swap::Done(revision)),
             json_dialect::Reply::Swap(false, revision) => Reply::Swap(Swap::Stale(revision)),
