Check which member answers at an address that two records claim

A well-formed entry of another writer with the address of a running daemon and a high incarnation took that daemon out of service: calls to it were answered 503 as long as the entry stood, at all daemons that learnt of both together.

Cause: of two members with one address the later incarnation hid the earlier one, by the records alone.

Change: where members share an address, the process there is asked which incarnation it is (the hello of a connection between daemons). A member hides others only once it is found to answer, and is left out if another one does. Until then both are kept, as a call to the wrong one learns of the right one without cost. Records whose name is not a valid one are not read: names are used in headers.

--- a/src/event.rs
+++ b/src/event.rs
@@ -99,6 +99,7 @@
     VersionPassedOn = 422, Info, "A reader tells other daemons of the version in force at once.";
     LeavesUnsaved = 423, Warn, "A leave of the backend server could not be read from the platform or written to it.";
     LeavesKeptByPeers = 424, Info, "The platform has not stored a leave of the backend server in time; peers keep it.";
+    MemberDisproved = 425, Info, "Another daemon answers at the address that this member's record claims; the member is left out.";
 
     CallRefused = 500, Info, "A call was refused; it was not run.";
     CallUnknown = 501, Warn, "A call ended without a known outcome.";
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -144,6 +144,12 @@
         }
     }
 
+    /// Returns the members that claim an inbound address that another one claims as well, and may not answer there.
+    #[must_use]
+    pub fn unchecked_members(&self) -> Vec<Arc<wire::Member>> {
+        lock(&self.registry).unchecked()
+    }
+
     /// Records whether the platform answers this daemon, and whether it reads in place of others.
     pub fn record_platform(&self, daemon: &Daemon, is_lost: bool, answers: bool) {
         let was_lost = daemon.platform_lost.swap(is_lost, Ordering::Relaxed);
--- a/src/member.rs
+++ b/src/member.rs
@@ -55,15 +55,19 @@
                 members.insert(record.name.clone(), Arc::new(record));
             }
         }
-        Fleet::from_members(members)
+        Fleet::from_members(members, |_| true)
     }
 
     /// Creates a fleet from the current record of each name.
     ///
-    /// Removed members and those whose inbound address a later process uses are left out.
-    pub(crate) fn from_members(mut members: BTreeMap<String, Arc<wire::Member>>) -> Self {
+    /// Removed members and those whose inbound address a later process uses are left out, if that is known to
+    /// answer there.
+    pub(crate) fn from_members(
+        mut members: BTreeMap<String, Arc<wire::Member>>,
+        answers: impl Fn(&wire::Member) -> bool,
+    ) -> Self {
         members.retain(|_, member| member.state() != MemberState::Gone);
-        for name in superseded(members.values()) {
+        for name in superseded(members.values(), answers) {
             members.remove(&name);
         }
         let mut services: BTreeMap<String, Vec<Arc<wire::Member>>> = BTreeMap::new();
@@ -211,24 +215,28 @@
     !member.service.is_empty() && matches!(state, MemberState::Ready | MemberState::Suspect)
 }
 
-/// Returns the names of the members whose inbound address is used by a later incarnation.
-pub(crate) fn superseded<'a>(members: impl Iterator<Item = &'a Arc<wire::Member>>) -> Vec<String> {
-    let mut holders: BTreeMap<&str, &wire::Member> = BTreeMap::new();
-    let mut names = Vec::new();
-    for member in members.filter(|member| !member.inbound.is_empty()) {
-        let start_order = |member: &wire::Member| (member.incarnation, member.name.clone());
-        let Some(holder) = holders.get_mut(member.inbound.as_str()) else {
-            holders.insert(&member.inbound, member);
-            continue;
-        };
-        if start_order(holder) < start_order(member) {
-            names.push(holder.name.clone());
-            *holder = member;
-        } else {
-            names.push(member.name.clone());
-        }
+/// Returns the names of the members whose inbound address is used by a later incarnation that `answers` there.
+pub(crate) fn superseded<'a>(
+    members: impl Iterator<Item = &'a Arc<wire::Member>> + Clone,
+    answers: impl Fn(&wire::Member) -> bool,
+) -> Vec<String> {
+    let members = members.filter(|member| !member.inbound.is_empty());
+    let mut holders = BTreeMap::new();
+    for member in members.clone().filter(|member| answers(member)) {
+        let order = start_order(member);
+        let holder = holders.entry(member.inbound.as_str()).or_insert(order);
+        *holder = order.max(*holder);
     }
-    names
+    let superseded = members.filter(|member| {
+        let holder = holders.get(member.inbound.as_str());
+        holder.is_some_and(|holder| start_order(member) < *holder)
+    });
+    superseded.map(|member| member.name.clone()).collect()
+}
+
+/// The order of the processes at one address, by their start.
+fn start_order(member: &wire::Member) -> (u64, &str) {
+    (member.incarnation, &member.name)
 }
 
 fn member_state(member: &wire::Member) -> Value {
--- a/src/member/liveness.rs
+++ b/src/member/liveness.rs
@@ -134,7 +134,7 @@
             .values()
             .filter(|entry| entry.tombstone.is_none());
         let mut changed = Vec::new();
-        for name in superseded(live.map(|entry| &entry.record)) {
+        for name in superseded(live.map(|entry| &entry.record), |_| true) {
             let record = self.live_record(&name).cloned();
             if let Some(record) = record.filter(|record| {
                 record.domain == self.domain && self.liveness.detached.contains_key(&name)
--- a/src/member/registry.rs
+++ b/src/member/registry.rs
@@ -57,6 +57,8 @@
     /// The instances of each daemon's backend server that leave by its records, and when they were last stated. A
     /// later process of the daemon may not know of them.
     leaves: BTreeMap<String, (Leaves, Instant)>,
+    /// Members that share their inbound address with others: the incarnation, and whether it answers there.
+    checked: BTreeMap<String, (u64, bool)>,
 }
 
 impl MemberRegistry {
@@ -182,6 +184,8 @@
         });
         removed.retain(|_, (_, at)| age(*at) < TOMBSTONE_TIME);
         self.leaves.retain(|_, (_, at)| age(*at) < LEAVE_TIME);
+        let entries = &self.entries;
+        self.checked.retain(|name, _| entries.contains_key(name));
         self.entries.len() != before
     }
 
@@ -203,17 +207,47 @@
         }
     }
 
-    /// Returns the members as a [`Fleet`], without those whose inbound address a later process has.
+    /// Returns the members as a [`Fleet`], without those whose inbound address another process has.
     #[must_use]
     pub fn fleet(&self) -> Fleet {
         let records = self.entries.iter();
+        let records = records.filter(|(_, entry)| self.answers(&entry.record) != Some(false));
         Fleet::from_members(
             records
                 .map(|(name, entry)| (name.clone(), Arc::clone(&entry.record)))
                 .collect(),
+            |member| self.answers(member) == Some(true),
         )
     }
 
+    /// Returns the members that share their inbound address with another one, and of which it is not known whether
+    /// they answer there. A record alone proves nothing: another writer may have left it.
+    #[must_use]
+    pub fn unchecked(&self) -> Vec<Arc<wire::Member>> {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        let records = self.entries.values().map(|entry| &entry.record);
+        let records = records.filter(|record| !record.inbound.is_empty());
+        for record in records.clone() {
+            *counts.entry(&record.inbound).or_default() += 1;
+        }
+        let is_shared = |record: &&Arc<wire::Member>| counts[record.inbound.as_str()] > 1;
+        let shared = records.filter(is_shared);
+        let unchecked = shared.filter(|record| self.answers(record).is_none());
+        unchecked.cloned().collect()
+    }
+
+    /// Records whether a member answers at its inbound address.
+    pub fn set_checked(&mut self, member: &wire::Member, answers: bool) {
+        let checked = (member.incarnation, answers);
+        self.checked.insert(member.name.clone(), checked);
+    }
+
+    fn answers(&self, member: &wire::Member) -> Option<bool> {
+        let checked = self.checked.get(&member.name);
+        let checked = checked.filter(|(incarnation, _)| *incarnation == member.incarnation);
+        checked.map(|(_, answers)| *answers)
+    }
+
     /// Returns the records to send to another daemon, given the bucket digests that it sent, and the
     /// ranks of removed members as records with the state `Gone`. Without digests, all are returned.
     #[must_use]
--- a/src/member/set.rs
+++ b/src/member/set.rs
@@ -215,7 +215,7 @@
             .filter(|(_, entry)| entry.tombstone.is_none())
             .map(|(name, entry)| (name.clone(), Arc::clone(&entry.record)))
             .collect();
-        Fleet::from_members(members)
+        Fleet::from_members(members, |_| true)
     }
 
     /// Starts detecting lost daemons of this failure domain, as one of its relays.
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -1,5 +1,6 @@
 //! The role that announces this daemon and follows the records of the other members.
 
+mod addresses;
 mod hand_over;
 mod peers;
 
@@ -7,6 +8,7 @@
 
 use super::config;
 use crate::backend::Stage;
+use crate::check;
 use crate::daemon::{Daemon, member_watch_time};
 use crate::event;
 use crate::exchange::ExchangeState;
@@ -83,7 +85,8 @@
                     peers::exchange(&daemon),
                     hand_over::tell_successors(&daemon),
                     hand_over::tell_dependents(&daemon),
-                    hand_over::tell_readers(&daemon)
+                    hand_over::tell_readers(&daemon),
+                    addresses::check(&daemon)
                 )?;
                 Ok(())
             }
@@ -342,8 +345,11 @@
 
 /// Applies changed entries to the registry; returns whether the fleet has changed.
 fn apply_update(registry: &mut MemberRegistry, update: KeyUpdate, now: Instant) -> bool {
+    let is_valid = |record: &wire::Member| check::name("member", "name", &record.name).is_ok();
     let read = |entry: Entry| match wire::Member::decode(entry.value) {
-        Ok(record) if entry.key.strip_prefix(PREFIX) == Some(&record.name) => Some(record),
+        Ok(record) if entry.key.strip_prefix(PREFIX) == Some(&record.name) && is_valid(&record) => {
+            Some(record)
+        }
         _ => {
             event!(MemberUnreadable, key = entry.key, revision = entry.revision);
             None
--- a/tests/member_registry.rs
+++ b/tests/member_registry.rs
@@ -4,6 +4,7 @@
 use baobabstage::generated::mesh::MemberState;
 use baobabstage::member::registry::{MISSING_TIME, MemberRegistry, RESTORE_EXTENSION};
 use std::time::Duration;
+use test_case::test_case;
 use tokio::time::Instant;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -197,3 +198,29 @@
     assert!(registry.merge_listed(member("a", 1, 4), later));
     assert_eq!(names(&registry), ["a"]);
 }
+
+/// Guards against a record that hides a daemon by claiming its address: it does so only once it is found to answer
+/// there, and is left out if it does not.
+#[test_case(None => vec!["a", "odd"]; "not checked")]
+#[test_case(Some(true) => vec!["odd"]; "answers")]
+#[test_case(Some(false) => vec!["a"]; "does not answer")]
+fn fleet_shared_address(answers: Option<bool>) -> Vec<&'static str> {
+    let now = Instant::now();
+    let mut registry = MemberRegistry::default();
+    let claiming = wire::Member {
+        inbound: "a:1".into(),
+        ..member("odd", u64::MAX, 1)
+    };
+    registry.merge_listing(vec![member("a", 1, 1), member("b", 1, 1)], now);
+    assert!(registry.unchecked().is_empty());
+    registry.merge_reported(claiming.clone(), now);
+    assert_eq!(registry.unchecked().len(), 2);
+    if let Some(answers) = answers {
+        registry.set_checked(&claiming, answers);
+    }
+    let members = names(&registry);
+    let known = ["a", "odd"].into_iter();
+    known
+        .filter(|name| members.iter().any(|member| member == name))
+        .collect()
+}
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -326,6 +326,12 @@
         version
     }
 
+    /// Writes a key of the platform as another writer.
+    pub async fn put(&self, key: &str, value: Vec<u8>) {
+        let swap = self.client.swap(key, 0, Some(value.into()), 0);
+        assert!(matches!(swap.await.unwrap(), Swap::Done(_)));
+    }
+
     /// Writes the next version, and waits until it is in force at all daemons and each knows all others.
     pub async fn configure(&self, resources: &[Value]) {
         let version = self.write(resources).await;
