Tell another writer's heartbeats from the backend server's own

Cause: a report that lacked fields was taken for a whole one, and reports were ordered by their numbers alone: a greatest sequence or start made all later words of the real server old.

Change: the adapter requires all fields that a heartbeat has. Reports of another failure domain, or with a start more than five minutes ahead of the clock, are refused, and so are such notices to leave. Draining is never taken back by an instance, so it holds whatever the order of the reports. A report that names another instance than the one that takes calls is refused if the health endpoint names that one; if it is accepted and another instance answers calls, it is forgotten, so that the real one's reports count again once confirmed. A slow start counts for an hour at most.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -7,6 +7,7 @@
 use crate::event;
 use crate::site::Leave;
 use crate::sync::lock;
+use crate::unix_time::unix_ms;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -35,6 +36,8 @@
     pub state: ReportedState,
     /// The service that it belongs to.
     pub service: String,
+    /// The failure domain that it is in.
+    pub domain: String,
     /// Where it listens.
     pub address: SocketAddr,
     /// The number of calls that it runs concurrently.
@@ -57,6 +60,13 @@
     Leaving,
 }
 
+/// Tests whether a start time, in milliseconds since the Unix epoch, is further in the future than a step of the clock
+/// explains, so that no backend server has stated it.
+#[must_use]
+pub fn is_future(born_ms: u64) -> bool {
+    born_ms > unix_ms().saturating_add(MAX_CLOCK_STEP_MS)
+}
+
 /// A snapshot of the backend server's state.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Backend {
@@ -103,7 +113,8 @@
     New,
     /// It is older than the known state and was ignored.
     Old,
-    /// It names another service or address than this daemon's backend server and was ignored.
+    /// It is not of this daemon's backend server and was ignored: it names another service, failure domain or
+    /// address, or a start in the future.
     Foreign,
     /// It was recorded, but no calls are sent until a later report or a health check confirms it.
     Unproven,
@@ -125,10 +136,16 @@
 /// after it, and so after each leave that an earlier process has acknowledged.
 pub const REPORT_DELAY: Duration = Duration::from_secs(10);
 
+/// Longest slow start that is believed.
+const MAX_SLOW_START: Duration = Duration::from_hours(1);
+
+/// Greatest step back of the clock after a backend server has stated its start, in milliseconds.
+const MAX_CLOCK_STEP_MS: u64 = 5 * 60 * 1_000;
+
 /// The current state of the backend server beside this daemon, with change notification.
 pub struct BackendCell {
-    service: Option<String>,
-    address: Option<SocketAddr>,
+    /// What a report of the backend server states; absent if it does not report.
+    expected: Option<Expected>,
     /// When this daemon started.
     started: Instant,
     state: Mutex<State>,
@@ -139,6 +156,24 @@
     current: watch::Sender<Arc<Backend>>,
 }
 
+/// What the reports of a backend server have in common.
+struct Expected {
+    service: String,
+    domain: String,
+    address: SocketAddr,
+}
+
+impl Expected {
+    fn matches(&self, report: &Report) -> bool {
+        let Expected {
+            service,
+            domain,
+            address,
+        } = self;
+        (service, domain, address) == (&report.service, &report.domain, &report.address)
+    }
+}
+
 #[derive(Default)]
 struct State {
     /// Whether the first report since the start of this daemon has been confirmed.
@@ -154,19 +189,23 @@
         } else {
             Stage::Unknown
         };
-        BackendCell::new(None, None, stage)
+        BackendCell::new(None, stage)
     }
 
-    /// Creates a cell for a backend server that reports; it is unknown until then.
+    /// Creates a cell for a backend server of a service and failure domain that reports; it is unknown until then.
     #[must_use]
-    pub fn reporting(service: &str, address: SocketAddr) -> Self {
-        BackendCell::new(Some(service.to_owned()), Some(address), Stage::Unknown)
+    pub fn reporting(service: &str, domain: &str, address: SocketAddr) -> Self {
+        let expected = Expected {
+            service: service.to_owned(),
+            domain: domain.to_owned(),
+            address,
+        };
+        BackendCell::new(Some(expected), Stage::Unknown)
     }
 
-    fn new(service: Option<String>, address: Option<SocketAddr>, stage: Stage) -> Self {
+    fn new(expected: Option<Expected>, stage: Stage) -> Self {
         BackendCell {
-            service,
-            address,
+            expected,
             started: Instant::now(),
             state: Mutex::default(),
             leaves: watch::Sender::default(),
@@ -194,44 +233,50 @@
     /// one may be from before the instance left as well: it counts once all leaves are recalled, or from
     /// [`REPORT_DELAY`] on.
     pub fn report(&self, now: Instant, report: &Report, healthy: bool) -> ReportOutcome {
-        if self.service.as_ref() != Some(&report.service) || self.address != Some(report.address) {
+        let is_own = self
+            .expected
+            .as_ref()
+            .is_some_and(|expected| expected.matches(report));
+        if !is_own || is_future(report.born_ms) {
             return ReportOutcome::Foreign;
         }
         let mut locked = lock(&self.state);
         let known = self.load();
         let same = known.instance.as_deref() == Some(&report.instance);
         let same = same && known.born_ms == report.born_ms;
+        if report.state == ReportedState::Draining {
+            // Never taken back, so it holds whatever the order of the reports.
+            self.insert_leave(&report.instance, report.born_ms);
+        }
         if !same && known.instance.is_some() && report.born_ms <= known.born_ms {
             return ReportOutcome::Old;
         }
-        if same && report.sequence <= known.sequence {
+        let is_news = report.state == ReportedState::Draining && known.stage != Stage::Leaving;
+        if same && report.sequence <= known.sequence && !is_news {
             return ReportOutcome::Old;
         }
         let has_left = self
             .leaves
             .borrow()
             .contains(&report.instance, report.born_ms);
-        let leaving = report.state == ReportedState::Draining || has_left;
         let repeated = same && known.sequence > 0;
         let has_not_left = *self.recalled.borrow() == Recalled::All
             || now.saturating_duration_since(self.started) > REPORT_DELAY;
         locked.confirmed = locked.confirmed || healthy || repeated && has_not_left;
-        let stage = match (leaving, locked.confirmed) {
+        let stage = match (has_left, locked.confirmed) {
             (true, _) => Stage::Leaving,
             (false, true) => Stage::Ready,
             (false, false) => Stage::Unknown,
         };
-        if leaving {
-            self.insert_leave(&report.instance, report.born_ms);
-        }
         self.publish(Backend {
             stage,
             instance: Some(report.instance.clone()),
             born_ms: report.born_ms,
-            sequence: report.sequence,
+            sequence: report.sequence.max(if same { known.sequence } else { 0 }),
             slots: Some(report.slots),
             version: report.version.clone(),
-            slow_until: (!report.slow_start.is_zero()).then(|| now + report.slow_start),
+            slow_until: (!report.slow_start.is_zero())
+                .then(|| now + report.slow_start.min(MAX_SLOW_START)),
         });
         if stage == Stage::Unknown {
             ReportOutcome::Unproven
@@ -319,14 +364,14 @@
             .send_if_modified(|known| known.insert(instance, born_ms));
     }
 
-    /// Stops calls until the next report, since another instance than `instance` has responded.
+    /// Stops calls until a report is confirmed, since another instance than `instance` has responded. That one may
+    /// never have been at this address, so that it does not make reports of others old.
     pub fn note_mismatch(&self, instance: &str) {
-        let _state = lock(&self.state);
+        let mut state = lock(&self.state);
         let known = self.load();
         if known.instance.as_deref() == Some(instance) && known.stage == Stage::Ready {
-            let mut next = (*known).clone();
-            next.stage = Stage::Unknown;
-            self.publish(next);
+            state.confirmed = false;
+            self.publish(Backend::new(Stage::Unknown));
         }
     }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -182,7 +182,9 @@
         sockets.reports = bind_extra("reports", site.reports.as_ref().map(|r| r.listen))?;
         sockets.ready = bind_extra("ready", site.readiness.as_ref().map(|r| r.listen))?;
         let backend = match (&settings.backend, &site.reports) {
-            (Some(backend), Some(_)) => BackendCell::reporting(&backend.service, backend.address),
+            (Some(backend), Some(_)) => {
+                BackendCell::reporting(&backend.service, &settings.domain, backend.address)
+            }
             (backend, _) => BackendCell::fixed(backend.is_some()),
         };
         let mesh = advertised_address(&settings, &sockets, sockets.addresses().mesh);
--- a/src/role/inbound/health.rs
+++ b/src/role/inbound/health.rs
@@ -63,24 +63,36 @@
     }
 }
 
-/// Requests the health endpoint once, and returns whether the backend server is healthy and is the
-/// given instance. Returns false as well if no endpoint is configured.
-pub async fn confirms_instance(daemon: &Daemon, instance: &str) -> bool {
-    let Some(backend) = &daemon.settings.backend else {
-        return false;
-    };
+/// What the health endpoint states.
+pub struct HealthReport {
+    /// Whether the backend server is healthy.
+    pub healthy: bool,
+    /// The instance that it is, if stated.
+    pub instance: Option<String>,
+}
+
+impl HealthReport {
+    /// Tests whether the backend server is healthy and is the given instance.
+    #[must_use]
+    pub fn confirms(&self, instance: &str) -> bool {
+        self.healthy && self.instance.as_deref() == Some(instance)
+    }
+}
+
+/// Requests the health endpoint once. Returns `None` if there is no response in time, or no endpoint is configured.
+pub async fn request(daemon: &Daemon) -> Option<HealthReport> {
+    let backend = daemon.settings.backend.as_ref()?;
     // After a restart of the daemon alone, the backend server reports before the daemon has a
     // configuration.
     let configured = wait_configured(daemon, &backend.service);
     let configured = tokio::time::timeout(CONFIG_TIMEOUT, configured).await;
-    if configured.is_err() {
-        return false;
-    }
+    configured.ok()?;
     let table = daemon.config.table();
-    let service = table.service_named(&backend.service);
-    let Some(path) = service.and_then(|service| service.pool.health.as_ref()) else {
-        return false;
-    };
+    let path = table
+        .service_named(&backend.service)?
+        .pool
+        .health
+        .as_ref()?;
     let pool = BackendPool::new(backend.address);
     pool.set_limit(1);
     let mut request = Request::new(full_body(Bytes::new()));
@@ -92,12 +104,14 @@
         let response = connection.send_once(request).await?;
         Ok::<_, UpstreamError>(response)
     };
-    let Ok(Ok(response)) = tokio::time::timeout(CONFIRM_TIMEOUT, exchange).await else {
-        return false;
-    };
+    let response = tokio::time::timeout(CONFIRM_TIMEOUT, exchange).await;
+    let response = response.ok()?.ok()?;
     let name = daemon.names.instance.as_ref();
-    let reported = name.and_then(|name| call::text(response.headers(), name));
-    response.status().is_success() && reported == Some(instance)
+    let instance = name.and_then(|name| call::text(response.headers(), name));
+    Some(HealthReport {
+        healthy: response.status().is_success(),
+        instance: instance.map(ToOwned::to_owned),
+    })
 }
 
 /// Waits until a service is configured.
--- a/src/role/reports.rs
+++ b/src/role/reports.rs
@@ -4,7 +4,7 @@
 
 use self::leaves::LeaveRecord;
 use super::inbound::{self, health};
-use crate::backend::{Report, ReportOutcome, ReportedState, Stage};
+use crate::backend::{Report, ReportOutcome, ReportedState, Stage, is_future};
 use crate::daemon::{Daemon, Phase};
 use crate::event;
 use crate::kernel::{Plugin, RoleFuture};
@@ -85,13 +85,26 @@
 }
 
 async fn handle_report(daemon: &Daemon, report: &Report) -> Response<Body> {
-    // A report may be late, and after a start there is no earlier state to compare it with. The
-    // health endpoint confirms it then, unless the instance has left before.
-    let unconfirmed =
-        report.state == ReportedState::Ready && daemon.backend.load().stage == Stage::Unknown;
-    let healthy = unconfirmed
-        && is_recalled(daemon).await
-        && health::confirms_instance(daemon, &report.instance).await;
+    let known = daemon.backend.load();
+    let is_ready = report.state == ReportedState::Ready;
+    let healthy = match known.stage {
+        // A report may be late, and after a start there is no earlier state to compare it with. The health endpoint
+        // confirms it then, unless the instance has left before.
+        Stage::Unknown if is_ready && is_recalled(daemon).await => {
+            let health = health::request(daemon).await;
+            health.is_some_and(|health| health.confirms(&report.instance))
+        }
+        // A report of another instance than the one that takes calls may be another writer's.
+        Stage::Ready if known.instance.as_ref() != Some(&report.instance) => {
+            let health = health::request(daemon).await;
+            let instance = health.and_then(|health| health.instance);
+            if instance.is_some() && instance == known.instance {
+                return ignore_foreign(report, "health endpoint names the known instance");
+            }
+            false
+        }
+        _ => false,
+    };
     let outcome = daemon.backend.report(Instant::now(), report, healthy);
     match outcome {
         ReportOutcome::New => {
@@ -109,8 +122,7 @@
             );
         }
         ReportOutcome::Foreign => {
-            let reason = "report is about another backend server";
-            return refusal_response(StatusCode::BAD_REQUEST, reason);
+            return ignore_foreign(report, "report is not of this daemon's backend server");
         }
     }
     match report.state {
@@ -119,6 +131,17 @@
     }
 }
 
+fn ignore_foreign(report: &Report, reason: &str) -> Response<Body> {
+    event!(
+        ReportIgnored,
+        reason = reason,
+        instance = report.instance,
+        sequence = report.sequence,
+        born_ms = report.born_ms,
+    );
+    refusal_response(StatusCode::BAD_REQUEST, reason)
+}
+
 /// Tests whether the leaves that earlier processes have stored are known, or the platform has not answered since the
 /// start; peers may have told of them meanwhile.
 async fn is_recalled(daemon: &Daemon) -> bool {
@@ -128,6 +151,14 @@
 }
 
 async fn handle_leave(daemon: &Daemon, leave: &Leave) -> Response<Body> {
+    if leave.born_ms.is_some_and(is_future) {
+        event!(
+            ReportIgnored,
+            reason = "start in the future",
+            instance = leave.instance
+        );
+        return refusal_response(StatusCode::BAD_REQUEST, "start is in the future");
+    }
     if !daemon.backend.leave(leave, unix_ms()) {
         event!(ReportIgnored, reason = "leave", instance = leave.instance);
     }
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -61,6 +61,7 @@
         sequence,
         state,
         service: "certs".into(),
+        domain: "espoo".into(),
         address: address(),
         slots: 4,
         version: "v1".into(),
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -79,6 +79,7 @@
             sequence: sequence.parse().unwrap(),
             state,
             service: "certs".into(),
+            domain: "espoo".into(),
             address,
             slots: 4,
             version: String::new(),
--- a/tests/support/rollout.rs
+++ b/tests/support/rollout.rs
@@ -75,6 +75,7 @@
         sequence: parts.next()?.parse().ok()?,
         state: ReportedState::Ready,
         service: SERVICE.into(),
+        domain: "espoo".into(),
         address: String::from_utf8_lossy(body).parse().ok()?,
         slots: 8,
         slow_start: Duration::ZERO,
