--- a/src/backend.rs
+++ b/src/backend.rs
@@ -120,10 +120,10 @@
     Unproven,
 }
 
-/// Who has told a daemon, since its start, of the leaves that its earlier processes have acknowledged.
+/// The sources from which a daemon has received, since its start, the leaves that its earlier processes acknowledged.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Recalled {
-    /// Nobody.
+    /// None.
     #[default]
     Nothing,
     /// The platform, which has those that it could store in time.
@@ -136,7 +136,7 @@
 /// after it, and so after each leave that an earlier process has acknowledged.
 pub const REPORT_DELAY: Duration = Duration::from_secs(10);
 
-/// Longest slow start that is believed.
+/// Longest slow start that a report may state; a longer one is cut.
 const MAX_SLOW_START: Duration = Duration::from_hours(1);
 
 /// Greatest step back of the clock after a backend server has stated its start, in milliseconds.
@@ -151,7 +151,7 @@
     state: Mutex<State>,
     /// The instances known to leave.
     leaves: watch::Sender<Leaves>,
-    /// Who has told of the leaves that earlier processes of this daemon have acknowledged.
+    /// The sources of the leaves that earlier processes of this daemon have acknowledged.
     recalled: watch::Sender<Recalled>,
     current: watch::Sender<Arc<Backend>>,
 }
@@ -340,12 +340,12 @@
         self.leaves.subscribe()
     }
 
-    /// Records who has told of the leaves that earlier processes of this daemon have acknowledged.
+    /// Records from which sources the leaves of earlier processes have been received.
     pub fn set_recalled(&self, recalled: Recalled) {
         self.recalled.send_replace(recalled);
     }
 
-    /// Waits until the platform has told of these leaves.
+    /// Waits until the leaves that earlier processes have stored in the platform are received.
     pub async fn wait_recalled(&self) {
         let mut recalled = self.recalled.subscribe();
         // The sender lives as long as `self`.
--- a/src/event.rs
+++ b/src/event.rs
@@ -96,7 +96,7 @@
     SuspectsReceived = 419, Info, "The records of crashes were received from another daemon at start.";
     SuspectsUnsaved = 420, Warn, "A record of crashes could not be read from the platform or written to it.";
     ReadingHandedOver = 421, Info, "The platform does not answer this reader; a daemon that reads in its place is told.";
-    VersionPassedOn = 422, Info, "A reader tells other daemons of the version in force at once.";
+    VersionPassedOn = 422, Info, "A reader sends the version in force to other daemons.";
     LeavesUnsaved = 423, Warn, "A leave of the backend server could not be read from the platform or written to it.";
     LeavesKeptByPeers = 424, Info, "The platform has not stored a leave of the backend server in time; peers keep it.";
     MemberDisproved = 425, Info, "Another daemon answers at the address that this member's record claims; the member is left out.";
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -171,8 +171,8 @@
         self.turned_away.subscribe()
     }
 
-    /// Records that this daemon has read a version late. The other readers are told, whose connections may have
-    /// failed as well.
+    /// Records that this daemon has read a version late. It is sent to the other readers, whose connections may
+    /// have failed as well.
     pub fn set_late(&self, version: u64) {
         self.late.send_replace(version);
     }
--- a/src/member.rs
+++ b/src/member.rs
@@ -141,7 +141,7 @@
             .collect()
     }
 
-    /// Returns the daemons of a failure domain that a reader tells of a version: a part of those that do not read
+    /// Returns the daemons of a failure domain to which a reader sends each version: a part of those that do not read
     /// from the platform. Each reader has a part of its own.
     #[must_use]
     pub fn dependents(&self, name: &str, domain: &str) -> Vec<Arc<wire::Member>> {
--- a/src/quota/client.rs
+++ b/src/quota/client.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The most that is told to a call as the time after which there may be a token, in place of an owner's word.
+/// Longest time after which a refused call may be repeated, and for which the owner is not asked again.
 const MAX_EXHAUSTED: Duration = Duration::from_millis(100);
 
 /// Contacts that follow quickly after the owners reached have changed, and the time between them. They end what
--- a/src/quota/holdings.rs
+++ b/src/quota/holdings.rs
@@ -50,7 +50,7 @@
     reserve: Allowance,
 }
 
-/// Calls that may run without an owner's word.
+/// Calls that may run without a token.
 #[derive(Debug, Default)]
 struct Allowance {
     /// When a call was last decided on; before the first one, the allowance is full.
--- a/src/quota/ledger.rs
+++ b/src/quota/ledger.rs
@@ -29,7 +29,7 @@
 pub struct Contact {
     /// The incarnation of the sender, and the number of its contact. A late contact changes nothing.
     pub order: (u64, u64),
-    /// The number of members that the sender knows.
+    /// The number of members in the sender's fleet.
     pub members: usize,
     /// The end of the time for which the sender lends its share.
     pub until: Instant,
@@ -150,8 +150,8 @@
         accounts.map(|(name, account)| (name.as_str(), account.tokens))
     }
 
-    /// Sums the shares that are lent until they are counted again. Of the two numbers of members known, the greater
-    /// one counts: a process that has just started knows few.
+    /// Sums the shares that are lent until they are counted again. Of the two numbers of members, the greater one
+    /// counts: the fleet of a process that has just started is incomplete.
     fn count(&mut self, now: Instant, members: usize) {
         let mut lent: BTreeMap<&[OwnerList], f64> = BTreeMap::new();
         let next = now + COUNT_TIME;
--- a/src/quota/reach.rs
+++ b/src/quota/reach.rs
@@ -18,7 +18,7 @@
 /// An owner refuses connections if a query fails sooner than this; one whose packets are lost fails later.
 const REFUSAL_TIME: Duration = Duration::from_millis(200);
 
-/// What a daemon knows of the owners that it queries.
+/// The state of the owners that a daemon queries.
 #[derive(Debug, Default)]
 pub struct Reach {
     owners: BTreeMap<String, Owner>,
--- a/src/role/members.rs
+++ b/src/role/members.rs
@@ -83,9 +83,9 @@
                     announce(&daemon),
                     follow_members(&daemon),
                     peers::exchange(&daemon),
-                    hand_over::tell_successors(&daemon),
-                    hand_over::tell_dependents(&daemon),
-                    hand_over::tell_readers(&daemon),
+                    hand_over::notify_successors(&daemon),
+                    hand_over::send_to_dependents(&daemon),
+                    hand_over::send_to_readers(&daemon),
                     addresses::check(&daemon)
                 )?;
                 Ok(())
--- a/src/role/members/hand_over.rs
+++ b/src/role/members/hand_over.rs
@@ -1,5 +1,5 @@
-//! Telling other daemons at once what regular exchanges would tell them too late: of a new version, and that this
-//! daemon is turned away by the platform, so that others read in its place.
+//! Immediate exchanges, for what regular exchanges would spread too late: a new version, and that the platform turns
+//! this daemon away, so that others read in its place.
 
 use super::peers::{RESPONSE_TIMEOUT, exchange_with};
 use crate::daemon::Daemon;
@@ -11,14 +11,14 @@
 use std::sync::Arc;
 use tokio::sync::watch;
 
-/// Exchanges in progress at most that tell of a version.
-const MAX_TOLD: usize = 16;
+/// Maximum number of exchanges in progress.
+const MAX_EXCHANGES: usize = 16;
 
 /// Exchanges at once with the daemons that depend on this reader, whenever a version comes into force. Where few
-/// calls pass between daemons, regular exchanges would take seconds to tell them.
-pub(super) async fn tell_dependents(daemon: &Daemon) -> anyhow::Result<()> {
+/// calls pass between daemons, regular exchanges would take seconds.
+pub(super) async fn send_to_dependents(daemon: &Daemon) -> anyhow::Result<()> {
     let mut stamps = daemon.config.subscribe();
-    tell(daemon, &mut stamps, |daemon| {
+    exchange_after(daemon, &mut stamps, |daemon| {
         let identity = &daemon.identity;
         let fleet = daemon.fleet.load();
         fleet.dependents(&identity.name, &identity.domain)
@@ -28,17 +28,17 @@
 
 /// Exchanges at once with the other readers, whenever this one has read a version late: their connections may have
 /// gone silent like its own.
-pub(super) async fn tell_readers(daemon: &Daemon) -> anyhow::Result<()> {
+pub(super) async fn send_to_readers(daemon: &Daemon) -> anyhow::Result<()> {
     let mut late = ExchangeState::of(daemon).late();
-    tell(daemon, &mut late, |daemon| {
+    exchange_after(daemon, &mut late, |daemon| {
         let fleet = daemon.fleet.load();
         fleet.other_readers(&daemon.identity.name)
     })
     .await
 }
 
-/// Exchanges with some daemons after each notice. Those that have not been told yet are replaced by the next one.
-async fn tell<T>(
+/// Exchanges with some daemons after each notice. Those that are still waiting are replaced by those of the next one.
+async fn exchange_after<T>(
     daemon: &Daemon,
     notices: &mut watch::Receiver<T>,
     receivers: impl Fn(&Daemon) -> Vec<Arc<wire::Member>>,
@@ -46,7 +46,7 @@
     let mut waiting = Vec::new();
     let mut exchanges = FuturesUnordered::new();
     loop {
-        while exchanges.len() < MAX_TOLD
+        while exchanges.len() < MAX_EXCHANGES
             && let Some(peer) = waiting.pop()
         {
             exchanges.push(exchange_with(daemon, peer, RESPONSE_TIMEOUT));
@@ -70,7 +70,7 @@
 /// this reader. Regular exchanges would take seconds to tell them.
 ///
 /// What this daemon learns meanwhile of others that are turned away adds further ones.
-pub(super) async fn tell_successors(daemon: &Daemon) -> anyhow::Result<()> {
+pub(super) async fn notify_successors(daemon: &Daemon) -> anyhow::Result<()> {
     let mut turned_away = ExchangeState::of(daemon).turned_away();
     let mut fleet = daemon.fleet.subscribe();
     let mut told = BTreeSet::new();
--- a/src/role/quota.rs
+++ b/src/role/quota.rs
@@ -149,7 +149,7 @@
     }
 
     /// Records a contact of another daemon, which is its name, incarnation and number, the end of the time for which
-    /// it lends its share in milliseconds of the inbound side's clock, and the number of members that it knows.
+    /// it lends its share in milliseconds of the inbound side's clock, and the number of members in its fleet.
     /// `lists` are the lists of owners, separated by spaces. Returns `None` if it is not valid.
     #[must_use]
     pub fn accept_contact(&self, daemon: &Daemon, contact: &str, lists: &str) -> Option<()> {
@@ -258,7 +258,7 @@
         result
     }
 
-    /// Asks an owner for tokens; `None` if it does not answer in time, and `Some(None)` if it knows of no limit.
+    /// Asks an owner for tokens; `None` if it does not answer in time, and `Some(None)` if its version has no limit.
     async fn ask(
         &self,
         daemon: &Daemon,
@@ -320,7 +320,7 @@
         }
     }
 
-    /// Returns the owners that this daemon chooses from the fleet that it knows.
+    /// Returns the owners that this daemon chooses from its fleet.
     fn choose_owners(&self, daemon: &Daemon) -> Arc<Chosen> {
         let fleet = daemon.fleet.load();
         let mut cached = lock(&self.chosen);
--- a/src/role/reports.rs
+++ b/src/role/reports.rs
@@ -143,7 +143,7 @@
 }
 
 /// Tests whether the leaves that earlier processes have stored are known, or the platform has not answered since the
-/// start; peers may have told of them meanwhile.
+/// start; they may have come from peers meanwhile.
 async fn is_recalled(daemon: &Daemon) -> bool {
     let limit = RECALL_WAIT.min(RECALL_TIMEOUT.saturating_sub(daemon.backend.age()));
     let recalled = timeout(limit, daemon.backend.wait_recalled()).await;
@@ -166,7 +166,7 @@
 }
 
 /// Acknowledges a leave once it is kept elsewhere too. The acknowledgement binds later processes of this daemon,
-/// so a leave that only this one knows is not acknowledged; calls to the instance end in any case.
+/// so a leave that only this one has recorded is not acknowledged; calls to the instance end in any case.
 async fn acknowledge_leave(daemon: &Daemon) -> Response<Body> {
     if LeaveRecord::of(daemon).record(daemon).await {
         return empty_response();
--- a/src/role/reports/leaves.rs
+++ b/src/role/reports/leaves.rs
@@ -33,14 +33,14 @@
 /// Time within which a backend server expects its notice to be acknowledged, less the time for the response.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(850);
 
-/// Time without a response of the platform after which peers are told.
+/// Time without a response of the platform after which the leave is sent to peers.
 const PEER_DELAY: Duration = Duration::from_millis(150);
 
-/// Number of peers that are told, and of those that have to respond.
-const PEERS_TOLD: usize = 4;
+/// Number of peers to which it is sent, and of those that have to respond.
+const PEERS_ASKED: usize = 4;
 const PEERS_NEEDED: usize = 2;
 
-/// Time between checks at start whether a peer has been heard from.
+/// Time between checks at start for a first exchange with a peer.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Bounds of the delay before a failed call to the platform is repeated.
@@ -70,7 +70,7 @@
             tokio::select! {
                 // The sender lives as long as `self`.
                 _ = stored.wait_for(|stored| stored.contains_all(&leaves)) => {}
-                () = tell_peers(daemon) => {}
+                () = send_to_peers(daemon) => {}
             }
         };
         timeout(RECORD_TIMEOUT, recorded).await.is_ok()
@@ -152,7 +152,7 @@
     }
 }
 
-/// Waits until a peer has told of the leaves, or there is none. An exchange with a peer does so.
+/// Waits for a first exchange with a peer, which states the leaves that it has received, unless there is no peer.
 async fn recall_from_peers(daemon: &Daemon) {
     if daemon.settings.distribution == Distribution::Direct {
         let exchange = ExchangeState::of(daemon);
@@ -200,7 +200,7 @@
 
 /// Sends this daemon's record, which states that the backend server leaves, to some peers; returns once enough of
 /// them have responded.
-async fn tell_peers(daemon: &Daemon) {
+async fn send_to_peers(daemon: &Daemon) {
     sleep(PEER_DELAY).await;
     if !daemon.record().left {
         pending::<()>().await;
@@ -211,14 +211,14 @@
         .iter()
         .map(|peer| exchange::with_peer(daemon, *peer, RECORD_TIMEOUT));
     let mut exchanges: FuturesUnordered<_> = exchanges.collect();
-    let mut told = 0;
+    let mut responses = 0;
     while let Some(result) = exchanges.next().await {
         match result {
-            Ok(()) => told += 1,
+            Ok(()) => responses += 1,
             Err(err) => event!(ExchangeFailed, error = err),
         }
-        if told >= needed {
-            event!(LeavesKeptByPeers, peers = told);
+        if responses >= needed {
+            event!(LeavesKeptByPeers, peers = responses);
             return;
         }
     }
@@ -232,5 +232,5 @@
         member.name != daemon.identity.name && member.state() != MemberState::Draining
     });
     let addresses = others.filter_map(|member| member.inbound.parse().ok());
-    addresses.choose_multiple(&mut rand::rng(), PEERS_TOLD)
+    addresses.choose_multiple(&mut rand::rng(), PEERS_ASKED)
 }
--- a/src/tree/backoff.rs
+++ b/src/tree/backoff.rs
@@ -50,8 +50,8 @@
     time.mul_f64(rand::rng().random_range(0.75..1.25))
 }
 
-/// Returns a random time of 80 % to all of `longest`. Watches of several daemons then do not end together: the
-/// first one that finds a version tells the others.
+/// Returns a random time of 80 % to all of `longest`. Watches of several daemons then do not end together, and
+/// the first one that returns a version serves all.
 #[must_use]
 pub fn jitter_below(longest: Duration) -> Duration {
     longest.mul_f64(rand::rng().random_range(0.8..=1.0))
--- a/tests/leave_restart.rs
+++ b/tests/leave_restart.rs
@@ -176,7 +176,7 @@
         self.process = Some(Process { daemon, runtime });
     }
 
-    /// Ends the daemon at once, without any word to others.
+    /// Ends the daemon at once, without a message to others.
     fn kill(&mut self) {
         if let Some(Process { daemon, runtime }) = self.process.take() {
             drop(daemon);
