--- a/review/standin-2/mesh.py
+++ b/review/standin-2/mesh.py
@@ -304,6 +304,12 @@
         self.lost_share = 0.0
         self.server = None
         self.beating = None
+        self.connections = set()
+        # Tells of a request's path whether the upstream crashes when it runs it.
+        self.is_deadly = lambda target: False
+        self.crashes = []
+        self.down_s = 3.0
+        self.is_down = False
 
     async def start(self):
         ip = self.machine.ip
@@ -313,6 +319,24 @@
     def begin_reports(self):
         self.beating = asyncio.create_task(self.report_regularly())
 
+    async def crash(self, down_s):
+        """Ends at once, and starts again after a while as a new instance at the same address."""
+        if self.is_down:
+            return
+        self.is_down = True
+        self.crashes.append(now())
+        self.beating.cancel()
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+        await asyncio.sleep(down_s)
+        self.id = f"i-{os.urandom(5).hex()}"
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.server = await asyncio.start_server(self.serve, *self.address[:2], limit=4 << 20)
+        self.is_down = False
+        self.begin_reports()
+
     async def report_regularly(self):
         while True:
             await self.report()
@@ -336,6 +360,7 @@
             return False
 
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -348,6 +373,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     async def answer(self, head, body, arrived, writer):
@@ -368,6 +394,12 @@
             return True
         run = Run(arrived, attempt, headers.get("tenant", ""), self.machine.name)
         self.runs.append(run)
+        if self.is_deadly(target):
+            await asyncio.sleep(0.02)
+            run.ended, run.status = now(), "crashed"
+            self.machine.mesh.note(f"the upstream of {self.machine.name} crashes")
+            self.machine.mesh.spawn(self.crash(self.down_s))
+            return False
         work = self.work_of(target)
         limit = int(headers.get("deadline-ms", "60000")) / 1000.0
         await asyncio.sleep(min(work, limit))
