--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,7 +2,7 @@
 # Builds the stand-ins that the scripts of this review start. They are Python programs that need only the standard
 # library, so there is nothing to build but the check that the interpreter is there and can read them.
 cd "$(dirname "$0")" || exit 1
-python3 -B - standin-2/mesh.py [6-9]/case.py <<'PY'
+python3 -B - standin-2/mesh.py [6-9]/case.py 10/case.py <<'PY'
 import ast
 import sys
 
--- a/review/standin-2/mesh.py
+++ b/review/standin-2/mesh.py
@@ -77,7 +77,14 @@
     return response(status, {"content-type": "application/json"}, json.dumps(value).encode())
 
 
-async def request(address, method, path, headers=None, body=b"", timeout=1.0):
+def chunked_message(first, headers, body):
+    lines = [first] + [f"{name}: {value}" for name, value in headers.items()]
+    lines.append("transfer-encoding: chunked")
+    chunk = f"{len(body):x}\r\n".encode() + body + b"\r\n" if body else b""
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + chunk + b"0\r\n\r\n"
+
+
+async def request(address, method, path, headers=None, body=b"", timeout=1.0, chunked=False):
     """Sends one request on a new connection; returns the status, the headers and the body."""
     host, port = address
 
@@ -85,7 +92,8 @@
         reader, writer = await asyncio.open_connection(host, port)
         try:
             head = {"host": f"{host}:{port}", **(headers or {})}
-            writer.write(message(f"{method} {path} HTTP/1.1", head, body))
+            encode = chunked_message if chunked else message
+            writer.write(encode(f"{method} {path} HTTP/1.1", head, body))
             head = await read_head(reader)
             if head is None:
                 raise ConnectionError("no answer")
@@ -572,13 +580,14 @@
             chosen += inside if 2 * len(inside) >= len(members) else members
         return chosen
 
-    async def call(self, machine, path, headers, deadline_ms, method="GET", body=b""):
+    async def call(self, machine, path, headers, deadline_ms, method="GET", body=b"", chunked=False):
         attempt = os.urandom(8).hex()
         sent = now()
         head = {"host": headers.pop("host", "mesh.example"), "attempt-id": attempt,
                 "deadline-ms": str(deadline_ms), **headers}
         try:
-            status, fields, answer = await request(machine.outbound, method, path, head, body, deadline_ms / 1000.0)
+            timeout = deadline_ms / 1000.0
+            status, fields, answer = await request(machine.outbound, method, path, head, body, timeout, chunked)
         except asyncio.TimeoutError:
             status, fields, answer = "deadline", {}, b""
         except (OSError, asyncio.IncompleteReadError) as err:
