--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,8 @@
-"""The settings file lowers the retry budget, and SIGHUP tells the daemons. Upstreams lose answers before and after."""
+"""All daemons are killed while the store is down, and a request that crashes upstreams comes again afterwards."""
 
 import asyncio
 import os
 import random
-import signal
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
@@ -11,96 +10,94 @@
 from mesh import CannotRun, Mesh, config, now  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-RATIO_BEFORE, RATIO_AFTER = 0.2, 0.02
-EXTRA = 60
-WINDOW_S = 10.0
-# Time after SIGHUP from which the new ratio is judged: more than `configApplyMs`, which is two seconds.
-SETTLE_S = 4.0
-HUP_SHARE = 0.6
-LOST_SHARE, LOST_X, LOST_FOR_S = 0.6, 0.4, 1.5
-
-
-def bounds(ratio):
-    return [
-        "seedLagS=3", "reuseAfterS=2", "contactMs=3000", "ackMs=4000", "catchUpS=4", "drainMs=2000", "graceS=6",
-        "lossSlackMs=200", "configApplyMs=2000", "rollbackSlackMs=250", "partitionMaxMs=5000",
-        f"retryBudgetRatio={ratio}", f"budgetWindowS={WINDOW_S:.0f}", f"retryBudgetExtra={EXTRA}", "recoverS=15",
-    ]
+CONTACT_S = 3.0
+STORE_DOWN_S, KILL_AFTER_S, KILLED_S = 4.5, 1.5, 1.0
+ALLOWED_RETRIES = 3
+DEADLY = "/look/deadly"
+BOUNDS = [
+    "seedLagS=3", "reuseAfterS=2", "contactMs=3000", "ackMs=4000", "catchUpS=4", "drainMs=2000", "graceS=6",
+    "lossSlackMs=200", "configApplyMs=2000", "rollbackSlackMs=250", "partitionMaxMs=5000", "retryBudgetRatio=0.2",
+    "budgetWindowS=10", "retryBudgetExtra=64", "recoverS=15",
+]
 
 
 async def client(mesh, machine, until):
     while now() < until:
         mesh.spawn(mesh.call(machine, f"/look/{os.urandom(4).hex()}", {}, 1000))
-        await asyncio.sleep(random.uniform(0.03, 0.05))
+        await asyncio.sleep(random.uniform(0.1, 0.22))
 
 
-async def lose_answers(mesh, until):
-    """Again and again, other upstreams begin to lose answers."""
-    while now() < until:
-        chosen = random.sample(mesh.machines, round(LOST_SHARE * len(mesh.machines)))
-        for machine in mesh.machines:
-            machine.upstream.lost_share = LOST_X if machine in chosen else 0.0
-        mesh.note("answers are lost at " + ", ".join(machine.name for machine in chosen))
-        await asyncio.sleep(LOST_FOR_S)
+async def send_deadly(mesh, seconds):
+    """Sends the deadly request at five machines, again and again."""
+    end = now() + seconds
+    while now() < end:
+        for machine in random.sample(mesh.machines_in(), 5):
+            task = mesh.spawn(mesh.call(machine, DEADLY, {}, 1000))
+            task.add_done_callback(lambda done: mesh.deadly.add(done.result()[3]) if not done.cancelled() else None)
+        await asyncio.sleep(5.0)
+
+
+async def kill_all(mesh):
+    mesh.note("all daemons are killed")
+    for machine in mesh.machines:
+        machine.kill()
+    for machine in mesh.machines:
+        await machine.process.wait()
+    await asyncio.sleep(KILLED_S)
+    await asyncio.gather(*(machine.start() for machine in mesh.machines))
+    mesh.note("all daemons have been started")
 
 
 async def play(mesh):
-    settings = config(7, None, service="certs")
+    settings = config(7, None, service="stallhall", timeout_ms=1000)
     del settings["tenants"]
     await mesh.start(settings)
+    for machine in mesh.machines:
+        machine.upstream.is_deadly = lambda target: target == DEADLY
     await asyncio.sleep(3.0)
-    until = now() + 36.0
+    until = now() + 48.0
     clients = [mesh.spawn(client(mesh, machine, until)) for machine in mesh.machines]
-    clients.append(mesh.spawn(lose_answers(mesh, until)))
-    await asyncio.sleep(6.0)
-    changed = now()
+    await asyncio.sleep(1.0)
+    await send_deadly(mesh, 8.0)
     if TROUBLE:
-        mesh.bounds = bounds(RATIO_AFTER)
-        first = round(HUP_SHARE * len(mesh.machines))
-        for machines in (mesh.machines[:first], mesh.machines[first:]):
-            for machine in machines:
-                machine.write_settings()
-                machine.process.send_signal(signal.SIGHUP)
-                mesh.note(f"{machine.name}: settings with retryBudgetRatio={RATIO_AFTER}, SIGHUP")
-            await asyncio.sleep(2.0)
-        changed = now()
+        mesh.note("the store is down")
+        mesh.store.set_down(True)
+        await asyncio.sleep(KILL_AFTER_S)
+        killed = mesh.spawn(kill_all(mesh))
+        await asyncio.sleep(STORE_DOWN_S - KILL_AFTER_S)
+        mesh.store.set_down(False)
+        mesh.note("the store is back")
+        await killed
+    calm = now()
+    await asyncio.sleep(CONTACT_S + 3.0)
+    mesh.note("the deadly request comes again")
+    await send_deadly(mesh, 12.0)
     await asyncio.gather(*clients)
-    await asyncio.sleep(1.5)
-    return changed, until
-
-
-def judge(mesh, begin, end, ratio):
-    """Returns the windows after `begin` with more repeats than allowed: the start, the repeats and the limit."""
-    arrivals, first = [], set()
-    for run in sorted(mesh.runs(), key=lambda run: run.arrived):
-        if run.attempt in first:
-            arrivals.append(run.arrived)
-        first.add(run.attempt)
-    sent = [request[0] for request in mesh.requests]
-    count = lambda times, at: sum(1 for time in times if at <= time < at + WINDOW_S)  # noqa: E731
-    windows = []
-    at = begin
-    while at + WINDOW_S <= end:
-        repeats = count(arrivals, at)
-        requests = max(count(sent, at - back) for back in (0.0, WINDOW_S / 2, WINDOW_S))
-        windows.append((at, repeats, ratio * requests + EXTRA, requests))
-        at += 0.25
-    return windows
+    return calm
+
+
+def judge(mesh, calm):
+    """Returns the crashes, and the retries that count: those by machines in touch, long enough after the third crash."""
+    crashes = sorted(at for machine in mesh.machines for at in machine.upstream.crashes)
+    if len(crashes) < 3:
+        raise CannotRun(f"only {len(crashes)} upstreams have crashed")
+    arrivals = sorted(run.arrived for run in mesh.runs() if run.attempt in mesh.deadly)
+    begin = max(crashes[2], calm) + CONTACT_S
+    return crashes, [at for at in arrivals if at > begin]
 
 
 async def main():
     mesh = None
     try:
-        mesh = Mesh(6, ["espoo", "vantaa", "lahti"], bounds(RATIO_BEFORE), os.path.join(HERE, "record.txt"),
-                    service="certs")
-        changed, end = await play(mesh)
-        ratio = RATIO_AFTER if TROUBLE else RATIO_BEFORE
-        windows = judge(mesh, changed + SETTLE_S, end, ratio)
-        at, repeats, limit, requests = max(windows, key=lambda window: window[1] - window[2])
-        broken = repeats > limit
+        mesh = Mesh(6, ["howrah", "salt-lake", "barasat"], BOUNDS, os.path.join(HERE, "record.txt"),
+                    service="stallhall")
+        mesh.deadly = set()
+        calm = await play(mesh)
+        crashes, retries = judge(mesh, calm)
+        broken = len(retries) > ALLOWED_RETRIES
         lines = [
-            f"BUDGET {'broken' if broken else 'held'}: {repeats} arrivals beyond the first in {WINDOW_S:.0f} s from "
-            f"{at - changed:.2f} s after the change of settings, for {requests} requests; allowed {limit:.0f}"
+            f"BUDGET {'broken' if broken else 'held'}: {len(retries)} retries of a request after it had crashed three "
+            f"upstreams, {ALLOWED_RETRIES} allowed; {len(crashes)} upstreams crashed in all"
         ]
         print("\n".join(lines))
         mesh.write_record(lines)
