--- a/review/standin-2/mesh.py
+++ b/review/standin-2/mesh.py
@@ -637,7 +637,7 @@
         for port in range(first, first + count):
             with socket.socket() as sock:
                 try:
-                    sock.bind(("0.0.0.0", port))
+                    sock.bind(("127.0.0.1", port))
                 except OSError:
                     break
         else:
