--- a/review/standin-2/mesh.py
+++ b/review/standin-2/mesh.py
@@ -12,7 +12,9 @@
 import signal
 import socket
 import tempfile
+import sys
 import time
+import traceback
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -664,3 +666,27 @@
         "tenants": tenants,
         "virtualHosts": [{"host": "mesh.example", "paths": paths}],
     }
+
+
+def run_case(main):
+    """Runs a case and ends the process with its exit code; 2 if it fails or is told to stop.
+
+    The clean-up of `main`, which ends the processes that were started, is run in each case.
+    """
+
+    async def guarded():
+        task = asyncio.ensure_future(main())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            print("cannot run: told to stop")
+        except CannotRun as err:
+            print("cannot run:", err)
+        except Exception:
+            traceback.print_exc()
+            print("cannot run: an error of the script")
+        return 2
+
+    sys.exit(asyncio.run(guarded()))
