--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,6 +13,8 @@
 CONTACT_S = 3.0
 STORE_DOWN_S, KILL_AFTER_S, KILLED_S = 4.5, 1.5, 1.0
 ALLOWED_RETRIES = 3
+# The largest share of deadly requests that the pages name, while they are sent.
+MAX_DEADLY_SHARE = 0.03
 DEADLY = "/look/deadly"
 BOUNDS = [
     "seedLagS=3", "reuseAfterS=2", "contactMs=3000", "ackMs=4000", "catchUpS=4", "drainMs=2000", "graceS=6",
@@ -24,12 +26,13 @@
 async def client(mesh, machine, until):
     while now() < until:
         mesh.spawn(mesh.call(machine, f"/look/{os.urandom(4).hex()}", {}, 1000))
-        await asyncio.sleep(random.uniform(0.1, 0.22))
+        await asyncio.sleep(random.uniform(0.07, 0.14))
 
 
 async def send_deadly(mesh, seconds):
     """Sends the deadly request at five machines, again and again."""
-    end = now() + seconds
+    begin, end = now(), now() + seconds
+    mesh.spans.append((begin, end))
     while now() < end:
         for machine in random.sample(mesh.machines_in(), 5):
             task = mesh.spawn(mesh.call(machine, DEADLY, {}, 1000))
@@ -76,6 +79,15 @@
     return calm
 
 
+def deadly_share(mesh):
+    """Returns the share of the deadly requests among all that were sent while they were sent."""
+    sent = [
+        request[1] for request in mesh.requests
+        if any(begin <= request[0] < end for begin, end in mesh.spans)
+    ]
+    return sum(1 for attempt in sent if attempt in mesh.deadly) / max(1, len(sent))
+
+
 def judge(mesh, calm):
     """Returns the crashes, and the retries that count: those by machines in touch, long enough after the third crash."""
     crashes = sorted(at for machine in mesh.machines for at in machine.upstream.crashes)
@@ -91,13 +103,17 @@
     try:
         mesh = Mesh(6, ["howrah", "salt-lake", "barasat"], BOUNDS, os.path.join(HERE, "record.txt"),
                     service="stallhall")
-        mesh.deadly = set()
+        mesh.deadly, mesh.spans = set(), []
         calm = await play(mesh)
         crashes, retries = judge(mesh, calm)
+        share = deadly_share(mesh)
+        if share > MAX_DEADLY_SHARE:
+            raise CannotRun(f"the share of deadly requests was {share:.4f}")
         broken = len(retries) > ALLOWED_RETRIES
         lines = [
             f"BUDGET {'broken' if broken else 'held'}: {len(retries)} retries of a request after it had crashed three "
-            f"upstreams, {ALLOWED_RETRIES} allowed; {len(crashes)} upstreams crashed in all"
+            f"upstreams, {ALLOWED_RETRIES} allowed; {len(crashes)} upstreams crashed in all; "
+            f"the share of the deadly requests was {share:.4f}"
         ]
         print("\n".join(lines))
         mesh.write_record(lines)
